--- /dev/null
+++ b/crates/masticdock-core/src/ids/mod.rs
@@ -0,0 +1,42 @@
+//! Identifiers as newtypes.
+
+mod digest;
+mod name;
+mod number;
+
+pub use digest::{Digest, DigestHasher};
+pub use name::{
+    AdapterId, ChangeId, EntryId, ModelId, NAME_LEN_MAX, OperatorId, RegionId, RequestKey,
+    RolloutId, ServiceId, VersionId, VmId, WorkspaceId, ZoneId,
+};
+pub use number::{BootEpoch, Fence, Incarnation, Revision};
+
+/// Reports text that is not a valid identifier.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("invalid {what} `{text}`: {reason}; {tip}")]
+pub struct ParseIdError {
+    /// Kind of identifier that was expected.
+    pub what: &'static str,
+    /// Rejected text, shortened to 64 characters.
+    pub text: String,
+    /// Reason for the rejection.
+    pub reason: &'static str,
+    /// What the reader can do about it.
+    pub tip: &'static str,
+}
+
+impl ParseIdError {
+    pub(crate) fn new(
+        what: &'static str,
+        text: &str,
+        reason: &'static str,
+        tip: &'static str,
+    ) -> Self {
+        Self {
+            what,
+            text: text.chars().take(64).collect(),
+            reason,
+            tip,
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decision code of masticdock.
+//!
+//! Nothing in this crate performs I/O, reads a clock or draws random numbers by
+//! itself: callers pass the time and a seeded generator. That makes each module
+//! testable against a naive version and embeddable elsewhere.
+
+pub mod config_log;
+pub mod event;
+pub mod ids;
+pub mod manifest;
+pub mod membership;
+pub mod rendezvous;
+pub mod resource;
+pub mod units;
--- /dev/null
+++ b/crates/masticdock-core/src/membership/mod.rs
@@ -0,0 +1,5 @@
+//! Members of the fleet as one process sees them.
+
+mod member;
+
+pub use member::{Liveness, Member, MemberStatus, Phase, Role};
--- /dev/null
+++ b/crates/masticdock-daemon/src/cli.rs
@@ -0,0 +1,101 @@
+//! Command line of the daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use masticdock_core::event;
+
+use crate::event_log::log_event;
+use crate::settings::{self, Settings};
+
+/// Distributes weights to VMs and routes requests to them.
+#[derive(Debug, Parser)]
+#[command(name = "masticdockd", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs an entry: takes requests from callers and operators.
+    Entry {
+        /// Settings file in YAML.
+        settings: PathBuf,
+    },
+    /// Runs an agent beside one upstream.
+    Agent {
+        /// Settings file in YAML.
+        settings: PathBuf,
+    },
+    /// Checks a settings file and prints the first error with its line.
+    Check {
+        /// Settings file in YAML.
+        settings: PathBuf,
+    },
+}
+
+/// Exit status for invalid settings.
+const EXIT_SETTINGS: u8 = 2;
+
+pub(crate) fn run() -> ExitCode {
+    let cli = Cli::parse();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+    match cli.command {
+        Command::Entry { settings } => start(&settings, "entry"),
+        Command::Agent { settings } => start(&settings, "agent"),
+        Command::Check { settings } => check(&settings),
+    }
+}
+
+fn check(path: &std::path::Path) -> ExitCode {
+    match settings::load(path) {
+        Ok(settings) => {
+            println!(
+                "{}: valid settings of role {}",
+                path.display(),
+                settings.role()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn start(path: &std::path::Path, role: &str) -> ExitCode {
+    let settings = match settings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            log_event!(event::SETTINGS_INVALID, "{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let result = match (settings, role) {
+        (Settings::Entry(entry), "entry") => crate::entry::run(*entry),
+        (Settings::Agent(agent), "agent") => crate::agent::run(*agent),
+        (other, _) => {
+            log_event!(
+                event::SETTINGS_INVALID,
+                "{}: the file is for role {}, but the command is `{role}`; tip: run `masticdockd {} {}`",
+                path.display(),
+                other.role(),
+                other.role(),
+                path.display()
+            );
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/control/snapshot.rs
@@ -0,0 +1,53 @@
+//! Immutable snapshots of control state for the other threads.
+
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use masticdock_core::config_log::ConfigState;
+use masticdock_core::membership::Member;
+
+/// Control state at one moment.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Snapshot {
+    /// Raised with each published snapshot.
+    pub(crate) seq: u64,
+    /// Configuration in force; revision 0 until one was adopted.
+    pub(crate) config: Arc<ConfigState>,
+    /// Members of every liveness, the own process included.
+    pub(crate) members: Arc<Vec<Member>>,
+    /// True when this process takes no new work.
+    pub(crate) leaving: bool,
+}
+
+/// Holds the newest snapshot; one writer, many readers.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotCell {
+    current: Mutex<Arc<Snapshot>>,
+    changed: Condvar,
+}
+
+impl SnapshotCell {
+    /// Returns the newest snapshot.
+    pub(crate) fn load(&self) -> Arc<Snapshot> {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&current)
+    }
+
+    /// Publishes a snapshot; called by the control thread alone.
+    pub(crate) fn publish(&self, mut snapshot: Snapshot) {
+        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        snapshot.seq = current.seq + 1;
+        *current = Arc::new(snapshot);
+        self.changed.notify_all();
+    }
+
+    /// Waits until a snapshot newer than `seq` exists or `timeout` passes.
+    pub(crate) fn wait_newer(&self, seq: u64, timeout: Duration) -> Arc<Snapshot> {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let (current, _) = self
+            .changed
+            .wait_timeout_while(current, timeout, |current| current.seq <= seq)
+            .unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&current)
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/main.rs
@@ -0,0 +1,21 @@
+//! The masticdock daemon: `entry` on entry VMs, `agent` beside each upstream.
+
+// Parts of the skeleton are not wired yet.
+#![allow(dead_code, unused_imports)]
+
+mod agent;
+mod cli;
+mod control;
+mod drain;
+mod entry;
+mod event_log;
+mod metrics;
+mod net;
+mod settings;
+mod status;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/net/mod.rs
@@ -0,0 +1,1 @@
+//! Messages to other masticdock processes.
--- /dev/null
+++ b/crates/masticdock-daemon/src/settings/agent.rs
@@ -0,0 +1,182 @@
+//! Settings of an agent.
+
+use std::net::SocketAddr;
+
+use masticdock_core::ids::ServiceId;
+use masticdock_core::units::{BytesPerSecond, Share};
+use serde::Deserialize;
+
+use super::load::{Finding, in_range};
+use super::{GossipSettings, HttpLimits, NodeSettings, PlatformSettings, SecuritySettings};
+
+/// Settings of `masticdockd agent`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct AgentSettings {
+    /// Always `agent`; read by the loader.
+    #[serde(rename = "role")]
+    pub(crate) _role: String,
+    /// Who and where this process is.
+    pub(crate) node: NodeSettings,
+    /// Address on which entries send requests.
+    pub(crate) traffic_addr: SocketAddr,
+    /// Loopback address from which the engine reads weights.
+    pub(crate) weights_addr: SocketAddr,
+    /// The upstream beside this agent.
+    pub(crate) upstream: UpstreamSettings,
+    /// Where the platform's services are.
+    pub(crate) platform: PlatformSettings,
+    /// Files with secrets.
+    pub(crate) security: SecuritySettings,
+    /// Rates of the links of this VM.
+    #[serde(default)]
+    pub(crate) links: LinkSettings,
+    /// Transfer of weights.
+    #[serde(default)]
+    pub(crate) transfer: TransferSettings,
+    /// Timing of gossip and probes.
+    #[serde(default)]
+    pub(crate) gossip: GossipSettings,
+    /// Time a switch slot is held without renewal, in milliseconds.
+    #[serde(default = "default_slot_lease_ms")]
+    pub(crate) slot_lease_ms: u64,
+    /// Time an engine has to load a version, in milliseconds.
+    #[serde(default = "default_load_timeout_ms")]
+    pub(crate) load_timeout_ms: u64,
+    /// Limits of the listeners.
+    #[serde(default)]
+    pub(crate) http: HttpLimits,
+}
+
+const fn default_slot_lease_ms() -> u64 {
+    15_000
+}
+
+const fn default_load_timeout_ms() -> u64 {
+    300_000
+}
+
+impl AgentSettings {
+    pub(super) fn check(&self) -> Result<(), Finding> {
+        self.platform.check()?;
+        self.gossip.check()?;
+        self.transfer.check()?;
+        self.http.check()?;
+        in_range("slot_lease_ms", self.slot_lease_ms, 500..=600_000)?;
+        in_range("load_timeout_ms", self.load_timeout_ms, 500..=3_600_000)?;
+        if !self.weights_addr.ip().is_loopback() {
+            return Err(Finding {
+                kind: super::SettingsErrorKind::OutOfRange,
+                field: "weights_addr",
+                message: "it is not a loopback address, so others could read the weights"
+                    .to_owned(),
+                tip: "use an address such as 127.0.0.1:7403",
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Whether the upstream's engine checks fencing numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Fencing {
+    /// The engine refuses an order with an old number.
+    Checked,
+    /// The engine ignores the number.
+    Ignored,
+}
+
+/// The upstream beside an agent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct UpstreamSettings {
+    /// True for a model engine, false for a plain service.
+    pub(crate) engine: bool,
+    /// Base URL of the upstream.
+    pub(crate) url: String,
+    /// Whether the engine checks fencing numbers.
+    #[serde(default = "default_fencing")]
+    pub(crate) fencing: Fencing,
+    /// Services that this upstream answers for.
+    pub(crate) services: Vec<ServiceId>,
+}
+
+const fn default_fencing() -> Fencing {
+    Fencing::Ignored
+}
+
+/// Rates of the links of a VM; a rate of 0 means no limit.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct LinkSettings {
+    /// Rate of the VM's own link in each direction.
+    pub(crate) vm_rate_bytes_per_s: BytesPerSecond,
+    /// Share of the VM's link that weights may use.
+    pub(crate) weights_share: Share,
+    /// Rate of the link between two regions.
+    pub(crate) inter_region_rate_bytes_per_s: BytesPerSecond,
+    /// Share of the link between regions that weights may use.
+    pub(crate) inter_region_share: Share,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            vm_rate_bytes_per_s: BytesPerSecond(0),
+            weights_share: Share::from_milli(800),
+            inter_region_rate_bytes_per_s: BytesPerSecond(25_000_000 / 8),
+            inter_region_share: Share::from_milli(200),
+        }
+    }
+}
+
+/// Transfer of weights between agents.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct TransferSettings {
+    /// Neighbours whose have-bitmaps an agent follows.
+    pub(crate) neighbours: u64,
+    /// Chunks sent at once.
+    pub(crate) upload_slots: u64,
+    /// Chunks requested at once.
+    pub(crate) download_slots: u64,
+    /// Time between two announcements, in milliseconds.
+    pub(crate) announce_interval_ms: u64,
+    /// Time without a whole chunk after which a second sender is asked, in milliseconds.
+    pub(crate) stall_timeout_ms: u64,
+    /// Time for which a complete copy is still sent to others, in milliseconds.
+    pub(crate) seeding_ms: u64,
+}
+
+impl Default for TransferSettings {
+    fn default() -> Self {
+        Self {
+            neighbours: 10,
+            upload_slots: 4,
+            download_slots: 4,
+            announce_interval_ms: 500,
+            stall_timeout_ms: 3_000,
+            seeding_ms: 600_000,
+        }
+    }
+}
+
+impl TransferSettings {
+    fn check(&self) -> Result<(), Finding> {
+        in_range("transfer.neighbours", self.neighbours, 1..=64)?;
+        in_range("transfer.upload_slots", self.upload_slots, 1..=64)?;
+        in_range("transfer.download_slots", self.download_slots, 1..=64)?;
+        in_range(
+            "transfer.announce_interval_ms",
+            self.announce_interval_ms,
+            20..=10_000,
+        )?;
+        in_range(
+            "transfer.stall_timeout_ms",
+            self.stall_timeout_ms,
+            50..=600_000,
+        )?;
+        in_range("transfer.seeding_ms", self.seeding_ms, 0..=86_400_000)
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/settings/common.rs
@@ -0,0 +1,154 @@
+//! Settings that both roles share.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use compact_str::CompactString;
+use masticdock_core::ids::{RegionId, ZoneId};
+use serde::Deserialize;
+
+use super::load::{Finding, in_range};
+
+/// Who and where this process is.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct NodeSettings {
+    /// VM id of an agent, entry id of an entry.
+    pub(crate) id: CompactString,
+    /// Region.
+    pub(crate) region: RegionId,
+    /// Availability zone.
+    pub(crate) zone: ZoneId,
+    /// Address for gossip (UDP) and Cap'n Proto RPC (TCP), by IP number.
+    pub(crate) peer_addr: SocketAddr,
+    /// Address for `/healthz`, `/readyz` and `/metrics`.
+    pub(crate) status_addr: SocketAddr,
+    /// Peer addresses of members to ask when the fleet view is down.
+    #[serde(default)]
+    pub(crate) seed_addrs: Vec<SocketAddr>,
+}
+
+/// Where the platform's services are.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct PlatformSettings {
+    /// Base URL of the table service.
+    pub(crate) table_url: String,
+    /// Name of the table.
+    #[serde(default = "default_table_name")]
+    pub(crate) table_name: String,
+    /// Base URL of the object store.
+    pub(crate) object_store_url: String,
+    /// Base URL of the weight origin.
+    pub(crate) origin_url: String,
+    /// URL of the fleet view.
+    pub(crate) fleet_view_url: String,
+    /// Time-out of one call, in milliseconds.
+    #[serde(default = "default_timeout_ms")]
+    pub(crate) timeout_ms: u64,
+    /// Time between two reads of the table's head by a reader, in milliseconds.
+    #[serde(default = "default_head_poll_interval_ms")]
+    pub(crate) head_poll_interval_ms: u64,
+    /// Time between two reads of the fleet view by a reader, in milliseconds.
+    #[serde(default = "default_fleet_poll_interval_ms")]
+    pub(crate) fleet_poll_interval_ms: u64,
+}
+
+fn default_table_name() -> String {
+    "masticdock".to_owned()
+}
+
+const fn default_timeout_ms() -> u64 {
+    2_000
+}
+
+const fn default_head_poll_interval_ms() -> u64 {
+    500
+}
+
+const fn default_fleet_poll_interval_ms() -> u64 {
+    2_000
+}
+
+impl PlatformSettings {
+    pub(super) fn check(&self) -> Result<(), Finding> {
+        in_range("platform.timeout_ms", self.timeout_ms, 10..=60_000)?;
+        in_range(
+            "platform.head_poll_interval_ms",
+            self.head_poll_interval_ms,
+            50..=2_000,
+        )?;
+        in_range(
+            "platform.fleet_poll_interval_ms",
+            self.fleet_poll_interval_ms,
+            50..=60_000,
+        )
+    }
+}
+
+/// Files that hold secrets; their contents are never printed.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct SecuritySettings {
+    /// File with the key that all masticdock processes share.
+    pub(crate) peer_key_file: PathBuf,
+}
+
+/// Timing of gossip and probes.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct GossipSettings {
+    /// Time between two pushes of fresh updates, in milliseconds.
+    pub(crate) push_interval_ms: u64,
+    /// Members that receive each push.
+    pub(crate) push_fanout: u64,
+    /// Time between two probes, in milliseconds.
+    pub(crate) probe_interval_ms: u64,
+    /// Time a probed member has to answer, in milliseconds.
+    pub(crate) probe_timeout_ms: u64,
+    /// Members asked to probe on this member's behalf.
+    pub(crate) indirect_probes: u64,
+    /// Time a suspect has to refute, in milliseconds.
+    pub(crate) suspicion_ms: u64,
+}
+
+impl Default for GossipSettings {
+    fn default() -> Self {
+        Self {
+            push_interval_ms: 200,
+            push_fanout: 3,
+            probe_interval_ms: 1_000,
+            probe_timeout_ms: 400,
+            indirect_probes: 3,
+            suspicion_ms: 3_000,
+        }
+    }
+}
+
+impl GossipSettings {
+    pub(super) fn check(&self) -> Result<(), Finding> {
+        in_range("gossip.push_interval_ms", self.push_interval_ms, 20..=2_000)?;
+        in_range("gossip.push_fanout", self.push_fanout, 1..=10)?;
+        in_range(
+            "gossip.probe_interval_ms",
+            self.probe_interval_ms,
+            50..=10_000,
+        )?;
+        in_range(
+            "gossip.probe_timeout_ms",
+            self.probe_timeout_ms,
+            10..=10_000,
+        )?;
+        in_range("gossip.indirect_probes", self.indirect_probes, 0..=10)?;
+        in_range("gossip.suspicion_ms", self.suspicion_ms, 100..=60_000)?;
+        if self.probe_timeout_ms >= self.probe_interval_ms {
+            return Err(Finding {
+                kind: super::SettingsErrorKind::Contradiction,
+                field: "gossip.probe_timeout_ms",
+                message: "it is not below `gossip.probe_interval_ms`".to_owned(),
+                tip: "use about 400 for an interval of 1000",
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/status/mod.rs
@@ -0,0 +1,47 @@
+//! Listener for `/healthz`, `/readyz` and `/metrics`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use anyhow::anyhow;
+use tiny_http::{Request, Response, Server};
+
+use crate::metrics::Metrics;
+
+/// Tells whether the process takes work; the text says why not.
+pub(crate) type Readiness = Arc<dyn Fn() -> Result<(), String> + Send + Sync>;
+
+/// Opens the listener and answers on its own thread.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub(crate) fn spawn(addr: SocketAddr, metrics: Metrics, ready: Readiness) -> anyhow::Result<()> {
+    let server = Server::http(addr)
+        .map_err(|error| anyhow!("cannot listen on status_addr {addr}: {error}"))?;
+    thread::Builder::new()
+        .name("status".to_owned())
+        .spawn(move || {
+            for request in server.incoming_requests() {
+                answer(request, &metrics, &ready);
+            }
+        })?;
+    Ok(())
+}
+
+fn answer(request: Request, metrics: &Metrics, ready: &Readiness) {
+    let (status, body) = match request.url() {
+        "/healthz" => (200, b"ok\n".to_vec()),
+        "/readyz" => match ready() {
+            Ok(()) => (200, b"ready\n".to_vec()),
+            Err(reason) => (503, format!("{reason}\n").into_bytes()),
+        },
+        "/metrics" => (200, metrics.render()),
+        _ => (404, b"not found\n".to_vec()),
+    };
+    let response = Response::from_data(body).with_status_code(status);
+    if let Err(error) = request.respond(response) {
+        log::debug!("status response was not delivered: {error}");
+    }
+}
--- /dev/null
+++ b/crates/masticdock-platform/src/http/mod.rs
@@ -0,0 +1,123 @@
+//! HTTP calls with errors that tell whether a call can have taken effect.
+
+use std::fmt;
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use attohttpc::{ProxySettings, RequestBuilder};
+
+/// Time-outs of calls to the platform.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpSettings {
+    /// Time for a whole call, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Default for HttpSettings {
+    fn default() -> Self {
+        Self { timeout_ms: 2_000 }
+    }
+}
+
+/// Kind of a [`PlatformError`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum PlatformErrorKind {
+    /// The call did not reach the service; it had no effect.
+    NotSent,
+    /// The call may have taken effect: the answer was lost or reports an internal error.
+    OutcomeUnknown,
+    /// The service refused the call for its rate limit; it had no effect.
+    Throttled,
+    /// A condition of the write with this index failed; the call had no effect.
+    ConditionFailed(Vec<usize>),
+    /// The object does not exist.
+    NotFound,
+    /// The service refused the call; it had no effect.
+    Refused,
+    /// The answer cannot be understood.
+    Malformed,
+}
+
+/// Reports a failed call to the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformError {
+    /// Kind of the error.
+    pub kind: PlatformErrorKind,
+    /// What was called.
+    pub call: &'static str,
+    /// What went wrong.
+    pub message: String,
+}
+
+impl PlatformError {
+    pub(crate) fn new(
+        kind: PlatformErrorKind,
+        call: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            kind,
+            call,
+            message: message.into(),
+        }
+    }
+
+    /// Returns true when the call certainly had no effect.
+    #[must_use]
+    pub const fn had_no_effect(&self) -> bool {
+        !matches!(
+            self.kind,
+            PlatformErrorKind::OutcomeUnknown | PlatformErrorKind::Malformed
+        )
+    }
+
+    pub(crate) fn from_http(call: &'static str, error: &attohttpc::Error) -> Self {
+        let kind = match error.kind() {
+            // Only these are known to come before the request is written. A
+            // time-out may come after it, so it counts as unknown.
+            attohttpc::ErrorKind::Io(io) => match io.kind() {
+                ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable => PlatformErrorKind::NotSent,
+                _ => PlatformErrorKind::OutcomeUnknown,
+            },
+            attohttpc::ErrorKind::InvalidBaseUrl
+            | attohttpc::ErrorKind::InvalidUrlHost
+            | attohttpc::ErrorKind::InvalidUrlPort => PlatformErrorKind::NotSent,
+            _ => PlatformErrorKind::OutcomeUnknown,
+        };
+        Self::new(kind, call, error.to_string())
+    }
+
+    pub(crate) fn from_status(call: &'static str, status: u16, body: &str) -> Self {
+        let kind = match status {
+            404 => PlatformErrorKind::NotFound,
+            429 | 503 => PlatformErrorKind::Throttled,
+            400..=499 => PlatformErrorKind::Refused,
+            _ => PlatformErrorKind::OutcomeUnknown,
+        };
+        let start: String = body.chars().take(200).collect();
+        Self::new(kind, call, format!("status {status}: {start}"))
+    }
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} failed: {}", self.call, self.message)
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+/// Applies time-outs and turns off redirects and proxies.
+pub(crate) fn prepare(builder: RequestBuilder, settings: HttpSettings) -> RequestBuilder {
+    let timeout = Duration::from_millis(settings.timeout_ms);
+    builder
+        .connect_timeout(timeout)
+        .read_timeout(timeout)
+        .timeout(timeout)
+        .follow_redirects(false)
+        .proxy_settings(ProxySettings::builder().build())
+}
--- /dev/null
+++ b/crates/masticdock-platform/src/table/json.rs
@@ -0,0 +1,137 @@
+//! Encoding of the table protocol.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde_json::{Map, Value as Json, json};
+
+use super::{Condition, Item, ItemKey, Value, Write};
+use crate::http::{PlatformError, PlatformErrorKind};
+
+pub(super) fn malformed(message: &str) -> PlatformError {
+    PlatformError::new(PlatformErrorKind::Malformed, "table read", message)
+}
+
+pub(super) fn encode_key(key: &ItemKey) -> Json {
+    json!({ "pk": { "S": key.pk }, "sk": { "S": key.sk } })
+}
+
+fn encode_value(value: &Value) -> Json {
+    match value {
+        Value::Text(text) => json!({ "S": text }),
+        Value::Number(number) => json!({ "N": number.to_string() }),
+    }
+}
+
+fn encode_item(item: &Item) -> Json {
+    let mut fields = Map::new();
+    for (name, value) in &item.attributes {
+        fields.insert(name.to_string(), encode_value(value));
+    }
+    fields.insert("pk".to_owned(), json!({ "S": item.key.pk }));
+    fields.insert("sk".to_owned(), json!({ "S": item.key.sk }));
+    Json::Object(fields)
+}
+
+fn decode_value(value: &Json) -> Option<Value> {
+    if let Some(text) = value.get("S").and_then(Json::as_str) {
+        return Some(Value::Text(text.to_owned()));
+    }
+    let number = value.get("N")?.as_str()?;
+    number.parse().ok().map(Value::Number)
+}
+
+pub(super) fn decode_item(json: &Json) -> Result<Item, PlatformError> {
+    let Some(fields) = json.as_object() else {
+        return Err(malformed("an item is no object"));
+    };
+    let mut attributes = BTreeMap::new();
+    for (name, value) in fields {
+        let Some(value) = decode_value(value) else {
+            return Err(malformed("an attribute is neither text nor a number"));
+        };
+        attributes.insert(CompactString::new(name), value);
+    }
+    let mut key_part = |name: &str| match attributes.remove(name) {
+        Some(Value::Text(text)) => Ok(CompactString::from(text)),
+        _ => Err(malformed("an item has no key")),
+    };
+    let key = ItemKey {
+        pk: key_part("pk")?,
+        sk: key_part("sk")?,
+    };
+    Ok(Item { key, attributes })
+}
+
+fn add_condition(target: &mut Map<String, Json>, condition: &Condition) {
+    let (expression, field) = match condition {
+        Condition::Always => return,
+        Condition::Absent => ("attribute_not_exists(pk)", None),
+        Condition::Equals(name, value) => ("#c = :c", Some((name, value))),
+        Condition::AbsentOrEquals(name, value) => {
+            ("attribute_not_exists(pk) OR #c = :c", Some((name, value)))
+        }
+    };
+    target.insert("ConditionExpression".to_owned(), json!(expression));
+    let Some((name, value)) = field else {
+        return;
+    };
+    target.insert("ExpressionAttributeNames".to_owned(), json!({ "#c": name }));
+    target.insert(
+        "ExpressionAttributeValues".to_owned(),
+        json!({ ":c": encode_value(value) }),
+    );
+}
+
+pub(super) fn encode_write(table: &str, write: &Write) -> Json {
+    let mut fields = Map::new();
+    fields.insert("TableName".to_owned(), json!(table));
+    let (operation, condition) = match write {
+        Write::Put { item, condition } => {
+            fields.insert("Item".to_owned(), encode_item(item));
+            ("Put", condition)
+        }
+        Write::Delete { key, condition } => {
+            fields.insert("Key".to_owned(), encode_key(key));
+            ("Delete", condition)
+        }
+        Write::Check { key, condition } => {
+            fields.insert("Key".to_owned(), encode_key(key));
+            ("ConditionCheck", condition)
+        }
+    };
+    add_condition(&mut fields, condition);
+    json!({ operation: fields })
+}
+
+pub(super) fn decode_error(operation: &'static str, status: u16, text: &str) -> PlatformError {
+    let json: Json = serde_json::from_str(text).unwrap_or_default();
+    let type_name = json
+        .get("__type")
+        .and_then(Json::as_str)
+        .unwrap_or_default();
+    let type_name = type_name.rsplit('#').next().unwrap_or_default();
+    match type_name {
+        "TransactionCanceledException" => {}
+        "ProvisionedThroughputExceededException" | "ThrottlingException" => {
+            return PlatformError::new(PlatformErrorKind::Throttled, operation, type_name);
+        }
+        _ => return PlatformError::from_status(operation, status, text),
+    }
+    let mut failed = Vec::new();
+    let reasons = json.get("CancellationReasons").and_then(Json::as_array);
+    for (index, reason) in reasons.into_iter().flatten().enumerate() {
+        if reason.get("Code").and_then(Json::as_str) == Some("ConditionalCheckFailed") {
+            failed.push(index);
+        }
+    }
+    if failed.is_empty() {
+        // Cancelled by a concurrent transaction or by throttling: nothing was written.
+        return PlatformError::new(PlatformErrorKind::Throttled, operation, type_name);
+    }
+    PlatformError::new(
+        PlatformErrorKind::ConditionFailed(failed),
+        operation,
+        "a condition failed",
+    )
+}
--- /dev/null
+++ b/crates/masticdock-platform/src/table/mod.rs
@@ -0,0 +1,276 @@
+//! Client of the transactional table service.
+//!
+//! Speaks a subset of the `DynamoDB` JSON 1.0 protocol: `GetItem`, `Query` and
+//! `TransactWriteItems`. Requests carry no signature.
+
+mod json;
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde_json::{Value as Json, json};
+
+use crate::http::{HttpSettings, PlatformError, PlatformErrorKind, prepare};
+
+/// Key of an item.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ItemKey {
+    /// Partition key.
+    pub pk: CompactString,
+    /// Sort key.
+    pub sk: CompactString,
+}
+
+impl ItemKey {
+    /// Makes a key.
+    #[must_use]
+    pub fn new(pk: impl Into<CompactString>, sk: impl Into<CompactString>) -> Self {
+        Self {
+            pk: pk.into(),
+            sk: sk.into(),
+        }
+    }
+}
+
+/// Value of one attribute.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Value {
+    /// Text.
+    Text(String),
+    /// Number.
+    Number(u64),
+}
+
+impl Value {
+    /// Returns the text of a text attribute.
+    #[must_use]
+    pub fn as_text(&self) -> Option<&str> {
+        match self {
+            Self::Text(text) => Some(text),
+            Self::Number(_) => None,
+        }
+    }
+
+    /// Returns the number of a number attribute.
+    #[must_use]
+    pub const fn as_number(&self) -> Option<u64> {
+        match self {
+            Self::Text(_) => None,
+            Self::Number(number) => Some(*number),
+        }
+    }
+}
+
+/// One item of the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: ItemKey,
+    /// Attributes other than the key.
+    pub attributes: BTreeMap<CompactString, Value>,
+}
+
+impl Item {
+    /// Makes an item without attributes.
+    #[must_use]
+    pub const fn new(key: ItemKey) -> Self {
+        Self {
+            key,
+            attributes: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a text attribute.
+    #[must_use]
+    pub fn with_text(mut self, name: &str, text: impl Into<String>) -> Self {
+        self.attributes
+            .insert(CompactString::new(name), Value::Text(text.into()));
+        self
+    }
+
+    /// Adds a number attribute.
+    #[must_use]
+    pub fn with_number(mut self, name: &str, number: u64) -> Self {
+        self.attributes
+            .insert(CompactString::new(name), Value::Number(number));
+        self
+    }
+
+    /// Returns a text attribute.
+    #[must_use]
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.attributes.get(name)?.as_text()
+    }
+
+    /// Returns a number attribute.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.attributes.get(name)?.as_number()
+    }
+}
+
+/// Condition of a write, checked against the stored item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Condition {
+    /// No condition.
+    Always,
+    /// The item does not exist.
+    Absent,
+    /// The attribute has this value.
+    Equals(CompactString, Value),
+    /// The item does not exist or the attribute has this value.
+    AbsentOrEquals(CompactString, Value),
+}
+
+/// One write of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Write {
+    /// Creates or replaces an item.
+    Put {
+        /// The item.
+        item: Item,
+        /// Condition on the stored item.
+        condition: Condition,
+    },
+    /// Deletes an item.
+    Delete {
+        /// Key of the item.
+        key: ItemKey,
+        /// Condition on the stored item.
+        condition: Condition,
+    },
+    /// Changes nothing; the transaction fails unless the condition holds.
+    Check {
+        /// Key of the item.
+        key: ItemKey,
+        /// Condition on the stored item.
+        condition: Condition,
+    },
+}
+
+/// Client of one table.
+#[derive(Debug, Clone)]
+pub struct TableClient {
+    url: String,
+    table: String,
+    http: HttpSettings,
+}
+
+impl TableClient {
+    /// Makes a client; nothing is sent.
+    #[must_use]
+    pub fn new(url: impl Into<String>, table: impl Into<String>, http: HttpSettings) -> Self {
+        Self {
+            url: url.into(),
+            table: table.into(),
+            http,
+        }
+    }
+
+    /// Reads one item, consistently.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer or refuses.
+    pub fn get(&self, key: &ItemKey) -> Result<Option<Item>, PlatformError> {
+        let body = json!({
+            "TableName": self.table,
+            "Key": json::encode_key(key),
+            "ConsistentRead": true,
+        });
+        let answer = self.call("GetItem", &body)?;
+        match answer.get("Item") {
+            None | Some(Json::Null) => Ok(None),
+            Some(item) => json::decode_item(item).map(Some),
+        }
+    }
+
+    /// Reads up to `limit` items of a partition with sort keys above `after`, in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer or refuses.
+    pub fn query_after(
+        &self,
+        pk: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Item>, PlatformError> {
+        let mut body = json!({
+            "TableName": self.table,
+            "KeyConditionExpression": "pk = :pk AND sk > :after",
+            "ExpressionAttributeValues": { ":pk": { "S": pk }, ":after": { "S": after } },
+            "Limit": limit,
+            "ConsistentRead": true,
+        });
+        if after.is_empty() {
+            // The protocol forbids empty key values, so the first page has no lower bound.
+            body["KeyConditionExpression"] = json!("pk = :pk");
+            body["ExpressionAttributeValues"] = json!({ ":pk": { "S": pk } });
+        }
+        let answer = self.call("Query", &body)?;
+        let Some(items) = answer.get("Items").and_then(Json::as_array) else {
+            return Err(json::malformed("the answer has no `Items`"));
+        };
+        let mut decoded = Vec::with_capacity(items.len());
+        for item in items {
+            decoded.push(json::decode_item(item)?);
+        }
+        Ok(decoded)
+    }
+
+    /// Reads a whole partition page by page.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer or refuses.
+    pub fn query_all(&self, pk: &str) -> Result<Vec<Item>, PlatformError> {
+        /// Items read by one call.
+        const PAGE_LEN: usize = 500;
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            let after = items.last().map_or("", |item| item.key.sk.as_str());
+            let page = self.query_after(pk, after, PAGE_LEN)?;
+            let last = page.len() < PAGE_LEN;
+            items.extend(page);
+            if last {
+                return Ok(items);
+            }
+        }
+    }
+
+    /// Applies all writes or none.
+    ///
+    /// `token` makes a repeated call with the same writes idempotent for ten minutes.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::ConditionFailed`] names the writes whose condition
+    /// failed; after [`PlatformErrorKind::OutcomeUnknown`] the caller reads back.
+    pub fn transact(&self, writes: &[Write], token: &str) -> Result<(), PlatformError> {
+        let mut items = Vec::with_capacity(writes.len());
+        for write in writes {
+            items.push(json::encode_write(&self.table, write));
+        }
+        let body = json!({ "TransactItems": items, "ClientRequestToken": token });
+        self.call("TransactWriteItems", &body).map(|_| ())
+    }
+
+    fn call(&self, operation: &'static str, body: &Json) -> Result<Json, PlatformError> {
+        let from_http = |error: attohttpc::Error| PlatformError::from_http(operation, &error);
+        let response = prepare(attohttpc::post(&self.url), self.http)
+            .header("X-Amz-Target", format!("DynamoDB_20120810.{operation}"))
+            .bytes(body.to_string())
+            .header("Content-Type", "application/x-amz-json-1.0")
+            .send()
+            .map_err(from_http)?;
+        let status = response.status().as_u16();
+        let text = response.text_utf8().map_err(from_http)?;
+        if status != 200 {
+            return Err(json::decode_error(operation, status, &text));
+        }
+        serde_json::from_str(&text).map_err(|error| {
+            PlatformError::new(PlatformErrorKind::Malformed, operation, error.to_string())
+        })
+    }
+}
--- /dev/null
+++ b/crates/masticdock-standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
