Add the interfaces between the parts of the daemon

Cause: the parts are written side by side and meet at these types. Change: messages of the control thread, RPC calls, transfer types, bodies of the operators' interface.

--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -7,8 +7,11 @@
 pub mod config_log;
 pub mod event;
 pub mod ids;
+pub mod limiter;
 pub mod manifest;
 pub mod membership;
+pub mod operator_api;
+pub mod poison;
 pub mod rendezvous;
 pub mod resource;
 pub mod units;
--- a/crates/masticdock-daemon/src/control/snapshot.rs
+++ b/crates/masticdock-daemon/src/control/snapshot.rs
@@ -1,10 +1,15 @@
 //! Immutable snapshots of control state for the other threads.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+use compact_str::CompactString;
 use masticdock_core::config_log::ConfigState;
+use masticdock_core::limiter::DemandRecord;
 use masticdock_core::membership::Member;
+use masticdock_core::poison::CrashRecord;
+use masticdock_core::resource::Labels;
 
 /// Control state at one moment.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +20,14 @@
     pub(crate) config: Arc<ConfigState>,
     /// Members of every liveness, the own process included.
     pub(crate) members: Arc<Vec<Member>>,
+    /// Crashes of the last hour, as spread by gossip.
+    pub(crate) crashes: Arc<Vec<CrashRecord>>,
+    /// Newest demand of each entry and workspace, as spread by gossip.
+    pub(crate) demands: Arc<Vec<DemandRecord>>,
+    /// Labels of each VM: those of the fleet view, replaced by those of operators.
+    pub(crate) labels: Arc<BTreeMap<CompactString, Labels>>,
+    /// VMs that the fleet view or an operator marks as leaving or stopping.
+    pub(crate) marked_leaving: Arc<BTreeSet<CompactString>>,
     /// True when this process takes no new work.
     pub(crate) leaving: bool,
 }
--- a/crates/masticdock-daemon/src/net/mod.rs
+++ b/crates/masticdock-daemon/src/net/mod.rs
@@ -1,1 +1,3 @@
 //! Messages to other masticdock processes.
+
+pub(crate) mod rpc;
--- /dev/null
+++ b/crates/masticdock-daemon/src/net/rpc/mod.rs
@@ -0,0 +1,163 @@
+//! Cap'n Proto RPC between masticdock processes.
+//!
+//! One thread runs the event loop and owns all connections. Other threads call
+//! through [`RpcHandle`]; incoming calls go to one [`PeerHandler`].
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use masticdock_core::config_log::{AcceptedChange, Stored};
+use masticdock_core::ids::{Digest, Revision};
+use masticdock_core::membership::Member;
+
+/// Call to another process.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum PeerRequest {
+    /// Asks for the changes above a revision.
+    ChangesSince(Revision),
+    /// Asks for the whole configuration.
+    Configuration,
+    /// Asks for members, from a position in the receiver's list.
+    Members {
+        /// Position of the first member wanted.
+        offset: u32,
+    },
+    /// Asks for one chunk.
+    Chunk {
+        /// Digest of the chunk.
+        digest: Digest,
+        /// Digest of a manifest that lists it.
+        manifest: Digest,
+    },
+    /// Tells which chunks of a manifest the caller holds.
+    Announce {
+        /// Digest of the manifest.
+        manifest: Digest,
+        /// One bit a chunk, lowest bit of the first byte first.
+        have: Vec<u8>,
+    },
+}
+
+/// Answer to a [`PeerRequest`].
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum PeerReply {
+    /// Answers [`PeerRequest::ChangesSince`].
+    Changes {
+        /// Revision of the sender.
+        head: Revision,
+        /// Changes in order; of use only when `complete`.
+        changes: Vec<AcceptedChange>,
+        /// False when the sender no longer holds all changes asked for.
+        complete: bool,
+    },
+    /// Answers [`PeerRequest::Configuration`].
+    Configuration {
+        /// Revision of the sender.
+        head: Revision,
+        /// All resources.
+        resources: Vec<Stored>,
+    },
+    /// Answers [`PeerRequest::Members`].
+    Members {
+        /// One page.
+        members: Vec<Member>,
+        /// Length of the whole list.
+        total: u32,
+    },
+    /// Answers [`PeerRequest::Chunk`] with the data.
+    Chunk(Arc<[u8]>),
+    /// The chunk is not held here.
+    ChunkAbsent,
+    /// All upload slots are taken.
+    ChunkBusy,
+    /// Answers [`PeerRequest::Announce`] with the own bitmap, empty when nothing is held.
+    Announced {
+        /// One bit a chunk, lowest bit of the first byte first.
+        have: Vec<u8>,
+    },
+}
+
+/// Kind of an [`RpcError`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RpcErrorKind {
+    /// No connection could be made.
+    Unreachable,
+    /// The peer does not hold the shared key.
+    Unauthenticated,
+    /// No answer came in time.
+    TimedOut,
+    /// The connection broke or the answer cannot be understood.
+    Broken,
+}
+
+/// Reports a failed call to another process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RpcError {
+    pub(crate) kind: RpcErrorKind,
+    pub(crate) peer: SocketAddr,
+    pub(crate) message: String,
+}
+
+impl fmt::Display for RpcError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "call to {} failed: {}", self.peer, self.message)
+    }
+}
+
+impl std::error::Error for RpcError {}
+
+/// Receives the result of a call, on the RPC thread; must not block.
+pub(crate) type OnReply = Box<dyn FnOnce(Result<PeerReply, RpcError>) + Send>;
+
+/// Sends the answer to one incoming call, from any thread, at any time.
+pub(crate) type Responder = Box<dyn FnOnce(PeerReply) + Send>;
+
+/// Handles incoming calls on the RPC thread; must not block.
+///
+/// The first argument is the id under which the caller authenticated.
+pub(crate) type PeerHandler = Arc<dyn Fn(CompactString, PeerRequest, Responder) + Send + Sync>;
+
+/// Sends calls to other processes; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct RpcHandle {
+    call: Arc<dyn Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync>,
+}
+
+impl RpcHandle {
+    /// Makes a handle from a function that starts a call.
+    pub(crate) fn new(
+        call: impl Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            call: Arc::new(call),
+        }
+    }
+
+    /// Starts a call; `on_reply` runs exactly once.
+    pub(crate) fn call(
+        &self,
+        to: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+        on_reply: OnReply,
+    ) {
+        (self.call)(to, request, timeout, on_reply);
+    }
+}
+
+/// Opens the listener and starts the RPC thread.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub(crate) fn spawn(
+    _listen: SocketAddr,
+    _own_id: CompactString,
+    _key: [u8; 32],
+    _handler: PeerHandler,
+) -> anyhow::Result<RpcHandle> {
+    anyhow::bail!("RPC is not implemented yet")
+}
