--- /dev/null
+++ b/crates/masticdock-cli/src/cli/mod.rs
@@ -0,0 +1,15 @@
+//! Arguments of the command line.
+
+mod args;
+
+pub(crate) use args::{
+    Access, ApplyArgs, AuditArgs, Cli, Command, ManifestArgs, OutputFormat, ResourceArgs,
+    RolloutCommand, StatusArgs, VmCommand,
+};
+
+use clap::Parser;
+
+/// Parses the arguments; prints help or a usage error and exits when there is reason to.
+pub(crate) fn parse() -> Cli {
+    Cli::parse()
+}
--- /dev/null
+++ b/crates/masticdock-cli/src/command/rollout.rs
@@ -0,0 +1,174 @@
+//! `masticdock rollout`.
+
+use std::io::IsTerminal;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use masticdock_core::ids::{Revision, RolloutId};
+use masticdock_core::operator_api::{RolloutState, RolloutStatus};
+use masticdock_core::resource::{Resource, ResourceChange, ResourceKind, Rollout};
+
+use super::apply;
+use crate::cli::{OutputFormat, RolloutCommand, StatusArgs};
+use crate::client::Client;
+use crate::error::{CliError, CliErrorKind};
+use crate::output;
+
+/// Exit status when the rollout halted by itself.
+const EXIT_HALTED: u8 = 6;
+
+pub(super) fn run(
+    client: &Client,
+    format: OutputFormat,
+    command: &RolloutCommand,
+) -> Result<ExitCode, CliError> {
+    match command {
+        RolloutCommand::Status(args) if args.watch => watch(client, args),
+        RolloutCommand::Status(args) => {
+            let status = client.rollout_status(&args.name)?;
+            output::print(format, &status, status_text)?;
+            Ok(exit_code(&status))
+        }
+        RolloutCommand::Pause { name } => edit(client, name, "paused", |rollout| {
+            rollout.paused = true;
+            Ok(())
+        }),
+        RolloutCommand::Resume { name } => edit(client, name, "resumed", |rollout| {
+            rollout.paused = false;
+            Ok(())
+        }),
+        RolloutCommand::Undo { name } => {
+            edit(client, name, "returned to its previous version", undo)
+        }
+    }
+}
+
+fn undo(rollout: &mut Rollout) -> Result<(), CliError> {
+    let Some(previous) = rollout.previous_version.take() else {
+        return Err(CliError::new(
+            CliErrorKind::Failed,
+            format!("rollout {} has no previous version", rollout.name),
+        )
+        .with_tip("apply the rollout with the version that you want"));
+    };
+    rollout.previous_version = Some(std::mem::replace(&mut rollout.version, previous));
+    rollout.paused = false;
+    Ok(())
+}
+
+/// Changes a rollout, on condition that nothing changed since it was read.
+fn edit(
+    client: &Client,
+    name: &RolloutId,
+    verb: &str,
+    change: impl FnOnce(&mut Rollout) -> Result<(), CliError>,
+) -> Result<ExitCode, CliError> {
+    let list = client.resources(ResourceKind::Rollout, Some(name.as_str()))?;
+    let revision: Revision = list.revision;
+    let Some(Resource::Rollout(mut rollout)) = list
+        .resources
+        .into_iter()
+        .next()
+        .map(|entry| entry.resource)
+    else {
+        return Err(CliError::new(
+            CliErrorKind::NotFound,
+            format!("there is no rollout {name}"),
+        ));
+    };
+    change(&mut rollout)?;
+    let changes = vec![ResourceChange::Put(Resource::Rollout(rollout))];
+    let answer = client.change(changes, Some(revision), false)?;
+    apply::print_outcome(&format!("rollout/{name}"), verb, &answer, false);
+    apply::print_notes(&answer);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn state_text(state: &RolloutState) -> String {
+    match state {
+        RolloutState::Progressing => "progressing".to_owned(),
+        RolloutState::Complete => "complete".to_owned(),
+        RolloutState::Paused => "paused".to_owned(),
+        RolloutState::Halted { reason } => format!("halted: {reason}"),
+    }
+}
+
+fn status_line(status: &RolloutStatus) -> String {
+    format!(
+        "{}: {} of {} VMs serve {} ({} fetching, {} waiting, {} switching, {} failed), {}",
+        status.rollout,
+        status.serving,
+        status.selected,
+        status.version,
+        status.fetching,
+        status.verified,
+        status.switching,
+        status.failed.len(),
+        state_text(&status.state)
+    )
+}
+
+fn status_text(status: &RolloutStatus) -> String {
+    let mut text = status_line(status);
+    text.push('\n');
+    for vm in &status.failed {
+        text.push_str("failed on VM ");
+        text.push_str(vm.as_str());
+        text.push('\n');
+    }
+    text
+}
+
+fn exit_code(status: &RolloutStatus) -> ExitCode {
+    match status.state {
+        RolloutState::Halted { .. } => ExitCode::from(EXIT_HALTED),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn watch(client: &Client, args: &StatusArgs) -> Result<ExitCode, CliError> {
+    let bar = progress_bar();
+    let mut last = String::new();
+    loop {
+        let status = client.rollout_status(&args.name)?;
+        let line = status_line(&status);
+        if let Some(bar) = &bar {
+            bar.set_length(u64::from(status.selected));
+            bar.set_position(u64::from(status.serving));
+            bar.set_message(state_text(&status.state));
+        } else if line != last {
+            println!("{line}");
+        }
+        last.clone_from(&line);
+        let ended = matches!(
+            status.state,
+            RolloutState::Complete | RolloutState::Halted { .. }
+        );
+        if ended {
+            if let Some(bar) = bar {
+                bar.finish_and_clear();
+                println!("{line}");
+            }
+            return Ok(exit_code(&status));
+        }
+        std::thread::sleep(Duration::from_millis(args.interval_ms));
+    }
+}
+
+/// Makes a progress bar, or none when standard output is no terminal.
+fn progress_bar() -> Option<ProgressBar> {
+    if !std::io::stdout().is_terminal() {
+        return None;
+    }
+    let bar = ProgressBar::new(0);
+    let style = if std::env::var_os("NO_COLOR").is_some() {
+        "{bar:40} {pos}/{len} VMs {msg}"
+    } else {
+        "{bar:40.green} {pos}/{len} VMs {msg}"
+    };
+    if let Ok(style) = ProgressStyle::with_template(style) {
+        bar.set_style(style);
+    }
+    Some(bar)
+}
