Add label selectors

Rollouts name their VMs by labels, so the acceptance check, the agents and the command line need one parser and one matcher.

--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod poison;
 pub mod rendezvous;
 pub mod resource;
+pub mod selector;
 pub mod units;
