--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod poison;
 pub mod rendezvous;
 pub mod resource;
+pub mod selector;
 pub mod suggest;
 pub mod units;
