--- a/crates/masticdock-cli/src/command/vm.rs
+++ b/crates/masticdock-cli/src/command/vm.rs
@@ -8,6 +8,7 @@
 use masticdock_core::resource::{
     Labels, Mark, Resource, ResourceChange, ResourceKey, ResourceKind, VmLabels, VmMark,
 };
+use masticdock_core::selector::Selector;
 
 use super::apply;
 use crate::cli::{OutputFormat, VmCommand};
@@ -42,8 +43,12 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn retain_selected(_vms: &mut VmList, _selector: &str) -> Result<(), CliError> {
-    Err(CliError::usage("`--selector` is not supported yet"))
+fn retain_selected(vms: &mut VmList, selector: &str) -> Result<(), CliError> {
+    let selector: Selector = selector
+        .parse()
+        .map_err(|error| CliError::usage(format!("{error}")))?;
+    vms.vms.retain(|vm| selector.matches(&vm.labels));
+    Ok(())
 }
 
 fn vm_table(list: &VmList) -> String {
