--- a/crates/masticdock-daemon/src/net/rpc/mod.rs
+++ b/crates/masticdock-daemon/src/net/rpc/mod.rs
@@ -3,6 +3,15 @@
 //! One thread runs the event loop and owns all connections. Other threads call
 //! through [`RpcHandle`]; incoming calls go to one [`PeerHandler`].
 
+mod auth;
+mod client;
+mod counters;
+mod server;
+mod thread;
+
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +22,21 @@
 use masticdock_core::ids::{Digest, Revision};
 use masticdock_core::membership::Member;
 
+pub(crate) use counters::TrafficCounters;
+pub(crate) use thread::{spawn, spawn_on};
+
+/// Largest message in words of 8 bytes: a chunk of 32 MiB and its envelope.
+const MESSAGE_WORDS_MAX: usize = (32 << 20) / 8 + 4_096;
+
+/// Text of the error that tells a caller that it does not hold the shared key.
+const UNAUTHENTICATED: &str = "the caller does not hold the shared key";
+
+fn reader_options() -> capnp::message::ReaderOptions {
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
+    options
+}
+
 /// Call to another process.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum PeerRequest {
@@ -124,18 +148,32 @@
 #[derive(Clone)]
 pub(crate) struct RpcHandle {
     call: Arc<dyn Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync>,
+    counters: TrafficCounters,
 }
 
 impl RpcHandle {
     /// Makes a handle from a function that starts a call.
     pub(crate) fn new(
         call: impl Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync + 'static,
+    ) -> Self {
+        Self::with_counters(call, TrafficCounters::new())
+    }
+
+    fn with_counters(
+        call: impl Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync + 'static,
+        counters: TrafficCounters,
     ) -> Self {
         Self {
             call: Arc::new(call),
+            counters,
         }
     }
 
+    /// Returns the byte counters of all connections.
+    pub(crate) const fn counters(&self) -> &TrafficCounters {
+        &self.counters
+    }
+
     /// Starts a call; `on_reply` runs exactly once.
     pub(crate) fn call(
         &self,
@@ -147,17 +185,3 @@
         (self.call)(to, request, timeout, on_reply);
     }
 }
-
-/// Opens the listener and starts the RPC thread.
-///
-/// # Errors
-///
-/// Fails when the address cannot be bound.
-pub(crate) fn spawn(
-    _listen: SocketAddr,
-    _own_id: CompactString,
-    _key: [u8; 32],
-    _handler: PeerHandler,
-) -> anyhow::Result<RpcHandle> {
-    anyhow::bail!("RPC is not implemented yet")
-}
