--- a/crates/masticdock-daemon/src/agent/mod.rs
+++ b/crates/masticdock-daemon/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent beside one upstream.
 
 mod gate;
+pub(crate) mod transfer;
 
 pub(crate) use gate::{GateState, InProgress, Refusal, ServingGate};
 
