Start the control thread and wire agent and entry

The daemon had interfaces only, so no part could run. `agent::run` and `entry::run` start the listeners, mark the places for proxy, callers, transfer and switching, and drain on SIGTERM.

--- a/crates/masticdock-core/src/config_log/mod.rs
+++ b/crates/masticdock-core/src/config_log/mod.rs
@@ -1,7 +1,19 @@
 //! Configuration as one totally ordered log of accepted changes.
 
+mod adoption;
+mod apply;
 mod change;
+mod rows;
 mod state;
+mod window;
 
+pub use adoption::{AdoptionError, PeerOffer, TableAdoption, choose_offer};
+pub use apply::Applied;
 pub use change::AcceptedChange;
+pub use rows::{
+    BODY, Field, PK_AUDIT, PK_CHANGE, PK_CONFIG, PK_LOG, PK_RESOURCE, REVISION, RowCondition,
+    RowError, RowWrite, SK_HEAD, WRITE_CHANGE_ID, WRITE_HEAD, change_from_row, revision_sk,
+    stored_from_row, transaction,
+};
 pub use state::{ConfigState, Stored};
+pub use window::ChangeWindow;
--- /dev/null
+++ b/crates/masticdock-core/src/config_log/rows.rs
@@ -0,0 +1,212 @@
+//! Rows of the table service that hold the configuration.
+
+use compact_str::{CompactString, ToCompactString, format_compact};
+
+use super::{AcceptedChange, Stored};
+use crate::ids::{ChangeId, Revision};
+use crate::resource::{Resource, ResourceChange, ResourceKey};
+
+/// Partition with the head revision.
+pub const PK_CONFIG: &str = "config";
+/// Sort key of the head revision.
+pub const SK_HEAD: &str = "head";
+/// Partition with the accepted changes.
+pub const PK_LOG: &str = "log";
+/// Partition with the audit trail.
+pub const PK_AUDIT: &str = "audit";
+/// Partition that maps change ids to revisions.
+pub const PK_CHANGE: &str = "change";
+/// Partition with the newest state of each resource.
+pub const PK_RESOURCE: &str = "resource";
+/// Attribute with a revision.
+pub const REVISION: &str = "revision";
+/// Attribute with JSON.
+pub const BODY: &str = "body";
+
+/// Value of one attribute of a row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Field {
+    /// Text.
+    Text(String),
+    /// Number.
+    Number(u64),
+}
+
+/// Condition of a write on the stored row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowCondition {
+    /// No condition.
+    Always,
+    /// The row does not exist.
+    Absent,
+    /// The attribute has this value.
+    Equals(&'static str, Field),
+}
+
+/// One write of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowWrite {
+    /// Partition key.
+    pub pk: CompactString,
+    /// Sort key.
+    pub sk: CompactString,
+    /// Attributes of the new row; `None` deletes the row.
+    pub fields: Option<Vec<(&'static str, Field)>>,
+    /// Condition on the stored row.
+    pub condition: RowCondition,
+}
+
+/// Reports a row that cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("row `{row}` of the table cannot be read: {message}")]
+pub struct RowError {
+    /// Keys of the row.
+    pub row: CompactString,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl RowError {
+    /// Makes an error about the row with these keys.
+    pub fn new(pk: &str, sk: &str, message: impl Into<String>) -> Self {
+        Self {
+            row: format_compact!("{pk}/{sk}"),
+            message: message.into(),
+        }
+    }
+}
+
+/// Returns the sort key of a revision; its order as text is the order of revisions.
+#[must_use]
+pub fn revision_sk(revision: Revision) -> CompactString {
+    format_compact!("{:020}", revision.0)
+}
+
+/// Reads a row of the log or of the audit trail.
+///
+/// # Errors
+///
+/// Fails when `body` is no change.
+pub fn change_from_row(sk: &str, body: &str) -> Result<AcceptedChange, RowError> {
+    serde_json::from_str(body).map_err(|error| RowError::new(PK_LOG, sk, error.to_string()))
+}
+
+/// Reads a resource row.
+///
+/// # Errors
+///
+/// Fails when `body` is no resource.
+pub fn stored_from_row(sk: &str, revision: u64, body: &str) -> Result<Stored, RowError> {
+    let resource: Resource = serde_json::from_str(body)
+        .map_err(|error| RowError::new(PK_RESOURCE, sk, error.to_string()))?;
+    Ok(Stored {
+        revision: Revision(revision),
+        resource,
+    })
+}
+
+fn json(value: &impl serde::Serialize) -> String {
+    // These types have text keys only, so encoding them cannot fail.
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+fn put(
+    pk: &'static str,
+    sk: CompactString,
+    fields: Vec<(&'static str, Field)>,
+    condition: RowCondition,
+) -> RowWrite {
+    RowWrite {
+        pk: CompactString::const_new(pk),
+        sk,
+        fields: Some(fields),
+        condition,
+    }
+}
+
+fn head_write(change: &AcceptedChange) -> RowWrite {
+    let expected = change.revision.0 - 1;
+    let condition = if expected == 0 {
+        RowCondition::Absent
+    } else {
+        RowCondition::Equals(REVISION, Field::Number(expected))
+    };
+    put(
+        PK_CONFIG,
+        CompactString::const_new(SK_HEAD),
+        vec![(REVISION, Field::Number(change.revision.0))],
+        condition,
+    )
+}
+
+fn change_id_write(id: &ChangeId, revision: Revision) -> RowWrite {
+    put(
+        PK_CHANGE,
+        id.to_compact_string(),
+        vec![(REVISION, Field::Number(revision.0))],
+        RowCondition::Absent,
+    )
+}
+
+fn record_write(pk: &'static str, change: &AcceptedChange) -> RowWrite {
+    put(
+        pk,
+        revision_sk(change.revision),
+        vec![
+            (REVISION, Field::Number(change.revision.0)),
+            ("previous", Field::Number(change.revision.0 - 1)),
+            ("change_id", Field::Text(change.change_id.to_string())),
+            ("operator", Field::Text(change.operator.to_string())),
+            (
+                "accepted_at_unix_ms",
+                Field::Number(change.accepted_at_unix_ms.0),
+            ),
+            (BODY, Field::Text(json(change))),
+        ],
+        RowCondition::Absent,
+    )
+}
+
+fn resource_write(revision: Revision, key: &ResourceKey, last: &ResourceChange) -> RowWrite {
+    let fields = match last {
+        ResourceChange::Put(resource) => Some(vec![
+            (REVISION, Field::Number(revision.0)),
+            (BODY, Field::Text(json(resource))),
+        ]),
+        ResourceChange::Delete(_) => None,
+    };
+    RowWrite {
+        pk: CompactString::const_new(PK_RESOURCE),
+        sk: key.to_compact_string(),
+        fields,
+        condition: RowCondition::Always,
+    }
+}
+
+/// Index of the head write in [`transaction`].
+pub const WRITE_HEAD: usize = 0;
+/// Index of the write of the change id in [`transaction`].
+pub const WRITE_CHANGE_ID: usize = 1;
+
+/// Returns the writes of one transaction that makes `change` accepted.
+///
+/// The head and the change id come first; a failed condition of the head means
+/// that another change was accepted, one of the change id that this one was.
+#[must_use]
+pub fn transaction(change: &AcceptedChange) -> Vec<RowWrite> {
+    let mut writes = vec![
+        head_write(change),
+        change_id_write(&change.change_id, change.revision),
+        record_write(PK_LOG, change),
+        record_write(PK_AUDIT, change),
+    ];
+    // A transaction may write each row once, so the last entry of a resource wins.
+    let mut last = std::collections::BTreeMap::new();
+    for entry in &change.changes {
+        last.insert(entry.key(), entry);
+    }
+    for (key, entry) in last {
+        writes.push(resource_write(change.revision, &key, entry));
+    }
+    writes
+}
--- a/crates/masticdock-core/src/event/platform.rs
+++ b/crates/masticdock-core/src/event/platform.rs
@@ -3,4 +3,10 @@
 super::events! {
     /// The table service does not answer.
     TABLE_UNAVAILABLE = 8000, Warn, "the table service does not answer; configuration stays at its revision", "see the page on store outages in docs/OPERATIONS.md";
+    /// The table service answers again.
+    TABLE_AVAILABLE = 8001, Info, "the table service answers again", "none";
+    /// The fleet view does not answer.
+    FLEET_VIEW_UNAVAILABLE = 8010, Warn, "the fleet view does not answer; probing alone decides liveness", "none, unless it lasts; new VMs are found late";
+    /// The fleet view answers again.
+    FLEET_VIEW_AVAILABLE = 8011, Info, "the fleet view answers again", "none";
 }
--- a/crates/masticdock-daemon/src/cli.rs
+++ b/crates/masticdock-daemon/src/cli.rs
@@ -77,8 +77,8 @@
         }
     };
     let result = match (settings, role) {
-        (Settings::Entry(entry), "entry") => crate::entry::run(*entry),
-        (Settings::Agent(agent), "agent") => crate::agent::run(*agent),
+        (Settings::Entry(entry), "entry") => crate::entry::run(&entry),
+        (Settings::Agent(agent), "agent") => crate::agent::run(&agent),
         (other, _) => {
             log_event!(
                 event::SETTINGS_INVALID,
--- /dev/null
+++ b/crates/masticdock-daemon/src/control/config_table.rs
@@ -0,0 +1,218 @@
+//! Configuration rows of the table service.
+
+use compact_str::CompactString;
+use masticdock_core::config_log::{
+    self, AcceptedChange, AdoptionError, BODY, ConfigState, Field, REVISION, RowCondition,
+    RowError, RowWrite, TableAdoption,
+};
+use masticdock_core::ids::{ChangeId, Revision};
+use masticdock_platform::{
+    Condition, Item, ItemKey, PlatformError, PlatformErrorKind, TableClient, Value, Write,
+};
+
+/// Log rows read by one call.
+const LOG_PAGE_LEN: usize = 200;
+
+/// Reports a failed read of the configuration.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConfigReadError {
+    /// The table service failed.
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
+    /// A row cannot be understood.
+    #[error(transparent)]
+    Row(#[from] RowError),
+    /// A read lagged.
+    #[error(transparent)]
+    Adoption(#[from] AdoptionError),
+}
+
+/// Reads and writes configuration rows.
+#[derive(Debug, Clone)]
+pub(crate) struct ConfigTable {
+    table: TableClient,
+}
+
+impl ConfigTable {
+    /// Wraps a table client.
+    pub(crate) const fn new(table: TableClient) -> Self {
+        Self { table }
+    }
+
+    /// Reads the head revision; 0 when no change was ever accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer.
+    pub(crate) fn head(&self) -> Result<Revision, ConfigReadError> {
+        let key = ItemKey::new(config_log::PK_CONFIG, config_log::SK_HEAD);
+        let Some(item) = self.table.get(&key)? else {
+            return Ok(Revision(0));
+        };
+        number(&item, REVISION).map(Revision)
+    }
+
+    /// Reads all changes above `after`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer or a row cannot be read.
+    pub(crate) fn log_after(
+        &self,
+        after: Revision,
+    ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
+        let mut changes: Vec<AcceptedChange> = Vec::new();
+        loop {
+            let last = changes.last().map_or(after, |change| change.revision);
+            let page = self.page(config_log::PK_LOG, last, LOG_PAGE_LEN)?;
+            let complete = page.len() < LOG_PAGE_LEN;
+            changes.extend(page);
+            if complete {
+                return Ok(changes);
+            }
+        }
+    }
+
+    /// Reads up to `limit` rows of the audit trail above `after`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer or a row cannot be read.
+    pub(crate) fn audit_after(
+        &self,
+        after: Revision,
+        limit: usize,
+    ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
+        self.page(config_log::PK_AUDIT, after, limit)
+    }
+
+    fn page(
+        &self,
+        pk: &str,
+        after: Revision,
+        limit: usize,
+    ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
+        let after_sk = config_log::revision_sk(after);
+        let mut changes = Vec::new();
+        for item in self.table.query_after(pk, &after_sk, limit)? {
+            let body = text(&item, BODY)?;
+            changes.push(config_log::change_from_row(&item.key.sk, body)?);
+        }
+        Ok(changes)
+    }
+
+    /// Reads the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer or a read lagged.
+    pub(crate) fn adopt(&self) -> Result<ConfigState, ConfigReadError> {
+        let first_head = self.head()?;
+        let mut resources = Vec::new();
+        for item in self.table.query_all(config_log::PK_RESOURCE)? {
+            let revision = number(&item, REVISION)?;
+            let body = text(&item, BODY)?;
+            resources.push(config_log::stored_from_row(&item.key.sk, revision, body)?);
+        }
+        let adoption = TableAdoption::new(first_head, resources);
+        let second_head = self.head()?;
+        let log = if second_head > first_head {
+            self.log_after(adoption.log_after())?
+        } else {
+            Vec::new()
+        };
+        Ok(adoption.finish(second_head, &log)?)
+    }
+
+    /// Returns the revision that the change with this id made.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer.
+    pub(crate) fn revision_of(&self, id: &ChangeId) -> Result<Option<Revision>, ConfigReadError> {
+        let key = ItemKey::new(config_log::PK_CHANGE, id.as_str());
+        let Some(item) = self.table.get(&key)? else {
+            return Ok(None);
+        };
+        number(&item, REVISION).map(|revision| Some(Revision(revision)))
+    }
+
+    /// Returns the change that made `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table service does not answer.
+    pub(crate) fn change_at(
+        &self,
+        revision: Revision,
+    ) -> Result<Option<AcceptedChange>, ConfigReadError> {
+        let sk = config_log::revision_sk(revision);
+        let Some(item) = self.table.get(&ItemKey::new(config_log::PK_LOG, sk))? else {
+            return Ok(None);
+        };
+        let body = text(&item, BODY)?;
+        Ok(Some(config_log::change_from_row(&item.key.sk, body)?))
+    }
+
+    /// Writes the transaction of a proposed change.
+    ///
+    /// # Errors
+    ///
+    /// Passes on the error of the table service.
+    pub(crate) fn write(&self, writes: &[RowWrite], token: &str) -> Result<(), PlatformError> {
+        let writes: Vec<Write> = writes.iter().map(write_of).collect();
+        self.table.transact(&writes, token)
+    }
+}
+
+fn number(item: &Item, name: &'static str) -> Result<u64, ConfigReadError> {
+    let missing = || RowError::new(&item.key.pk, &item.key.sk, format!("no number `{name}`"));
+    Ok(item.number(name).ok_or_else(missing)?)
+}
+
+fn text<'a>(item: &'a Item, name: &'static str) -> Result<&'a str, ConfigReadError> {
+    let missing = || RowError::new(&item.key.pk, &item.key.sk, format!("no text `{name}`"));
+    Ok(item.text(name).ok_or_else(missing)?)
+}
+
+fn value_of(field: &Field) -> Value {
+    match field {
+        Field::Text(text) => Value::Text(text.clone()),
+        Field::Number(number) => Value::Number(*number),
+    }
+}
+
+fn write_of(row: &RowWrite) -> Write {
+    let key = ItemKey::new(row.pk.clone(), row.sk.clone());
+    let condition = match &row.condition {
+        RowCondition::Always => Condition::Always,
+        RowCondition::Absent => Condition::Absent,
+        RowCondition::Equals(name, field) => {
+            Condition::Equals(CompactString::const_new(name), value_of(field))
+        }
+    };
+    let Some(fields) = &row.fields else {
+        return Write::Delete { key, condition };
+    };
+    let mut item = Item::new(key);
+    for (name, field) in fields {
+        item = match field {
+            Field::Text(text) => item.with_text(name, text.clone()),
+            Field::Number(number) => item.with_number(name, *number),
+        };
+    }
+    Write::Put { item, condition }
+}
+
+/// Returns true when the error means that the service cannot be reached or is overloaded.
+pub(crate) const fn is_outage(error: &ConfigReadError) -> bool {
+    match error {
+        ConfigReadError::Platform(error) => matches!(
+            error.kind,
+            PlatformErrorKind::NotSent
+                | PlatformErrorKind::OutcomeUnknown
+                | PlatformErrorKind::Throttled
+        ),
+        ConfigReadError::Row(_) | ConfigReadError::Adoption(_) => false,
+    }
+}
--- a/crates/masticdock-daemon/src/control/handle.rs
+++ b/crates/masticdock-daemon/src/control/handle.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use crossbeam::channel::Sender;
-use masticdock_core::config_log::AcceptedChange;
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use masticdock_core::config_log::{AcceptedChange, ConfigState};
 use masticdock_core::limiter::DemandRecord;
 use masticdock_core::membership::MemberStatus;
 use masticdock_core::poison::CrashRecord;
 use masticdock_core::units::MonoMs;
+use masticdock_platform::FleetList;
 
 use super::{Snapshot, SnapshotCell};
 
@@ -22,6 +23,12 @@
     Accepted(AcceptedChange),
     /// The process was asked to stop: publish `leaving` and tell the others.
     Leave,
+    /// A whole configuration, read from the table or from a peer.
+    Adopted(ConfigState),
+    /// Changes in order, read from the table or from a peer.
+    Changes(Vec<AcceptedChange>),
+    /// The fleet view changed.
+    Fleet(FleetList),
 }
 
 /// Sends messages to the control thread and reads its snapshots.
@@ -32,6 +39,15 @@
 }
 
 impl ControlHandle {
+    /// Makes a handle and the receiver that the control thread reads.
+    ///
+    /// The handle exists before the thread, so parts that the thread calls can hold it.
+    pub(crate) fn channel() -> (Self, Receiver<ControlMsg>) {
+        let (sender, receiver) = unbounded();
+        let snapshots = Arc::new(SnapshotCell::default());
+        (Self { sender, snapshots }, receiver)
+    }
+
     /// Sends a message; a control thread that ended is no error during a stop.
     pub(crate) fn send(&self, message: ControlMsg) {
         if self.sender.send(message).is_err() {
--- a/crates/masticdock-daemon/src/control/snapshot.rs
+++ b/crates/masticdock-daemon/src/control/snapshot.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use masticdock_core::config_log::ConfigState;
+use masticdock_core::config_log::{ChangeWindow, ConfigState};
 use masticdock_core::limiter::DemandRecord;
 use masticdock_core::membership::Member;
 use masticdock_core::poison::CrashRecord;
@@ -18,6 +18,10 @@
     pub(crate) seq: u64,
     /// Configuration in force; revision 0 until one was adopted.
     pub(crate) config: Arc<ConfigState>,
+    /// True once a configuration was adopted, the empty one of a new fleet included.
+    pub(crate) adopted: bool,
+    /// Recent changes, for peers that lag a little.
+    pub(crate) recent: Arc<ChangeWindow>,
     /// Members of every liveness, the own process included.
     pub(crate) members: Arc<Vec<Member>>,
     /// Crashes of the last hour, as spread by gossip.
@@ -64,3 +68,18 @@
         Arc::clone(&current)
     }
 }
+
+/// Returns why a process takes no work yet or any more.
+///
+/// # Errors
+///
+/// Gives the reason as text for `/readyz`.
+pub(crate) fn readiness(snapshot: &Snapshot) -> Result<(), String> {
+    if snapshot.leaving {
+        return Err("leaving".to_owned());
+    }
+    if !snapshot.adopted {
+        return Err("no configuration was adopted yet".to_owned());
+    }
+    Ok(())
+}
--- a/crates/masticdock-daemon/src/drain/mod.rs
+++ b/crates/masticdock-daemon/src/drain/mod.rs
@@ -1,15 +1,42 @@
 //! Graceful shutdown on SIGTERM and SIGINT.
 
+mod activity;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
+pub(crate) use activity::{Activity, ActivityGuard};
+use masticdock_core::event;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::flag;
 
+use crate::control::{ControlHandle, ControlMsg};
+use crate::event_log::log_event;
+
 /// Time between two looks at the flag.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a leaving process stays up although it is idle, so that the
+/// others hear of it and requests under way to it are refused, not cut.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
+
+/// Tells the others that this process leaves and waits until it is idle.
+pub(crate) fn leave_when_idle(control: &ControlHandle, in_progress: impl Fn() -> usize) {
+    log_event!(
+        event::PROCESS_DRAINING,
+        "stop requested; {} requests in progress",
+        in_progress()
+    );
+    control.send(ControlMsg::Leave);
+    thread::sleep(LEAVE_NOTICE);
+    while in_progress() > 0 {
+        thread::sleep(POLL_INTERVAL);
+    }
+    log_event!(event::PROCESS_STOPPED, "no request in progress");
+}
+
 /// Set when the process was asked to stop.
 #[derive(Debug, Clone)]
 pub(crate) struct StopSignal(Arc<AtomicBool>);
--- /dev/null
+++ b/crates/masticdock-daemon/src/entry/run.rs
@@ -0,0 +1,94 @@
+//! Start and stop of an entry.
+
+use std::sync::Arc;
+
+use masticdock_core::event;
+use masticdock_core::ids::{BootEpoch, Incarnation};
+use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
+
+use super::operators;
+use crate::control::{self, ControlHandle, ControlParts, TickHook};
+use crate::drain::{self, Activity, StopSignal};
+use crate::event_log::log_event;
+use crate::metrics::Metrics;
+use crate::net::rpc::{self, PeerHandler, RpcHandle};
+use crate::secrets;
+use crate::settings::EntrySettings;
+use crate::status;
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when a listener cannot be opened or a secret cannot be read.
+pub(crate) fn run(settings: &EntrySettings) -> anyhow::Result<()> {
+    let stop = StopSignal::register()?;
+    let metrics = Metrics::new();
+    let peer_key = secrets::read_peer_key(&settings.security.peer_key_file)?;
+    let activity = Activity::default();
+    let (handle, receiver) = ControlHandle::channel();
+    log_event!(event::PROCESS_STARTED, "entry {}", settings.node.id);
+
+    let rpc = spawn_rpc(settings, peer_key, &handle);
+    let hooks: Vec<TickHook> = Vec::new();
+    let control = control::spawn(
+        ControlParts {
+            node: settings.node.clone(),
+            platform: settings.platform.clone(),
+            gossip: settings.gossip.clone(),
+            peer_key,
+            own: own_member(settings),
+            rpc,
+            hooks,
+        },
+        handle,
+        receiver,
+    )?;
+    operators::spawn(settings, &control, &metrics)?;
+
+    // Place for `callers::spawn` (branch `requests`); it counts its requests in `activity`.
+
+    let snapshots = Arc::clone(&control.snapshots);
+    let ready = move || control::readiness(&snapshots.load());
+    status::spawn(settings.node.status_addr, metrics.clone(), Arc::new(ready))?;
+
+    stop.wait();
+    drain::leave_when_idle(&control, || activity.in_progress());
+    Ok(())
+}
+
+fn spawn_rpc(
+    settings: &EntrySettings,
+    peer_key: [u8; 32],
+    control: &ControlHandle,
+) -> Option<RpcHandle> {
+    let control = control.clone();
+    let handler: PeerHandler = Arc::new(move |_from, request, respond| {
+        if let Some(reply) = control::answer_peer(&control.snapshot(), &request) {
+            respond(reply);
+        }
+    });
+    let node = &settings.node;
+    match rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler) {
+        Ok(rpc) => Some(rpc),
+        Err(error) => {
+            log::warn!("calls between processes are off: {error:#}");
+            None
+        }
+    }
+}
+
+fn own_member(settings: &EntrySettings) -> Member {
+    Member {
+        id: settings.node.id.clone(),
+        role: Role::Entry,
+        liveness: Liveness::Alive,
+        incarnation: Incarnation(0),
+        boot_epoch: BootEpoch(control::unix_now().0),
+        region: settings.node.region.clone(),
+        zone: settings.node.zone.clone(),
+        peer_addr: settings.node.peer_addr,
+        traffic_addr: None,
+        status: MemberStatus::default(),
+    }
+}
--- a/crates/masticdock-daemon/src/main.rs
+++ b/crates/masticdock-daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod event_log;
 mod metrics;
 mod net;
+mod secrets;
 mod settings;
 mod status;
 
