--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/transfer/handle.rs
@@ -0,0 +1,120 @@
+//! Handle through which other threads control transfers.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+use anyhow::Context as _;
+use compact_str::CompactString;
+use crossbeam::channel::{self, Receiver, Sender};
+use masticdock_core::ids::Digest;
+use masticdock_platform::OriginClient;
+
+use super::{CopyProgress, TransferPeer, VerifiedCopy, WantedCopy};
+use crate::net::rpc::{PeerReply, PeerRequest, Responder, RpcHandle};
+use crate::settings::{LinkSettings, TransferSettings};
+
+/// Who this agent is and what its transfers may use.
+#[derive(Debug, Clone)]
+pub(crate) struct TransferConfig {
+    /// This VM as others see it.
+    pub(crate) own: TransferPeer,
+    /// Rates of the links.
+    pub(crate) links: LinkSettings,
+    /// Limits and timing of transfers.
+    pub(crate) settings: TransferSettings,
+}
+
+/// Message to the transfer thread.
+pub(super) enum Message {
+    SetWanted(Vec<WantedCopy>),
+    Release(Digest),
+    Call(CompactString, PeerRequest, Responder),
+}
+
+/// State of one copy as other threads see it.
+#[derive(Debug, Clone)]
+pub(super) struct CopyStatus {
+    pub(super) progress: CopyProgress,
+    pub(super) copy: Option<Arc<VerifiedCopy>>,
+}
+
+/// Status of the wanted copies, written by the transfer thread.
+pub(super) type StatusTable = Arc<Mutex<BTreeMap<Digest, CopyStatus>>>;
+
+/// Controls the transfer thread; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct TransferHandle {
+    sender: Sender<Message>,
+    status: StatusTable,
+}
+
+/// Starts the transfer thread.
+///
+/// # Errors
+///
+/// Fails when the thread cannot be started.
+pub(crate) fn spawn(
+    _config: TransferConfig,
+    _origin: OriginClient,
+    _rpc: RpcHandle,
+) -> anyhow::Result<TransferHandle> {
+    let (sender, receiver) = channel::unbounded();
+    let status = StatusTable::default();
+    thread::Builder::new()
+        .name("transfer".to_owned())
+        .spawn(move || refuse_all(&receiver))
+        .context("cannot start the transfer thread")?;
+    Ok(TransferHandle { sender, status })
+}
+
+fn refuse_all(receiver: &Receiver<Message>) {
+    for message in receiver {
+        if let Message::Call(_, _, respond) = message {
+            respond(PeerReply::ChunkAbsent);
+        }
+    }
+}
+
+impl TransferHandle {
+    fn send(&self, message: Message) {
+        if self.sender.send(message).is_err() {
+            log::debug!("the transfer thread has ended");
+        }
+    }
+
+    fn status(&self) -> MutexGuard<'_, BTreeMap<Digest, CopyStatus>> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the set of wanted copies; chunks that old and new copies have
+    /// in common are kept, and a finished copy that is no longer wanted is sent
+    /// to others for `transfer.seeding_ms` more.
+    pub(crate) fn set_wanted(&self, wanted: Vec<WantedCopy>) {
+        self.send(Message::SetWanted(wanted));
+    }
+
+    /// Returns how far a wanted copy is; `None` when it is not wanted.
+    pub(crate) fn progress(&self, digest: &Digest) -> Option<CopyProgress> {
+        self.status()
+            .get(digest)
+            .map(|status| status.progress.clone())
+    }
+
+    /// Returns a wanted copy once it is complete and verified.
+    pub(crate) fn copy(&self, digest: &Digest) -> Option<Arc<VerifiedCopy>> {
+        self.status().get(digest)?.copy.clone()
+    }
+
+    /// Tells that the engine holds the copy: its chunks are kept for the
+    /// seeding duty alone and are then dropped.
+    pub(crate) fn release(&self, digest: &Digest) {
+        self.send(Message::Release(*digest));
+    }
+
+    /// Answers `Chunk` and `Announce` calls of other agents; drops any other
+    /// call, which the caller sees as a failure.
+    pub(crate) fn handle(&self, caller: CompactString, request: PeerRequest, respond: Responder) {
+        self.send(Message::Call(caller, request, respond));
+    }
+}
--- a/crates/masticdock-daemon/src/agent/transfer/mod.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/mod.rs
@@ -1,5 +1,7 @@
 //! Transfer of weights to this VM and on to others.
 
+mod handle;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +14,8 @@
 use crate::net::rpc::{PeerReply, PeerRequest, Responder, RpcHandle};
 use crate::settings::{LinkSettings, TransferSettings};
 
+pub(crate) use handle::{TransferConfig, TransferHandle, spawn};
+
 /// A VM that reads the same weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct TransferPeer {
