--- a/crates/masticdock-core/src/config_log/mod.rs
+++ b/crates/masticdock-core/src/config_log/mod.rs
@@ -11,9 +11,8 @@
 pub use apply::Applied;
 pub use change::AcceptedChange;
 pub use rows::{
-    BODY, Field, PK_AUDIT, PK_CHANGE, PK_CONFIG, PK_LOG, PK_RESOURCE, REVISION, RowCondition,
-    RowError, RowWrite, SK_HEAD, WRITE_CHANGE_ID, WRITE_HEAD, change_from_row, revision_sk,
-    stored_from_row, transaction,
+    BODY, PK_AUDIT, PK_CHANGE, PK_CONFIG, PK_LOG, PK_RESOURCE, REVISION, SK_HEAD, WRITE_CHANGE_ID,
+    WRITE_HEAD, change_from_row, revision_sk, stored_from_row, transaction,
 };
 pub use state::{ConfigState, Stored};
 pub use window::ChangeWindow;
--- a/crates/masticdock-core/src/config_log/rows.rs
+++ b/crates/masticdock-core/src/config_log/rows.rs
@@ -5,6 +5,7 @@
 use super::{AcceptedChange, Stored};
 use crate::ids::{ChangeId, Revision};
 use crate::resource::{Resource, ResourceChange, ResourceKey};
+use crate::table_row::{Field, RowCondition, RowError, RowWrite};
 
 /// Partition with the head revision.
 pub const PK_CONFIG: &str = "config";
@@ -23,59 +24,6 @@
 /// Attribute with JSON.
 pub const BODY: &str = "body";
 
-/// Value of one attribute of a row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Field {
-    /// Text.
-    Text(String),
-    /// Number.
-    Number(u64),
-}
-
-/// Condition of a write on the stored row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RowCondition {
-    /// No condition.
-    Always,
-    /// The row does not exist.
-    Absent,
-    /// The attribute has this value.
-    Equals(&'static str, Field),
-}
-
-/// One write of a transaction.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RowWrite {
-    /// Partition key.
-    pub pk: CompactString,
-    /// Sort key.
-    pub sk: CompactString,
-    /// Attributes of the new row; `None` deletes the row.
-    pub fields: Option<Vec<(&'static str, Field)>>,
-    /// Condition on the stored row.
-    pub condition: RowCondition,
-}
-
-/// Reports a row that cannot be understood.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("row `{row}` of the table cannot be read: {message}")]
-pub struct RowError {
-    /// Keys of the row.
-    pub row: CompactString,
-    /// What is wrong.
-    pub message: String,
-}
-
-impl RowError {
-    /// Makes an error about the row with these keys.
-    pub fn new(pk: &str, sk: &str, message: impl Into<String>) -> Self {
-        Self {
-            row: format_compact!("{pk}/{sk}"),
-            message: message.into(),
-        }
-    }
-}
-
 /// Returns the sort key of a revision; its order as text is the order of revisions.
 #[must_use]
 pub fn revision_sk(revision: Revision) -> CompactString {
--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config_log;
 pub mod event;
 pub mod ids;
+pub mod lease;
 pub mod limiter;
 pub mod manifest;
 pub mod membership;
@@ -16,4 +17,5 @@
 pub mod resource;
 pub mod selector;
 pub mod suggest;
+pub mod table_row;
 pub mod units;
--- a/crates/masticdock-daemon/src/control/config_table.rs
+++ b/crates/masticdock-daemon/src/control/config_table.rs
@@ -1,14 +1,11 @@
 //! Configuration rows of the table service.
 
-use compact_str::CompactString;
 use masticdock_core::config_log::{
-    self, AcceptedChange, AdoptionError, BODY, ConfigState, Field, REVISION, RowCondition,
-    RowError, RowWrite, TableAdoption,
+    self, AcceptedChange, AdoptionError, BODY, ConfigState, REVISION, TableAdoption,
 };
 use masticdock_core::ids::{ChangeId, Revision};
-use masticdock_platform::{
-    Condition, Item, ItemKey, PlatformError, PlatformErrorKind, TableClient, Value, Write,
-};
+use masticdock_core::table_row::{RowError, RowWrite};
+use masticdock_platform::{Item, ItemKey, PlatformError, PlatformErrorKind, TableClient, Write};
 
 /// Log rows read by one call.
 const LOG_PAGE_LEN: usize = 200;
@@ -160,7 +157,7 @@
     ///
     /// Passes on the error of the table service.
     pub(crate) fn write(&self, writes: &[RowWrite], token: &str) -> Result<(), PlatformError> {
-        let writes: Vec<Write> = writes.iter().map(write_of).collect();
+        let writes: Vec<Write> = writes.iter().map(Write::from).collect();
         self.table.transact(&writes, token)
     }
 }
@@ -175,35 +172,6 @@
     Ok(item.text(name).ok_or_else(missing)?)
 }
 
-fn value_of(field: &Field) -> Value {
-    match field {
-        Field::Text(text) => Value::Text(text.clone()),
-        Field::Number(number) => Value::Number(*number),
-    }
-}
-
-fn write_of(row: &RowWrite) -> Write {
-    let key = ItemKey::new(row.pk.clone(), row.sk.clone());
-    let condition = match &row.condition {
-        RowCondition::Always => Condition::Always,
-        RowCondition::Absent => Condition::Absent,
-        RowCondition::Equals(name, field) => {
-            Condition::Equals(CompactString::const_new(name), value_of(field))
-        }
-    };
-    let Some(fields) = &row.fields else {
-        return Write::Delete { key, condition };
-    };
-    let mut item = Item::new(key);
-    for (name, field) in fields {
-        item = match field {
-            Field::Text(text) => item.with_text(name, text.clone()),
-            Field::Number(number) => item.with_number(name, *number),
-        };
-    }
-    Write::Put { item, condition }
-}
-
 /// Returns true when the error means that the service cannot be reached or is overloaded.
 pub(crate) const fn is_outage(error: &ConfigReadError) -> bool {
     match error {
--- a/crates/masticdock-platform/src/table/mod.rs
+++ b/crates/masticdock-platform/src/table/mod.rs
@@ -4,6 +4,7 @@
 //! `TransactWriteItems`. Requests carry no signature.
 
 mod json;
+mod rows;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/masticdock-platform/src/table/rows.rs
@@ -0,0 +1,35 @@
+//! Conversion of the core's row writes.
+
+use compact_str::CompactString;
+use masticdock_core::table_row::{Field, RowCondition, RowWrite};
+
+use super::{Condition, Item, ItemKey, Value, Write};
+
+fn value_of(field: &Field) -> Value {
+    match field {
+        Field::Text(text) => Value::Text(text.clone()),
+        Field::Number(number) => Value::Number(*number),
+    }
+}
+
+impl From<&RowWrite> for Write {
+    fn from(row: &RowWrite) -> Self {
+        let key = ItemKey::new(row.pk.clone(), row.sk.clone());
+        let condition = match &row.condition {
+            RowCondition::Always => Condition::Always,
+            RowCondition::Absent => Condition::Absent,
+            RowCondition::Equals(name, field) => {
+                Condition::Equals(CompactString::const_new(name), value_of(field))
+            }
+        };
+        let Some(fields) = &row.fields else {
+            return Self::Delete { key, condition };
+        };
+        let mut item = Item::new(key);
+        for (name, field) in fields {
+            item.attributes
+                .insert(CompactString::const_new(name), value_of(field));
+        }
+        Self::Put { item, condition }
+    }
+}
