--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod poison;
 pub mod rendezvous;
 pub mod resource;
+pub mod rollout;
 pub mod selector;
 pub mod suggest;
 pub mod units;
--- /dev/null
+++ b/crates/masticdock-core/src/rollout/targets.rs
@@ -0,0 +1,175 @@
+//! Which VMs a rollout selects.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use compact_str::CompactString;
+
+use crate::config_log::ConfigState;
+use crate::ids::{Revision, RolloutId};
+use crate::membership::{Liveness, Member, Role};
+use crate::resource::{Labels, Rollout, ServiceKind};
+use crate::selector::Selector;
+
+/// The fleet as one process sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet<'a> {
+    /// Configuration in force.
+    pub config: &'a ConfigState,
+    /// Members of every role and liveness.
+    pub members: &'a [Member],
+    /// Labels of each VM: those of the fleet view, replaced by those of operators.
+    pub labels: &'a BTreeMap<CompactString, Labels>,
+    /// VMs marked as leaving or stopping.
+    pub marked_leaving: &'a BTreeSet<CompactString>,
+}
+
+impl Fleet<'_> {
+    /// Returns true when rollouts may select the member at all.
+    ///
+    /// Entries, dead and leaving VMs, and VMs whose services are all plain ones
+    /// are left out.
+    #[must_use]
+    pub fn is_candidate(&self, member: &Member) -> bool {
+        let alive = matches!(member.liveness, Liveness::Alive | Liveness::Suspect);
+        let leaving = member.status.leaving || self.marked_leaving.contains(&member.id);
+        member.role == Role::Agent && alive && !leaving && !self.is_plain(member)
+    }
+
+    fn is_plain(&self, member: &Member) -> bool {
+        let services = &member.status.services;
+        let plain = |service| {
+            let known = self.config.service(service);
+            known.is_some_and(|service| service.upstream == ServiceKind::Plain)
+        };
+        !services.is_empty() && services.iter().all(plain)
+    }
+
+    /// Returns true when the labels of the member match.
+    ///
+    /// Each VM has the labels `vm`, `zone` and `region` unless the fleet view or
+    /// an operator gives it others of that name.
+    #[must_use]
+    pub fn matches(&self, selector: &Selector, member: &Member) -> bool {
+        let labels = self.labels.get(&member.id);
+        selector.matches_by(|key| {
+            if let Some(value) = labels.and_then(|labels| labels.get(key)) {
+                return Some(value.as_str());
+            }
+            match key {
+                "vm" => Some(member.id.as_str()),
+                "zone" => Some(member.zone.as_str()),
+                "region" => Some(member.region.as_str()),
+                _ => None,
+            }
+        })
+    }
+
+    /// Returns a member by id.
+    #[must_use]
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.iter().find(|member| member.id == id)
+    }
+}
+
+/// A rollout that claims VMs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Claim {
+    /// Revision that last changed the rollout.
+    pub revision: Revision,
+    /// The rollout.
+    pub rollout: Rollout,
+    /// Its selector.
+    pub selector: Selector,
+}
+
+/// All rollouts of a configuration with their selectors parsed.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RolloutSet {
+    claims: Vec<Claim>,
+}
+
+impl RolloutSet {
+    /// Reads the rollouts of a configuration.
+    ///
+    /// A selector that does not parse was refused on acceptance; a rollout that
+    /// has one nevertheless selects nothing.
+    #[must_use]
+    pub fn new(config: &ConfigState) -> Self {
+        let mut set = Self::default();
+        for (revision, rollout) in config.rollouts() {
+            let Ok(selector) = rollout.selector.parse() else {
+                continue;
+            };
+            set.insert(Claim {
+                revision,
+                rollout: rollout.clone(),
+                selector,
+            });
+        }
+        set
+    }
+
+    /// Adds a rollout or replaces the one of the same name.
+    pub(super) fn insert(&mut self, claim: Claim) {
+        self.remove(claim.rollout.name.as_str());
+        self.claims.push(claim);
+        self.claims.sort_by(|a, b| {
+            let a = (a.revision, &a.rollout.name);
+            a.cmp(&(b.revision, &b.rollout.name))
+        });
+    }
+
+    pub(super) fn remove(&mut self, name: &str) {
+        self.claims
+            .retain(|claim| claim.rollout.name.as_str() != name);
+    }
+
+    /// Iterates over the rollouts, those with the lowest revision first.
+    pub fn iter(&self) -> impl Iterator<Item = &Claim> {
+        self.claims.iter()
+    }
+
+    /// Returns a rollout by name.
+    #[must_use]
+    pub fn get(&self, name: &RolloutId) -> Option<&Claim> {
+        self.claims.iter().find(|it| it.rollout.name == *name)
+    }
+
+    /// Returns every rollout that matches a VM; the first one gets it.
+    ///
+    /// Acceptance refuses two rollouts that claim one VM, but a VM that appears
+    /// later may match both. The lowest revision wins on every process alike.
+    #[must_use]
+    pub fn matching(&self, fleet: &Fleet<'_>, member: &Member) -> Vec<&Claim> {
+        if !fleet.is_candidate(member) {
+            return Vec::new();
+        }
+        let matches = |claim: &&Claim| fleet.matches(&claim.selector, member);
+        self.claims.iter().filter(matches).collect()
+    }
+
+    /// Returns the rollout that gets a VM.
+    #[must_use]
+    pub fn claim_of(&self, fleet: &Fleet<'_>, member: &Member) -> Option<&Claim> {
+        if !fleet.is_candidate(member) {
+            return None;
+        }
+        self.claims
+            .iter()
+            .find(|claim| fleet.matches(&claim.selector, member))
+    }
+
+    /// Returns the VMs that a rollout gets, by id.
+    #[must_use]
+    pub fn targets<'a>(&self, fleet: &Fleet<'a>, name: &RolloutId) -> Vec<&'a Member> {
+        let mut targets: Vec<&'a Member> = Vec::new();
+        for member in fleet.members {
+            let claim = self.claim_of(fleet, member);
+            if claim.is_some_and(|claim| claim.rollout.name == *name) {
+                targets.push(member);
+            }
+        }
+        targets.sort_by(|a, b| a.id.cmp(&b.id));
+        targets
+    }
+}
--- a/crates/masticdock-core/src/selector/error.rs
+++ b/crates/masticdock-core/src/selector/error.rs
@@ -42,6 +42,12 @@
         self.position
     }
 
+    /// Returns what is wrong at the position.
+    #[must_use]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
     /// Returns what the reader can do about it.
     #[must_use]
     pub const fn tip(&self) -> &'static str {
