Add the state chart of one VM

Switching needs one description of its states that operators can read and the agent follows, so that an edit changes both at once.

The chart names every event in every state, handled or ignored; a missing or double edge, an unknown name, a time-out without an edge or an unreachable state refuses the chart at start. A differential test compares 1000 random event sequences with transitions written by hand.

--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod rollout;
 pub mod selector;
 pub mod suggest;
+pub mod switch;
 pub mod units;
--- /dev/null
+++ b/crates/masticdock-core/src/switch/mod.rs
@@ -0,0 +1,14 @@
+//! Switching of one VM's version as a state chart.
+//!
+//! The chart stands in `switch.chart.yaml` and is interpreted: the agent feeds
+//! it [`SwitchEvent`]s and carries out the [`SwitchAction`]s of each edge.
+
+mod chart;
+mod error;
+mod machine;
+mod names;
+
+pub use chart::{Chart, Edge};
+pub use error::{ChartError, ChartErrorKind};
+pub use machine::{Machine, Timeouts};
+pub use names::{SwitchAction, SwitchEvent, SwitchTimeout};
--- /dev/null
+++ b/crates/masticdock-core/tests/switch_chart.rs
@@ -0,0 +1,184 @@
+//! The state chart against a naive transition function, and faulty charts.
+
+use masticdock_core::membership::Phase;
+use masticdock_core::switch::{
+    Chart, ChartErrorKind, Machine, SwitchAction, SwitchEvent, Timeouts,
+};
+use masticdock_core::units::MonoMs;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const TIMEOUTS: Timeouts = Timeouts {
+    drain_ms: 1_000,
+    load_ms: 300,
+};
+
+/// Transitions written by hand from the design, not from the chart file.
+fn naive(phase: Phase, event: SwitchEvent) -> (Phase, Vec<SwitchAction>) {
+    use Phase::{Draining, Failed, Fetching, Idle, Loading, Serving, Verified};
+    use SwitchAction as A;
+    use SwitchEvent as E;
+    // An order that is out ends before anything else is considered.
+    if phase == Loading {
+        return match event {
+            E::OrderRefused => (Verified, vec![A::OpenGate, A::ReleaseSlot]),
+            E::EngineReady => (Serving, vec![A::OpenGate, A::ReleaseSlot, A::DropCopies]),
+            E::LoadFailed | E::EngineCrashed | E::TimedOut => {
+                (Failed, vec![A::ReportFailure, A::ReleaseSlot])
+            }
+            _ => (phase, vec![]),
+        };
+    }
+    let mut undo_drain = if phase == Draining {
+        vec![A::OpenGate, A::ReleaseSlot]
+    } else {
+        vec![]
+    };
+    let holds_copies = !matches!(phase, Idle | Serving);
+    match event {
+        E::WantNew => {
+            undo_drain.push(A::StartFetch);
+            (Fetching, undo_drain)
+        }
+        E::WantHeld if phase == Serving => (Serving, vec![]),
+        E::WantHeld if phase == Failed => (Serving, vec![A::OpenGate]),
+        E::WantNone if phase == Idle => (Idle, vec![]),
+        E::WantHeld | E::WantNone => {
+            if holds_copies {
+                undo_drain.push(A::DropCopies);
+            }
+            let to = if event == E::WantHeld { Serving } else { Idle };
+            (to, undo_drain)
+        }
+        E::EngineCrashed => {
+            let mut actions = vec![A::CloseGate];
+            match phase {
+                Draining => actions.push(A::ReleaseSlot),
+                Serving => actions.push(A::ReportCrash),
+                _ => {}
+            }
+            actions.push(A::StartRestore);
+            (Fetching, actions)
+        }
+        E::CopiesVerified if phase == Fetching => (Verified, vec![]),
+        E::CopiesFailed if phase == Fetching => (Failed, vec![A::ReportFailure]),
+        E::SlotGranted if phase == Verified => (Draining, vec![A::CloseGate]),
+        E::SlotLost if phase == Draining => (Verified, vec![A::OpenGate]),
+        E::TimedOut if phase == Draining => (Verified, undo_drain),
+        E::Drained if phase == Draining => (Loading, vec![A::OrderLoad]),
+        E::EngineReady if phase == Failed => (Failed, vec![A::OpenGate, A::DropCopies]),
+        E::RestoreNeeded if phase == Failed => (Fetching, vec![A::StartRestore]),
+        _ => (phase, vec![]),
+    }
+}
+
+/// Guards against an edit of the chart file that changes a transition unnoticed.
+#[test]
+fn chart_steps_like_the_naive_function() {
+    let events = prop::collection::vec(prop::sample::select(SwitchEvent::ALL.to_vec()), 1..60);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(1_000), rng);
+    runner
+        .run(&events, |events| {
+            let chart = Chart::built_in().unwrap();
+            let mut machine = Machine::new(chart, TIMEOUTS, MonoMs(0));
+            let mut expected = Phase::Idle;
+            for event in events {
+                let (next, actions) = naive(expected, event);
+                prop_assert_eq!(machine.handle(event, MonoMs(0)), actions);
+                prop_assert_eq!(machine.phase(), next, "{:?} at {:?}", event, expected);
+                expected = next;
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Guards against an order without a closed gate, and a gate that opens during a load.
+#[test]
+fn every_order_follows_a_closed_gate() {
+    let events = prop::collection::vec(prop::sample::select(SwitchEvent::ALL.to_vec()), 1..80);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[13; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(1_000), rng);
+    runner
+        .run(&events, |events| {
+            let chart = Chart::built_in().unwrap();
+            let mut machine = Machine::new(chart, TIMEOUTS, MonoMs(0));
+            let mut open = true;
+            for event in events {
+                for action in machine.handle(event, MonoMs(0)) {
+                    match action {
+                        SwitchAction::OpenGate => open = true,
+                        SwitchAction::CloseGate => open = false,
+                        SwitchAction::OrderLoad => prop_assert!(!open),
+                        _ => {}
+                    }
+                }
+                let closed = matches!(machine.phase(), Phase::Draining | Phase::Loading);
+                prop_assert!(!closed || !open);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Guards against a drain or a load that never ends.
+#[test]
+fn time_outs_count_from_the_entry_of_the_state() {
+    let mut machine = Machine::new(Chart::built_in().unwrap(), TIMEOUTS, MonoMs(0));
+    for event in [
+        SwitchEvent::WantNew,
+        SwitchEvent::CopiesVerified,
+        SwitchEvent::SlotGranted,
+    ] {
+        machine.handle(event, MonoMs(5_000));
+        assert!(!machine.is_timed_out(MonoMs(5_999)));
+    }
+    assert!(machine.is_timed_out(MonoMs(6_000)));
+    machine.handle(SwitchEvent::Drained, MonoMs(6_000));
+    assert!(!machine.is_timed_out(MonoMs(6_299)));
+    assert!(machine.is_timed_out(MonoMs(6_300)));
+}
+
+/// Guards against a start with a chart that cannot be interpreted.
+#[test]
+fn faulty_charts_are_refused_at_start() {
+    let good = include_str!("../src/switch/switch.chart.yaml");
+    let cases = [
+        (
+            "to: verified, do: []",
+            "to: checked, do: []",
+            ChartErrorKind::UnknownState,
+        ),
+        ("  failed:\n", "  broken:\n", ChartErrorKind::UnknownState),
+        (
+            "      drained: {",
+            "      drain: {",
+            ChartErrorKind::UnknownEvent,
+        ),
+        ("[order_load]", "[load]", ChartErrorKind::UnknownAction),
+        ("    timeout: drain\n", "", ChartErrorKind::BadTimeout),
+        ("timeout: load", "timeout: wait", ChartErrorKind::BadTimeout),
+        (
+            "      drained: { to: loading, do: [order_load] }\n",
+            "",
+            ChartErrorKind::MissingEdge,
+        ),
+        (
+            "      - want_held\n      - want_none\n      - copies",
+            "      - want_held\n      - want_none\n      - engine_ready\n      - copies",
+            ChartErrorKind::DoubleEdge,
+        ),
+        (
+            "to: draining, do",
+            "to: verified, do",
+            ChartErrorKind::Unreachable,
+        ),
+        ("initial: idle", "first: idle", ChartErrorKind::Malformed),
+    ];
+    for (from, to, kind) in cases {
+        assert!(good.contains(from), "{from}");
+        let error = Chart::parse(&good.replace(from, to)).unwrap_err();
+        assert_eq!(error.kind(), kind, "{error}");
+    }
+}
