--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -18,6 +18,6 @@
 pub mod rollout;
 pub mod selector;
 pub mod suggest;
-pub mod table_row;
 pub mod switch;
+pub mod table_row;
 pub mod units;
