--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod suggest;
 pub mod switch;
 pub mod table_row;
+pub mod transfer;
 pub mod units;
--- /dev/null
+++ b/crates/masticdock-core/src/transfer/pacing.rs
@@ -0,0 +1,67 @@
+//! Token bucket that paces bytes.
+
+use crate::units::{BytesPerSecond, MonoMs};
+
+/// Time whose bytes may be sent at once after a pause, in milliseconds.
+const BURST_MS: u64 = 100;
+
+/// Lets bytes through at a mean rate.
+///
+/// A message larger than the burst is let through when the bucket holds
+/// anything, and is paid for afterwards, so no message is too large to pass.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate: BytesPerSecond,
+    /// Bytes in thousandths, so that slow rates lose nothing to rounding.
+    level_milli: i128,
+    filled_at: MonoMs,
+}
+
+impl TokenBucket {
+    /// Makes a bucket; a rate of 0 means no limit.
+    #[must_use]
+    pub const fn new(rate: BytesPerSecond, now: MonoMs) -> Self {
+        Self {
+            rate,
+            level_milli: 0,
+            filled_at: now,
+        }
+    }
+
+    /// Replaces the rate; what was sent before is still paid for.
+    pub fn set_rate(&mut self, rate: BytesPerSecond, now: MonoMs) {
+        self.fill(now);
+        self.rate = rate;
+    }
+
+    fn fill(&mut self, now: MonoMs) {
+        let elapsed_ms = i128::from(now.since_ms(self.filled_at));
+        let rate = i128::from(self.rate.0);
+        let burst = rate * i128::from(BURST_MS);
+        // Bytes per second times milliseconds is thousandths of bytes.
+        self.level_milli = (self.level_milli + rate * elapsed_ms).min(burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    /// Returns the time until the next message may be sent, in milliseconds.
+    pub fn wait_ms(&mut self, now: MonoMs) -> u64 {
+        if self.rate.0 == 0 {
+            return 0;
+        }
+        self.fill(now);
+        if self.level_milli >= 0 {
+            return 0;
+        }
+        let rate = i128::from(self.rate.0);
+        u64::try_from((-self.level_milli + rate - 1) / rate).unwrap_or(u64::MAX)
+    }
+
+    /// Takes the bytes of a message that is sent now.
+    pub fn take(&mut self, bytes: u64, now: MonoMs) {
+        if self.rate.0 == 0 {
+            return;
+        }
+        self.fill(now);
+        self.level_milli -= i128::from(bytes) * 1_000;
+    }
+}
