--- a/crates/masticdock-core/src/limiter/mod.rs
+++ b/crates/masticdock-core/src/limiter/mod.rs
@@ -1,4 +1,12 @@
-//! Limits of workspaces, held across entries.
+//! Limits of workspaces, held across entries, and shedding of load.
+
+mod admission;
+mod bucket;
+mod shares;
+
+pub use admission::{Admission, AdmissionInput, Priority, Shed, admit, fair_shares};
+pub use bucket::RateBucket;
+pub use shares::{DemandMeter, entry_share};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
--- a/crates/masticdock-core/src/poison/mod.rs
+++ b/crates/masticdock-core/src/poison/mod.rs
@@ -1,5 +1,9 @@
 //! Requests that crash the upstreams that run them.
 
+mod tracker;
+
+pub use tracker::{CrashTracker, PoisonRules, Suspicion};
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -19,3 +23,37 @@
     /// Time of the crash.
     pub at_unix_ms: UnixMs,
 }
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    #[must_use]
+    pub fn of(workspace: &str, service: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [workspace.as_bytes(), service.as_bytes(), body] {
+            // The length keeps parts apart whatever bytes they hold.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut first = [0; 16];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(first)
+    }
+}
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::str::FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bits = u128::from_str_radix(text, 16)?;
+        Ok(Self(bits.to_be_bytes()))
+    }
+}
--- a/crates/masticdock-daemon/src/agent/mod.rs
+++ b/crates/masticdock-daemon/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod gate;
 mod run;
 pub(crate) mod transfer;
+pub(crate) mod proxy;
 
 pub(crate) use gate::{GateState, InProgress, Refusal, ServingGate};
 
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/proxy/admit.rs
@@ -0,0 +1,146 @@
+//! Reading and checking of requests from entries.
+
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use masticdock_core::ids::{RequestKey, ServiceId, VersionId, WorkspaceId};
+use masticdock_core::poison::Fingerprint;
+use masticdock_core::problem::{Problem, ProblemKind};
+use tiny_http::{Header, Request};
+
+use super::{Shared, now_unix_ms};
+use crate::agent::Refusal;
+use crate::request_http::{MacInput, name, value, value_as};
+
+/// Path under which entries send requests.
+const RUN_PATH: &str = "/v1/run/";
+
+/// Deadline of a request that names none.
+const DEADLINE_MS_DEFAULT: u64 = 120_000;
+
+/// A request from an entry.
+pub(super) struct RunRequest {
+    pub(super) request_id: CompactString,
+    pub(super) workspace: WorkspaceId,
+    pub(super) service: ServiceId,
+    /// Service and the rest of the path.
+    pub(super) service_path: String,
+    pub(super) deadline: Instant,
+    pub(super) priority: Option<String>,
+    /// Set for non-idempotent requests.
+    pub(super) key: Option<RequestKey>,
+    pub(super) wanted: Option<VersionId>,
+    pub(super) resume_from: u64,
+    pub(super) suspect: bool,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) body: Vec<u8>,
+}
+
+impl RunRequest {
+    /// Returns the time left.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+fn bad(detail: impl Into<CompactString>) -> Problem {
+    Problem::not_run(ProblemKind::BadRequest, detail)
+}
+
+fn bad_header(name: &'static str) -> Problem {
+    bad(format_compact!("the header {name} is missing or malformed"))
+}
+
+fn required<T: std::str::FromStr>(headers: &[Header], name: &'static str) -> Result<T, Problem> {
+    value_as(headers, name)
+        .ok()
+        .flatten()
+        .ok_or_else(|| bad_header(name))
+}
+
+fn optional<T: std::str::FromStr>(
+    headers: &[Header],
+    name: &'static str,
+) -> Result<Option<T>, Problem> {
+    value_as(headers, name).map_err(bad_header)
+}
+
+/// Authenticates and parses a request.
+///
+/// # Errors
+///
+/// Returns the problem that answers the request; it was not run.
+pub(super) fn parse(
+    shared: &Shared,
+    request: &Request,
+    body: Vec<u8>,
+) -> Result<RunRequest, Problem> {
+    let headers = request.headers();
+    let path = request.url();
+    let mac = MacInput::of_received(request.method().as_str(), path, headers, &body);
+    if !mac.verify(&shared.peer_key, value(headers, name::AUTH), now_unix_ms()) {
+        return Err(Problem::not_run(
+            ProblemKind::Unauthorized,
+            "check that peer_key_file and the clock are the same on entry and agent",
+        ));
+    }
+    let Some(service_path) = path.strip_prefix(RUN_PATH) else {
+        return Err(bad("send requests to /v1/run/<service>"));
+    };
+    let service_name = service_path.split('/').next().unwrap_or("");
+    let Ok(service) = service_name.parse::<ServiceId>() else {
+        return Err(bad("the path names no service"));
+    };
+    if !shared.settings.upstream.services.contains(&service) {
+        return Err(Problem::not_run(
+            ProblemKind::UnknownService,
+            format_compact!("this upstream does not answer for {service}"),
+        ));
+    }
+    let workspace: WorkspaceId = required(headers, name::WORKSPACE)?;
+    let deadline_ms = optional(headers, name::DEADLINE_MS)?.unwrap_or(DEADLINE_MS_DEFAULT);
+    let idempotent = optional(headers, name::IDEMPOTENT)?.unwrap_or(true);
+    let mut key = None;
+    if !idempotent {
+        key = Some(required(headers, name::IDEMPOTENCY_KEY)?);
+    }
+    Ok(RunRequest {
+        request_id: required(headers, name::REQUEST_ID)?,
+        fingerprint: Fingerprint::of(workspace.as_str(), service_path, &body),
+        workspace,
+        service,
+        service_path: service_path.to_owned(),
+        deadline: Instant::now() + Duration::from_millis(deadline_ms),
+        priority: value(headers, name::PRIORITY).map(str::to_owned),
+        key,
+        wanted: optional(headers, name::VERSION)?,
+        resume_from: optional(headers, name::RESUME_FROM)?.unwrap_or(0),
+        suspect: optional(headers, name::SUSPECT)?.unwrap_or(false),
+        body,
+    })
+}
+
+/// Returns the problem for a refusal by the gate.
+pub(super) fn refusal_problem(refusal: &Refusal) -> Problem {
+    match refusal {
+        Refusal::NotServing => Problem::not_run(
+            ProblemKind::NotServing,
+            "the upstream holds no version; another one is tried",
+        ),
+        Refusal::Draining => Problem::not_run(
+            ProblemKind::Draining,
+            "the upstream ends its requests before it switches versions",
+        ),
+        Refusal::Leaving => Problem::not_run(
+            ProblemKind::Leaving,
+            "the upstream takes no new work because it is leaving",
+        ),
+        Refusal::WrongVersion { serving } => {
+            let serving = serving.as_ref().map_or("none", VersionId::as_str);
+            Problem::not_run(
+                ProblemKind::WrongVersion,
+                format_compact!("the version in service is {serving}"),
+            )
+        }
+    }
+}
--- a/crates/masticdock-daemon/src/entry/mod.rs
+++ b/crates/masticdock-daemon/src/entry/mod.rs
@@ -2,5 +2,8 @@
 
 pub(crate) mod operators;
 mod run;
+pub(crate) mod callers;
+
+use crate::settings::EntrySettings;
 
 pub(crate) use run::run;
--- a/crates/masticdock-daemon/src/main.rs
+++ b/crates/masticdock-daemon/src/main.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod net;
 mod secrets;
+mod request_http;
 mod settings;
 mod status;
 
--- /dev/null
+++ b/crates/masticdock-daemon/src/request_http/event_stream.rs
@@ -0,0 +1,144 @@
+//! Server-sent events between engine, agent and entry.
+
+use std::io::{self, BufRead, BufReader, Read};
+
+use compact_str::CompactString;
+use masticdock_core::ids::VersionId;
+use masticdock_core::problem::Problem;
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted line of an event stream.
+const LINE_BYTES_MAX: u64 = 96 << 20;
+
+/// One token of an engine's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TokenEvent {
+    /// Position in the answer, from 0.
+    pub(crate) index: u64,
+    /// Text of the token.
+    pub(crate) text: CompactString,
+    /// Version that made the token.
+    pub(crate) version: VersionId,
+}
+
+/// Whole answer of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WholeAnswer {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Media type.
+    pub(crate) content_type: String,
+    /// Body as text.
+    pub(crate) body: String,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum StreamEvent {
+    /// A token.
+    Token(TokenEvent),
+    /// The whole answer of a plain service.
+    Answer(WholeAnswer),
+    /// The request failed.
+    Problem(Box<Problem>),
+    /// Nothing new; the sender is alive.
+    Heartbeat,
+    /// The answer is complete.
+    Done,
+}
+
+impl StreamEvent {
+    /// Returns the event as written on the stream.
+    pub(crate) fn encode(&self) -> String {
+        let json = |value: serde_json::Result<String>| value.unwrap_or_default();
+        match self {
+            Self::Token(token) => format!("data: {}\n\n", json(serde_json::to_string(token))),
+            Self::Answer(answer) => {
+                let data = json(serde_json::to_string(answer));
+                format!("event: answer\ndata: {data}\n\n")
+            }
+            Self::Problem(problem) => format!("event: error\ndata: {}\n\n", problem.to_json()),
+            Self::Heartbeat => ":\n\n".to_owned(),
+            Self::Done => "data: [DONE]\n\n".to_owned(),
+        }
+    }
+}
+
+fn malformed(reason: impl std::fmt::Display) -> io::Error {
+    io::Error::new(
+        io::ErrorKind::InvalidData,
+        format!("malformed event stream: {reason}"),
+    )
+}
+
+fn decode(name: &str, data: &str) -> io::Result<StreamEvent> {
+    match name {
+        "" if data == "[DONE]" => Ok(StreamEvent::Done),
+        "" => serde_json::from_str(data)
+            .map(StreamEvent::Token)
+            .map_err(malformed),
+        "answer" => serde_json::from_str(data)
+            .map(StreamEvent::Answer)
+            .map_err(malformed),
+        "error" => serde_json::from_str(data)
+            .map(|problem| StreamEvent::Problem(Box::new(problem)))
+            .map_err(malformed),
+        other => Err(malformed(format_args!("unknown event `{other}`"))),
+    }
+}
+
+/// Reads events from a response body.
+pub(crate) struct EventReader<R: Read> {
+    lines: BufReader<R>,
+}
+
+impl<R: Read> EventReader<R> {
+    /// Wraps a response body.
+    pub(crate) fn new(body: R) -> Self {
+        Self {
+            lines: BufReader::new(body),
+        }
+    }
+
+    /// Reads the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream ends before [`StreamEvent::Done`] or cannot be understood.
+    pub(crate) fn next_event(&mut self) -> io::Result<StreamEvent> {
+        let mut name = String::new();
+        let mut data = String::new();
+        let mut comment = false;
+        loop {
+            let mut line = String::new();
+            self.lines
+                .by_ref()
+                .take(LINE_BYTES_MAX)
+                .read_line(&mut line)?;
+            if !line.ends_with('\n') {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let line = line.trim_end_matches(['\n', '\r']);
+            if line.is_empty() {
+                if !data.is_empty() {
+                    return decode(&name, &data);
+                }
+                if comment {
+                    return Ok(StreamEvent::Heartbeat);
+                }
+                continue;
+            }
+            if line.starts_with(':') {
+                comment = true;
+                continue;
+            }
+            let (field, value) = line.split_once(':').unwrap_or((line, ""));
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match field {
+                "event" => value.clone_into(&mut name),
+                "data" => data.push_str(value),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/request_http/respond.rs
@@ -0,0 +1,108 @@
+//! Whole responses and event streams.
+
+use std::io::{self, Write};
+
+use masticdock_core::problem::{PROBLEM_MEDIA_TYPE, Problem};
+use tiny_http::{Header, Request, Response};
+
+use super::StreamEvent;
+
+fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name, value).ok()
+}
+
+/// Answers a request with a whole body.
+pub(crate) fn respond(
+    request: Request,
+    status: u16,
+    content_type: &str,
+    headers: &[(&str, String)],
+    body: Vec<u8>,
+) {
+    let mut response = Response::from_data(body).with_status_code(status);
+    if let Some(header) = header("Content-Type", content_type) {
+        response.add_header(header);
+    }
+    for (name, value) in headers {
+        if let Some(header) = header(name, value) {
+            response.add_header(header);
+        }
+    }
+    if let Err(error) = request.respond(response) {
+        log::debug!("response was not delivered: {error}");
+    }
+}
+
+/// Answers a request with a problem.
+pub(crate) fn respond_problem(request: Request, problem: &Problem, headers: &[(&str, String)]) {
+    let mut all = headers.to_vec();
+    if let Some(seconds) = problem.retry_after_s {
+        all.push(("Retry-After", seconds.to_string()));
+    }
+    let body = problem.to_json().into_bytes();
+    respond(
+        request,
+        problem.kind.status(),
+        PROBLEM_MEDIA_TYPE,
+        &all,
+        body,
+    );
+}
+
+/// Writes an event stream; each event is flushed.
+pub(crate) struct EventWriter {
+    writer: Box<dyn Write + Send>,
+}
+
+impl EventWriter {
+    /// Writes the head of the response.
+    ///
+    /// `tiny_http` buffers a streamed `Response` in its chunked encoder, so the
+    /// response is written to the connection directly.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the receiver went away.
+    pub(crate) fn begin(request: Request, headers: &[(&str, String)]) -> io::Result<Self> {
+        let mut head = String::from(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+             Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n",
+        );
+        for (name, value) in headers {
+            // A line break would start a header of the value's choosing.
+            if value.contains(['\r', '\n']) {
+                continue;
+            }
+            head.push_str(name);
+            head.push_str(": ");
+            head.push_str(value);
+            head.push_str("\r\n");
+        }
+        head.push_str("\r\n");
+        let mut writer = request.into_writer();
+        writer.write_all(head.as_bytes())?;
+        Ok(Self { writer })
+    }
+
+    /// Writes one event and flushes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the receiver went away.
+    pub(crate) fn write(&mut self, event: &StreamEvent) -> io::Result<()> {
+        let text = event.encode();
+        write!(self.writer, "{:x}\r\n{text}\r\n", text.len())?;
+        self.writer.flush()
+    }
+
+    /// Writes the last event and the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the receiver went away.
+    pub(crate) fn finish(mut self, event: &StreamEvent) -> io::Result<()> {
+        let text = event.encode();
+        write!(self.writer, "{:x}\r\n{text}\r\n0\r\n\r\n", text.len())?;
+        self.writer.flush()
+    }
+}
