Start the request path in entries and agents

Cause: the processes did not open the listeners of the request path. Change: agent::run starts the proxy and entry::run the callers' listener; the drain waits for their requests. The gate of a plain service opens at the start. Request ids of callers are kept, and priorities reach engines in the body.

--- a/crates/masticdock-daemon/src/agent/mod.rs
+++ b/crates/masticdock-daemon/src/agent/mod.rs
@@ -1,9 +1,9 @@
 //! The agent beside one upstream.
 
 mod gate;
+pub(crate) mod proxy;
 mod run;
 pub(crate) mod transfer;
-pub(crate) mod proxy;
 
 pub(crate) use gate::{GateState, InProgress, Refusal, ServingGate};
 
--- a/crates/masticdock-daemon/src/agent/proxy/admit.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/admit.rs
@@ -4,6 +4,7 @@
 
 use compact_str::{CompactString, format_compact};
 use masticdock_core::ids::{RequestKey, ServiceId, VersionId, WorkspaceId};
+use masticdock_core::limiter::Priority;
 use masticdock_core::poison::Fingerprint;
 use masticdock_core::problem::{Problem, ProblemKind};
 use tiny_http::{Header, Request};
@@ -26,7 +27,7 @@
     /// Service and the rest of the path.
     pub(super) service_path: String,
     pub(super) deadline: Instant,
-    pub(super) priority: Option<String>,
+    pub(super) priority: Priority,
     /// Set for non-idempotent requests.
     pub(super) key: Option<RequestKey>,
     pub(super) wanted: Option<VersionId>,
@@ -111,7 +112,7 @@
         service,
         service_path: service_path.to_owned(),
         deadline: Instant::now() + Duration::from_millis(deadline_ms),
-        priority: value(headers, name::PRIORITY).map(str::to_owned),
+        priority: optional(headers, name::PRIORITY)?.unwrap_or_default(),
         key,
         wanted: optional(headers, name::VERSION)?,
         resume_from: optional(headers, name::RESUME_FROM)?.unwrap_or(0),
--- a/crates/masticdock-daemon/src/agent/proxy/engine.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/engine.rs
@@ -7,6 +7,7 @@
 use compact_str::format_compact;
 use crossbeam::channel::Sender;
 use masticdock_core::ids::VersionId;
+use masticdock_core::limiter::Priority;
 use masticdock_core::problem::{Problem, ProblemKind};
 use serde_json::{Value, json};
 
@@ -40,13 +41,11 @@
         .proxy_settings(ProxySettings::builder().build())
         .header(name::REQUEST_ID, request.request_id.as_str())
         .header(name::WORKSPACE, request.workspace.as_str())
+        .header(name::PRIORITY, request.priority.as_str())
         .header(
             name::DEADLINE_MS,
             request.remaining().as_millis().to_string(),
         );
-    if let Some(priority) = &request.priority {
-        builder = builder.header(name::PRIORITY, priority.as_str());
-    }
     if let Some(key) = &request.key {
         builder = builder.header(name::IDEMPOTENCY_KEY, key.as_str());
     }
@@ -67,6 +66,15 @@
     CallEnd::Broken(error.to_string())
 }
 
+/// Returns the number by which engines order their queue.
+const fn rank(priority: Priority) -> i32 {
+    match priority {
+        Priority::Low => -1,
+        Priority::Normal => 0,
+        Priority::High => 1,
+    }
+}
+
 fn completion_body(request: &RunRequest) -> Result<Vec<u8>, Problem> {
     let parsed: Result<Value, _> = serde_json::from_slice(&request.body);
     let Ok(Value::Object(mut fields)) = parsed else {
@@ -76,6 +84,7 @@
         ));
     };
     fields.insert("stream".to_owned(), json!(true));
+    fields.insert("priority".to_owned(), json!(rank(request.priority)));
     fields.insert("resume_from".to_owned(), json!(request.resume_from));
     Ok(Value::Object(fields).to_string().into_bytes())
 }
--- a/crates/masticdock-daemon/src/agent/proxy/running.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/running.rs
@@ -24,6 +24,12 @@
 /// Time-out of a read of the engine's status.
 const STATUS_TIMEOUT_MS: u64 = 500;
 
+/// Looks at the status of an engine whose connection broke.
+const CRASH_LOOKS_MAX: u32 = 10;
+
+/// Time between two such looks.
+const CRASH_LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Load of an upstream as told to entries.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LoadReport {
@@ -142,19 +148,29 @@
     /// and reports one death for each fingerprint in progress.
     pub(super) fn report_if_crashed(&self, guard: &RunningGuard) -> Option<CrashRecord> {
         let engine = self.engine.as_ref()?;
-        let crashed = match engine.status() {
-            Ok(status) => guard.boot.as_ref().is_some_and(|boot| *boot != status.boot),
-            Err(error) => error.kind == PlatformErrorKind::NotSent,
-        };
-        if !crashed {
-            return None;
+        for _ in 0..CRASH_LOOKS_MAX {
+            let crashed = match engine.status() {
+                Ok(status) => guard.boot.as_ref().is_some_and(|boot| *boot != status.boot),
+                Err(error) if error.kind == PlatformErrorKind::NotSent => true,
+                // A dying engine may still accept connections for a moment.
+                Err(_) => {
+                    thread::sleep(CRASH_LOOK_INTERVAL);
+                    continue;
+                }
+            };
+            return crashed.then(|| self.report(guard));
         }
-        Some(self.report(guard))
+        None
     }
 
     fn report(&self, guard: &RunningGuard) -> CrashRecord {
         let mut state = self.lock();
-        let boot = guard.boot.clone().unwrap_or_default();
+        let boot = guard.boot.clone().unwrap_or_else(|| {
+            // Without a known boot, deaths within one second count as one.
+            compact_str::format_compact!("unknown-{}", now_unix_ms() / 1_000)
+        });
+        // The boot read last is gone; requests that start before the next read have none.
+        state.status = None;
         if state.crashed_boot.as_ref() != Some(&boot) {
             state.crashed_boot = Some(boot.clone());
             state.crashed_at = UnixMs(now_unix_ms());
--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -6,12 +6,13 @@
 use masticdock_core::ids::{BootEpoch, Incarnation};
 use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
 
-use super::ServingGate;
+use super::{GateState, ServingGate, proxy};
 use crate::control::{self, ControlHandle, ControlParts, TickHook};
 use crate::drain::{self, StopSignal};
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
 use crate::net::rpc::{self, PeerHandler, RpcHandle};
+use crate::request_http::PeerKey;
 use crate::secrets;
 use crate::settings::AgentSettings;
 use crate::status;
@@ -51,7 +52,17 @@
         receiver,
     )?;
 
-    // Place for `proxy::spawn` (branch `requests`).
+    if !settings.upstream.engine {
+        // A plain service has no version to switch, so it serves from the start.
+        gate.set_state(GateState::Serving(None));
+    }
+    let proxy = proxy::spawn(proxy::Context {
+        settings: Arc::new(settings.clone()),
+        peer_key: PeerKey::derive(&peer_key),
+        gate: Arc::clone(&gate),
+        control: control.clone(),
+        metrics: metrics.clone(),
+    })?;
 
     let snapshots = Arc::clone(&control.snapshots);
     let ready = move || control::readiness(&snapshots.load());
@@ -59,7 +70,7 @@
 
     stop.wait();
     gate.set_leaving(true);
-    drain::leave_when_idle(&control, || gate.in_progress() as usize);
+    drain::leave_when_idle(&control, || proxy.in_progress());
     Ok(())
 }
 
--- a/crates/masticdock-daemon/src/entry/callers/admit.rs
+++ b/crates/masticdock-daemon/src/entry/callers/admit.rs
@@ -47,6 +47,15 @@
     value_as(headers, name).map_err(|name| bad(format_compact!("the header {name} is malformed")))
 }
 
+/// Returns the caller's id of the request when it is a valid name, else a fresh one.
+fn request_id(headers: &[Header]) -> CompactString {
+    let given = value(headers, name::REQUEST_ID).and_then(|text| text.parse::<RequestKey>().ok());
+    match given {
+        Some(id) => id.into(),
+        None => format_compact!("{:032x}", rand::random::<u128>()),
+    }
+}
+
 /// Finds the workspace of the bearer token.
 pub(super) fn authenticate<'a>(
     config: &'a ConfigState,
@@ -120,7 +129,7 @@
         (false, None)
     };
     Ok(Call {
-        request_id: format_compact!("{:032x}", rand::random::<u128>()),
+        request_id: request_id(headers),
         fingerprint: Fingerprint::of(workspace.name.as_str(), service_path, &body),
         workspace: workspace.clone(),
         service: service.clone(),
--- a/crates/masticdock-daemon/src/entry/mod.rs
+++ b/crates/masticdock-daemon/src/entry/mod.rs
@@ -1,8 +1,8 @@
 //! The entry: takes requests from callers and changes from operators.
 
+pub(crate) mod callers;
 pub(crate) mod operators;
 mod run;
-pub(crate) mod callers;
 
 use crate::settings::EntrySettings;
 
--- a/crates/masticdock-daemon/src/entry/run.rs
+++ b/crates/masticdock-daemon/src/entry/run.rs
@@ -6,12 +6,13 @@
 use masticdock_core::ids::{BootEpoch, Incarnation};
 use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
 
-use super::operators;
+use super::{callers, operators};
 use crate::control::{self, ControlHandle, ControlParts, TickHook};
-use crate::drain::{self, Activity, StopSignal};
+use crate::drain::{self, StopSignal};
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
 use crate::net::rpc::{self, PeerHandler, RpcHandle};
+use crate::request_http::PeerKey;
 use crate::secrets;
 use crate::settings::EntrySettings;
 use crate::status;
@@ -25,7 +26,6 @@
     let stop = StopSignal::register()?;
     let metrics = Metrics::new();
     let peer_key = secrets::read_peer_key(&settings.security.peer_key_file)?;
-    let activity = Activity::default();
     let (handle, receiver) = ControlHandle::channel();
     log_event!(event::PROCESS_STARTED, "entry {}", settings.node.id);
 
@@ -46,14 +46,20 @@
     )?;
     operators::spawn(settings, &control, &metrics)?;
 
-    // Place for `callers::spawn` (branch `requests`); it counts its requests in `activity`.
+    let callers = callers::spawn(callers::Context {
+        settings: Arc::new(settings.clone()),
+        peer_key: PeerKey::derive(&peer_key),
+        control: control.clone(),
+        metrics: metrics.clone(),
+    })?;
 
     let snapshots = Arc::clone(&control.snapshots);
     let ready = move || control::readiness(&snapshots.load());
     status::spawn(settings.node.status_addr, metrics.clone(), Arc::new(ready))?;
 
     stop.wait();
-    drain::leave_when_idle(&control, || activity.in_progress());
+    callers.begin_drain();
+    drain::leave_when_idle(&control, || callers.in_progress());
     Ok(())
 }
 
--- a/crates/masticdock-daemon/src/main.rs
+++ b/crates/masticdock-daemon/src/main.rs
@@ -11,8 +11,8 @@
 mod event_log;
 mod metrics;
 mod net;
-mod secrets;
 mod request_http;
+mod secrets;
 mod settings;
 mod status;
 
--- a/crates/masticdock-daemon/src/request_http/auth.rs
+++ b/crates/masticdock-daemon/src/request_http/auth.rs
@@ -1,8 +1,5 @@
 //! Authentication of entries to agents by a keyed digest.
 
-use std::path::Path;
-
-use anyhow::Context as _;
 use tiny_http::Header;
 
 use super::headers::{name, value};
@@ -24,7 +21,7 @@
     name::SENT_AT,
 ];
 
-/// Key that all masticdock processes share; never printed.
+/// Key of requests from entries to agents; never printed.
 #[derive(Clone)]
 pub(crate) struct PeerKey([u8; 32]);
 
@@ -35,24 +32,13 @@
 }
 
 impl PeerKey {
-    /// Derives the key of requests from the shared secret.
+    /// Derives the key of requests from the key that all processes share.
     pub(crate) fn derive(secret: &[u8]) -> Self {
         Self(blake3::derive_key(
             "masticdock 2026 entry to agent requests",
             secret,
         ))
     }
-
-    /// Reads the shared secret; white space around it does not count.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the file cannot be read.
-    pub(crate) fn read(path: &Path) -> anyhow::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("cannot read peer_key_file {}", path.display()))?;
-        Ok(Self::derive(text.trim().as_bytes()))
-    }
 }
 
 /// Parts of a request that the digest covers.
--- a/crates/masticdock-daemon/src/request_http/headers.rs
+++ b/crates/masticdock-daemon/src/request_http/headers.rs
@@ -18,8 +18,8 @@
     pub(crate) const PRIORITY: &str = "X-Masticdock-Priority";
     /// Wanted version in requests, answering version in responses.
     pub(crate) const VERSION: &str = "X-Masticdock-Version";
-    /// Identifies a request in logs.
-    pub(crate) const REQUEST_ID: &str = "X-Masticdock-Request-Id";
+    /// Identifies a request in logs, from the caller to the upstream.
+    pub(crate) const REQUEST_ID: &str = "X-Request-Id";
     /// Workspace of the caller, set by the entry.
     pub(crate) const WORKSPACE: &str = "X-Masticdock-Workspace";
     /// Index of the first token wanted.
