--- a/crates/masticdock-daemon/src/agent/mod.rs
+++ b/crates/masticdock-daemon/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent beside one upstream.
 
 mod gate;
+pub(crate) mod proxy;
 mod run;
 pub(crate) mod transfer;
 
