Add SWIM membership with detection of cut regions

Members were taken from the fleet view alone, so deaths went unnoticed. `Swim` probes, suspects and refutes by incarnation and boot epoch, and keeps a region that becomes unreachable at once instead of declaring its members dead. On a fake network a region cut for an hour costs no death; without the detection it does. A process that was paused counts no time for it: without that rule it declares others dead.

--- /dev/null
+++ b/crates/masticdock-core/src/membership/swim/records.rs
@@ -0,0 +1,74 @@
+//! Crash and demand records that gossip carries.
+
+use std::collections::{BTreeMap, HashSet};
+
+use compact_str::{CompactString, ToCompactString};
+
+use super::{FreshKey, Swim};
+use crate::limiter::DemandRecord;
+use crate::poison::CrashRecord;
+use crate::units::UnixMs;
+
+/// Time for which a crash is kept, in milliseconds.
+const CRASH_MEMORY_MS: u64 = 3_600_000;
+
+type DemandKey = (CompactString, CompactString);
+
+/// Records by identity.
+#[derive(Debug, Default)]
+pub(super) struct Records {
+    pub(super) crashes: HashSet<CrashRecord>,
+    pub(super) demands: BTreeMap<DemandKey, DemandRecord>,
+}
+
+fn demand_key(demand: &DemandRecord) -> DemandKey {
+    (demand.entry.clone(), demand.workspace.to_compact_string())
+}
+
+impl Swim {
+    /// Takes a crash, from this process or from gossip, and spreads a new one.
+    pub fn add_crash(&mut self, crash: CrashRecord) {
+        if self.records.crashes.insert(crash.clone()) {
+            self.changes += 1;
+            self.fresh.refresh(FreshKey::Crash(crash));
+        }
+    }
+
+    /// Takes a demand, from this process or from gossip, and spreads a newer one.
+    ///
+    /// Demands go to entries alone, because no other process uses them.
+    pub fn add_demand(&mut self, demand: DemandRecord) {
+        let key = demand_key(&demand);
+        let held = self.records.demands.get(&key);
+        if held.is_some_and(|held| held.seq >= demand.seq) {
+            return;
+        }
+        self.records.demands.insert(key.clone(), demand);
+        self.changes += 1;
+        if self.own().role == super::super::Role::Entry {
+            self.fresh_demands.refresh(key);
+        }
+    }
+
+    /// Forgets crashes that are more than an hour old.
+    pub fn prune_crashes(&mut self, now: UnixMs) {
+        let oldest = now.0.saturating_sub(CRASH_MEMORY_MS);
+        let before = self.records.crashes.len();
+        self.records
+            .crashes
+            .retain(|crash| crash.at_unix_ms.0 >= oldest);
+        if self.records.crashes.len() != before {
+            self.changes += 1;
+        }
+    }
+
+    /// Iterates over the crashes of the last hour.
+    pub fn crashes(&self) -> impl Iterator<Item = &CrashRecord> {
+        self.records.crashes.iter()
+    }
+
+    /// Iterates over the newest demand of each entry and workspace.
+    pub fn demands(&self) -> impl Iterator<Item = &DemandRecord> {
+        self.records.demands.values()
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/tests/membership_swim.rs
@@ -0,0 +1,329 @@
+//! Membership of several processes over a lossless fake network with faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use compact_str::{CompactString, format_compact};
+use masticdock_core::ids::{BootEpoch, Incarnation, Revision};
+use masticdock_core::membership::{
+    FleetEntry, Liveness, Member, MemberStatus, Notice, Outgoing, Role, Swim, SwimConfig,
+};
+use masticdock_core::units::MonoMs;
+
+/// Time between two ticks of the fake network.
+const STEP_MS: u64 = 100;
+
+fn addr(index: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + index))
+}
+
+fn entry(index: u16, regions: u16) -> FleetEntry {
+    FleetEntry {
+        id: format_compact!("vm-{index}"),
+        role: Role::Agent,
+        leaving: false,
+        region: format!("r{}", index % regions).parse().unwrap(),
+        zone: format!("z{}", index % regions).parse().unwrap(),
+        peer_addr: addr(index),
+        traffic_addr: None,
+    }
+}
+
+fn own(entry: &FleetEntry, epoch: u64) -> Member {
+    Member {
+        boot_epoch: BootEpoch(epoch),
+        ..entry.to_member()
+    }
+}
+
+struct Network {
+    now: u64,
+    entries: Vec<FleetEntry>,
+    members: BTreeMap<SocketAddr, Swim>,
+    stopped: BTreeSet<SocketAddr>,
+    cut: Option<masticdock_core::ids::RegionId>,
+    regions: BTreeMap<SocketAddr, masticdock_core::ids::RegionId>,
+    notices: Vec<(CompactString, Notice)>,
+}
+
+impl Network {
+    fn new(count: u16, regions: u16, config: SwimConfig) -> Self {
+        let entries: Vec<FleetEntry> = (0..count).map(|i| entry(i, regions)).collect();
+        let mut members = BTreeMap::new();
+        for (index, entry) in entries.iter().enumerate() {
+            let mut swim = Swim::new(config, own(entry, 1), index as u64);
+            swim.set_fleet(&entries);
+            members.insert(entry.peer_addr, swim);
+        }
+        Self {
+            now: 0,
+            regions: entries
+                .iter()
+                .map(|e| (e.peer_addr, e.region.clone()))
+                .collect(),
+            entries,
+            members,
+            stopped: BTreeSet::new(),
+            cut: None,
+            notices: Vec::new(),
+        }
+    }
+
+    fn is_open(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let Some(cut) = &self.cut else {
+            return !self.stopped.contains(&to);
+        };
+        let same_side = (self.regions[&from] == *cut) == (self.regions[&to] == *cut);
+        same_side && !self.stopped.contains(&to)
+    }
+
+    fn deliver(&mut self, from: SocketAddr, outgoing: Vec<Outgoing>) {
+        let mut queue: Vec<(SocketAddr, Outgoing)> =
+            outgoing.into_iter().map(|o| (from, o)).collect();
+        while let Some((from, out)) = queue.pop() {
+            if !self.is_open(from, out.to) {
+                continue;
+            }
+            let swim = self.members.get_mut(&out.to).unwrap();
+            for answer in swim.receive(from, out.message, MonoMs(self.now)) {
+                queue.push((out.to, answer));
+            }
+        }
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 1_000 / STEP_MS {
+            self.now += STEP_MS;
+            for address in self.members.keys().copied().collect::<Vec<_>>() {
+                if self.stopped.contains(&address) {
+                    continue;
+                }
+                let swim = self.members.get_mut(&address).unwrap();
+                let outgoing = swim.tick(MonoMs(self.now));
+                let id = swim.own().id.clone();
+                for notice in swim.take_notices() {
+                    self.notices.push((id.clone(), notice));
+                }
+                self.deliver(address, outgoing);
+            }
+        }
+    }
+
+    fn views_of(&self, id: &str) -> Vec<Option<Liveness>> {
+        let running = self
+            .members
+            .iter()
+            .filter(|(a, _)| !self.stopped.contains(a));
+        running
+            .map(|(_, swim)| swim.member(id).map(|member| member.liveness))
+            .collect()
+    }
+
+    fn deaths(&self) -> usize {
+        let deaths = self.notices.iter();
+        deaths.filter(|(_, n)| matches!(n, Notice::Dead(_))).count()
+    }
+
+    fn all_alive(&self) -> bool {
+        let mut swims = self.members.values();
+        swims.all(|swim| {
+            swim.members().count() == self.entries.len()
+                && swim.members().all(|m| m.liveness == Liveness::Alive)
+        })
+    }
+}
+
+// Guards against a dead member that some process still takes for alive.
+#[test]
+fn a_stopped_member_is_declared_dead_everywhere() {
+    let mut network = Network::new(12, 3, SwimConfig::default());
+    network.run(5);
+    assert!(network.all_alive());
+    network.stopped.insert(addr(4));
+    network.run(20);
+    assert_eq!(network.views_of("vm-4"), vec![Some(Liveness::Dead); 11]);
+}
+
+fn cut_for_an_hour(config: SwimConfig) -> Network {
+    let mut network = Network::new(12, 3, config);
+    network.run(10);
+    network.cut = Some("r0".parse().unwrap());
+    network.run(3_600);
+    network
+}
+
+// Guards against taking an hour's partition of a region for the death of all its members.
+#[test]
+fn a_region_cut_for_an_hour_is_kept_and_converges_on_return() {
+    let mut network = cut_for_an_hour(SwimConfig::default());
+    assert_eq!(network.deaths(), 0);
+    for swim in network.members.values() {
+        assert!(
+            !swim.cut_regions().is_empty(),
+            "{} saw no cut",
+            swim.own().id
+        );
+    }
+    network.cut = None;
+    network.run(60);
+    assert!(network.all_alive());
+    assert_eq!(network.deaths(), 0);
+    assert!(
+        network
+            .members
+            .values()
+            .all(|swim| swim.cut_regions().is_empty())
+    );
+}
+
+// Shows that the fault above occurs without the detection, and that even then
+// the two sides find each other again.
+#[test]
+fn without_detection_a_cut_region_is_declared_dead() {
+    let config = SwimConfig {
+        region_cut_percent: 100,
+        ..SwimConfig::default()
+    };
+    let mut network = cut_for_an_hour(config);
+    assert!(network.deaths() > 0);
+    network.cut = None;
+    network.run(300);
+    assert!(network.all_alive());
+}
+
+// Guards against holding the dead members of one zone for a cut region.
+#[test]
+fn failure_of_a_minority_of_a_region_is_no_cut() {
+    let mut network = Network::new(16, 2, SwimConfig::default());
+    network.run(5);
+    for index in [0, 2, 4] {
+        network.stopped.insert(addr(index));
+    }
+    network.run(30);
+    for id in ["vm-0", "vm-2", "vm-4"] {
+        assert_eq!(network.views_of(id), vec![Some(Liveness::Dead); 13]);
+    }
+}
+
+// Guards against a process that resumes after a pause and declares others dead.
+#[test]
+fn a_paused_process_declares_nobody_dead() {
+    let mut network = Network::new(9, 3, SwimConfig::default());
+    network.run(5);
+    // Suspects a member at the moment of its pause, so the suspicion runs out meanwhile.
+    let mut doubt = network.members[&addr(5)].own().clone();
+    doubt.liveness = Liveness::Suspect;
+    let now = MonoMs(network.now);
+    let paused = network.members.get_mut(&addr(3)).unwrap();
+    paused.merge_update(&doubt, now);
+    network.stopped.insert(addr(3));
+    network.run(60);
+    network.notices.clear();
+    network.stopped.clear();
+    network.run(60);
+    assert_eq!(network.deaths(), 0);
+    assert!(network.all_alive());
+}
+
+// Guards against a restarted process that is taken for its dead predecessor.
+#[test]
+fn a_restarted_process_replaces_its_former_boot() {
+    let mut network = Network::new(9, 3, SwimConfig::default());
+    network.run(5);
+    network.stopped.insert(addr(2));
+    network.run(20);
+    let entry = network.entries[2].clone();
+    let mut swim = Swim::new(SwimConfig::default(), own(&entry, 2), 77);
+    swim.set_fleet(&network.entries);
+    network.members.insert(addr(2), swim);
+    network.stopped.clear();
+    network.run(10);
+    assert!(network.all_alive());
+    let epochs = network
+        .members
+        .values()
+        .map(|s| s.member("vm-2").unwrap().boot_epoch);
+    assert!(epochs.into_iter().all(|epoch| epoch == BootEpoch(2)));
+}
+
+// Guards against a leaving VM that hears of it only by its own slow poll.
+#[test]
+fn leaving_in_the_fleet_view_of_one_reader_reaches_the_member_and_all_others() {
+    let mut network = Network::new(12, 3, SwimConfig::default());
+    network.run(5);
+    let mut entries = network.entries.clone();
+    entries[7].leaving = true;
+    network
+        .members
+        .get_mut(&addr(1))
+        .unwrap()
+        .set_fleet(&entries);
+    network.run(3);
+    let others = network
+        .members
+        .values()
+        .filter(|swim| swim.own().id != "vm-7");
+    for swim in others {
+        assert!(swim.member("vm-7").unwrap().status.leaving);
+    }
+    let told = &network.notices;
+    assert!(
+        told.into_iter()
+            .any(|(id, n)| id == "vm-7" && *n == Notice::OwnLeaving)
+    );
+}
+
+// Guards against a configuration revision that some process never hears of.
+#[test]
+fn a_higher_revision_reaches_every_process() {
+    let mut network = Network::new(30, 3, SwimConfig::default());
+    network.run(5);
+    network
+        .members
+        .get_mut(&addr(0))
+        .unwrap()
+        .set_revision(Revision(9));
+    let mut informed = BTreeSet::from([CompactString::const_new("vm-0")]);
+    for _ in 0..30 {
+        network.run(1);
+        for (id, notice) in std::mem::take(&mut network.notices) {
+            if matches!(notice, Notice::HigherRevision { .. }) {
+                let index: u16 = id[3..].parse().unwrap();
+                network
+                    .members
+                    .get_mut(&addr(index))
+                    .unwrap()
+                    .set_revision(Revision(9));
+                informed.insert(id);
+            }
+        }
+        if informed.len() == 30 {
+            break;
+        }
+    }
+    assert_eq!(informed.len(), 30);
+    assert!(
+        network.now <= 5_000 + 4_000,
+        "took until {} ms",
+        network.now
+    );
+}
+
+// Guards against a suspicion that the member can refute but that is kept.
+#[test]
+fn a_member_refutes_a_suspicion() {
+    let mut network = Network::new(6, 1, SwimConfig::default());
+    network.run(3);
+    let mut doubt = network.members[&addr(5)].own().clone();
+    doubt.liveness = Liveness::Suspect;
+    doubt.status = MemberStatus::default();
+    let now = MonoMs(network.now);
+    network
+        .members
+        .get_mut(&addr(0))
+        .unwrap()
+        .merge_update(&doubt, now);
+    network.run(3);
+    assert_eq!(network.views_of("vm-5"), vec![Some(Liveness::Alive); 6]);
+    assert!(network.members[&addr(5)].own().incarnation > Incarnation(0));
+}
