Fetch, check and pass on chunks in the agent

One thread owns all copies. It exchanges bitmaps with one neighbour in each announcement interval, asks for the rarest chunk, asks a second sender when the first one stalls, and reads from the origin only what its region lacks. Uploads go out one after the other at the paced rate.

Two faults that the tests found are fixed: deadlines for takeovers grew without limit while first readers were gone, because the time of a chunk that was taken over counted as the time of the origin; and a region without origin got one chunk per deadline from other regions, because that chunk counted as a sign that the origin delivers.

--- a/crates/masticdock-core/src/transfer/estimate.rs
+++ b/crates/masticdock-core/src/transfer/estimate.rs
@@ -29,6 +29,20 @@
         self.value_ms = (self.value_ms * (SMOOTHING - 1) + measured_ms) / SMOOTHING;
     }
 
+    /// Takes in the time that a chunk took to arrive in the region.
+    ///
+    /// A chunk that came after its takeover counts as half the deadline: its
+    /// time is that of the deadline itself, and deadlines derived from it would
+    /// grow without limit while first readers are gone.
+    pub fn add_arrival(&mut self, measured_ms: u64, stall_timeout_ms: u64) {
+        let deadline_ms = takeover_after_ms(*self, stall_timeout_ms);
+        if measured_ms < deadline_ms {
+            self.add(measured_ms);
+        } else {
+            self.add(deadline_ms / 2);
+        }
+    }
+
     /// Returns the smoothed time.
     #[must_use]
     pub const fn value_ms(&self) -> u64 {
--- a/crates/masticdock-core/src/transfer/origin_plan.rs
+++ b/crates/masticdock-core/src/transfer/origin_plan.rs
@@ -114,10 +114,9 @@
         turns
     }
 
-    /// Returns when a chunk was opened, to measure how long it took to arrive.
-    #[must_use]
-    pub fn opened_at(&self, chunk: usize) -> Option<MonoMs> {
-        self.opened_at.get(chunk).copied().flatten()
+    /// Closes a chunk that arrived in the region and returns when it was opened.
+    pub fn close(&mut self, chunk: usize) -> Option<MonoMs> {
+        self.opened_at.get_mut(chunk)?.take()
     }
 
     /// Returns how many VMs of the region come before this one for `chunk`.
--- a/crates/masticdock-core/src/transfer/penalty.rs
+++ b/crates/masticdock-core/src/transfer/penalty.rs
@@ -85,6 +85,15 @@
             .is_none_or(|record| record.until <= now)
     }
 
+    /// Returns true while a sender is paused for a failure, so that chunks which
+    /// it alone holds are looked for elsewhere.
+    #[must_use]
+    pub fn suspects(&self, sender: &str, now: MonoMs) -> bool {
+        self.records
+            .get(sender)
+            .is_some_and(|record| record.failures > 0 && record.until > now)
+    }
+
     /// Forgets senders that `keep` refuses.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.records.retain(|sender, _| keep(sender));
--- a/crates/masticdock-core/tests/transfer.rs
+++ b/crates/masticdock-core/tests/transfer.rs
@@ -320,3 +320,14 @@
     assert!(hedge_after_ms(reply, 3_000) > 25_000);
     assert!(takeover_after_ms(reply, 3_000) > 20_000);
 }
+
+/// Guards against deadlines that grow with each takeover until nobody reads.
+#[test]
+fn takeovers_do_not_inflate_the_deadline() {
+    let mut arrival = Estimate::new(3_000);
+    for _ in 0..20 {
+        let late_ms = 3 * takeover_after_ms(arrival, 1_000);
+        arrival.add_arrival(late_ms, 1_000);
+    }
+    assert!(takeover_after_ms(arrival, 1_000) < 15_000);
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/transfer/fetch.rs
@@ -0,0 +1,470 @@
+//! Requests for chunks and what comes of them.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use masticdock_core::event;
+use masticdock_core::ids::Digest;
+use masticdock_core::rendezvous;
+use masticdock_core::transfer::{
+    Fault, OriginView, Pick, Sender, Turn, hedge_after_ms, pick, takeover_after_ms,
+};
+use masticdock_core::units::MonoMs;
+
+use super::copy_state::{CopyState, Stage};
+use super::message::{Message, RequestId};
+use super::origin::{ORIGIN_READS_MAX, OriginOrder, OriginRange};
+use super::worker::{InFlight, OriginHealth, OriginRead, Worker};
+use super::{TransferPeer, VerifiedCopy};
+use crate::event_log::log_event;
+use crate::net::rpc::{PeerReply, PeerRequest, RpcError, RpcErrorKind};
+
+/// Requests of this VM that one neighbour has at once.
+const PER_SENDER_MAX: usize = 2;
+
+/// Time-out of a request for a chunk, as a multiple of the time after which a
+/// second sender is asked.
+const TIMEOUT_FACTOR: u64 = 4;
+
+/// First pause after a failed origin read; doubles with each failure in a row.
+const ORIGIN_PAUSE_MS: u64 = 500;
+
+/// Longest pause after failed origin reads.
+const ORIGIN_PAUSE_MAX_MS: u64 = 8_000;
+
+/// Failures of origin reads in a row after which other regions are asked.
+const REMOTE_AFTER_FAILURES: u32 = 2;
+
+impl Worker {
+    /// Starts the requests and origin reads that one copy needs now.
+    pub(super) fn fetch(&mut self, digest: &Digest, now: MonoMs) {
+        let Some(copy) = self.copies.get_mut(digest) else {
+            return;
+        };
+        let stall_timeout_ms = self.config.settings.stall_timeout_ms;
+        copy.update_known(&self.penalties, stall_timeout_ms, now);
+        self.ask_neighbours(digest, now);
+        self.read_origin(digest, now);
+    }
+
+    fn hedge_after_ms(&self) -> u64 {
+        hedge_after_ms(self.reply, self.config.settings.stall_timeout_ms)
+    }
+
+    fn ask_neighbours(&mut self, digest: &Digest, now: MonoMs) {
+        let slots = usize::try_from(self.config.settings.download_slots).unwrap_or(1);
+        loop {
+            let active = self.in_flight.values().filter(|request| !request.hedged);
+            if active.count() >= slots {
+                return;
+            }
+            let Some((index, peer)) = self.pick_sender(digest, None, now) else {
+                return;
+            };
+            self.request(digest, index, &peer, now);
+        }
+    }
+
+    /// Picks a chunk and a sender; `only` limits the choice to one chunk that was
+    /// already asked for.
+    fn pick_sender(
+        &mut self,
+        digest: &Digest,
+        only: Option<usize>,
+        now: MonoMs,
+    ) -> Option<(usize, TransferPeer)> {
+        let copy = self.copies.get(digest)?;
+        let mut senders = Vec::with_capacity(copy.neighbours.len());
+        for neighbour in &copy.neighbours {
+            let id = &neighbour.peer.id;
+            let requests = self.in_flight.values().filter(|r| r.sender == *id);
+            let outstanding = requests.count();
+            let asked = only.is_some_and(|index| {
+                let mut requests = self.in_flight.values();
+                requests.any(|r| r.index == index && r.manifest == *digest && r.sender == *id)
+            });
+            senders.push(Sender {
+                have: &neighbour.have,
+                tier: neighbour.tier,
+                available: !asked && outstanding < PER_SENDER_MAX && self.penalties.allows(id, now),
+                outstanding,
+            });
+        }
+        let picked = match only {
+            None => pick(&copy.held, &copy.requested, &senders, &mut self.rng),
+            Some(index) => senders
+                .iter()
+                .position(|sender| sender.available && sender.have.contains(index))
+                .map(|sender| Pick {
+                    chunk: index,
+                    sender,
+                }),
+        }?;
+        Some((picked.chunk, copy.neighbours[picked.sender].peer.clone()))
+    }
+
+    fn request(
+        &mut self,
+        manifest: &Digest,
+        index: usize,
+        peer: &TransferPeer,
+        now: MonoMs,
+    ) -> Option<RequestId> {
+        let timeout_ms = self.hedge_after_ms() * TIMEOUT_FACTOR;
+        let id = self.next_request_id();
+        let copy = self.copies.get_mut(manifest)?;
+        let chunk = copy.wanted.manifest.chunks[index];
+        copy.requested.insert(index);
+        self.in_flight.insert(
+            id,
+            InFlight {
+                manifest: *manifest,
+                index,
+                chunk,
+                sender: peer.id.clone(),
+                sent_at: now,
+                hedged: false,
+            },
+        );
+        let results = self.results.clone();
+        let on_reply = Box::new(move |result| {
+            // The transfer thread ends only with the process.
+            let _ = results.send(Message::ChunkReply {
+                request: id,
+                result,
+            });
+        });
+        let request = PeerRequest::Chunk {
+            digest: chunk,
+            manifest: *manifest,
+        };
+        let timeout = Duration::from_millis(timeout_ms);
+        self.rpc.call(peer.peer_addr, request, timeout, on_reply);
+        Some(id)
+    }
+
+    /// Asks a second sender for chunks whose sender has stalled.
+    pub(super) fn hedge(&mut self, now: MonoMs) {
+        let after_ms = self.hedge_after_ms();
+        let mut stalled = Vec::new();
+        for (id, request) in &self.in_flight {
+            if !request.hedged && now.since_ms(request.sent_at) >= after_ms {
+                stalled.push((*id, request.manifest, request.index));
+            }
+        }
+        for (id, manifest, index) in stalled {
+            let Some(request) = self.in_flight.get_mut(&id) else {
+                continue;
+            };
+            request.hedged = true;
+            log_event!(
+                event::SENDER_STALLED,
+                "{} gave no chunk within {after_ms} ms",
+                request.sender
+            );
+            self.penalties.punish(&request.sender, Fault::Stalled, now);
+            if let Some((_, peer)) = self.pick_sender(&manifest, Some(index), now) {
+                self.request(&manifest, index, &peer, now);
+                continue;
+            }
+            if let Some(copy) = self.copies.get_mut(&manifest) {
+                copy.requested.remove(index);
+            }
+        }
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        id: RequestId,
+        result: Result<PeerReply, RpcError>,
+        now: MonoMs,
+    ) {
+        let Some(request) = self.in_flight.remove(&id) else {
+            return;
+        };
+        if self.remote_request == Some(id) {
+            self.remote_request = None;
+        }
+        let sender = &request.sender;
+        match result {
+            Ok(PeerReply::Chunk(data)) => {
+                if Digest::of(&data) == request.chunk {
+                    self.reply.add(now.since_ms(request.sent_at));
+                    self.penalties.forgive(sender, now);
+                    self.store(request.chunk, data);
+                    return;
+                }
+                log_event!(
+                    event::CHUNK_CORRUPT,
+                    "chunk {} from {sender} does not match its digest",
+                    request.chunk
+                );
+                self.penalties.punish(sender, Fault::Corrupt, now);
+            }
+            Ok(PeerReply::ChunkBusy) => self.penalties.punish(sender, Fault::Busy, now),
+            Ok(_) => {
+                if let Some(copy) = self.copies.get_mut(&request.manifest)
+                    && let Some(neighbour) = copy.neighbour(sender)
+                {
+                    neighbour.have.remove(request.index);
+                }
+            }
+            Err(error) => {
+                log::debug!("chunk request: {error}");
+                let fault = match error.kind {
+                    RpcErrorKind::TimedOut => Fault::Stalled,
+                    _ => Fault::Unreachable,
+                };
+                self.penalties.punish(sender, fault, now);
+            }
+        }
+        self.allow_again(&request.manifest, &request.chunk);
+    }
+
+    /// Allows a chunk to be asked for again unless it is still on its way.
+    fn allow_again(&mut self, manifest: &Digest, chunk: &Digest) {
+        let asked = self.in_flight.values().any(|r| r.chunk == *chunk);
+        if asked || self.origin_reads.contains_key(chunk) {
+            return;
+        }
+        if let Some(copy) = self.copies.get_mut(manifest) {
+            copy.mark_unrequested(chunk);
+        }
+    }
+
+    /// Keeps a chunk whose digest was checked.
+    fn store(&mut self, chunk: Digest, data: Arc<[u8]>) {
+        let mut needed = false;
+        for copy in self.copies.values_mut() {
+            let wanted = matches!(copy.stage, Stage::Fetching | Stage::Checking);
+            if wanted && copy.wanted.manifest.chunks.contains(&chunk) {
+                copy.mark_held(&chunk);
+                needed = true;
+            }
+        }
+        if let Some(read) = self.origin_reads.get(&chunk) {
+            read.cancelled.store(true, Ordering::Relaxed);
+        }
+        if !needed {
+            return;
+        }
+        self.chunks.insert(chunk, data);
+        let digests: Vec<Digest> = self.copies.keys().copied().collect();
+        for digest in digests {
+            self.check_when_complete(&digest);
+        }
+    }
+
+    /// Checks the root digest of a copy that became complete, on a thread of its own.
+    pub(super) fn check_when_complete(&mut self, digest: &Digest) {
+        let Some(copy) = self.copies.get_mut(digest) else {
+            return;
+        };
+        if !matches!(copy.stage, Stage::Fetching) || !copy.held.is_full() {
+            return;
+        }
+        let manifest = Arc::clone(&copy.wanted.manifest);
+        let mut chunks = Vec::with_capacity(manifest.chunks.len());
+        for chunk in &manifest.chunks {
+            let Some(data) = self.chunks.get(chunk) else {
+                return;
+            };
+            chunks.push(Arc::clone(data));
+        }
+        copy.stage = Stage::Checking;
+        let results = self.results.clone();
+        let digest = *digest;
+        let check = move || {
+            let whole = manifest.verify_whole(chunks.iter().map(AsRef::as_ref));
+            let result = whole
+                .map(|()| Arc::new(VerifiedCopy { manifest, chunks }))
+                .map_err(|error| error.to_string());
+            let _ = results.send(Message::Checked { digest, result });
+        };
+        let spawned = thread::Builder::new().name("check".to_owned()).spawn(check);
+        if let Err(error) = spawned {
+            log::warn!("cannot start the thread that checks a copy: {error}");
+            copy.stage = Stage::Fetching;
+        }
+    }
+
+    pub(super) fn take_checked(
+        &mut self,
+        digest: &Digest,
+        result: Result<Arc<VerifiedCopy>, String>,
+    ) {
+        let Some(copy) = self.copies.get_mut(digest) else {
+            return;
+        };
+        // The copy may have been dropped while it was checked.
+        if !matches!(copy.stage, Stage::Checking) {
+            return;
+        }
+        copy.stage = match result {
+            Ok(verified) => {
+                log_event!(event::COPY_VERIFIED, "copy {digest}");
+                Stage::Verified(verified)
+            }
+            Err(message) => {
+                log_event!(event::COPY_ROOT_MISMATCH, "copy {digest}: {message}");
+                Stage::Failed(message)
+            }
+        };
+    }
+
+    fn read_origin(&mut self, digest: &Digest, now: MonoMs) {
+        let stall_timeout_ms = self.config.settings.stall_timeout_ms;
+        let Some(copy) = self.copies.get_mut(digest) else {
+            return;
+        };
+        if !copy.may_read_origin(stall_timeout_ms, now) {
+            return;
+        }
+        let view = OriginView {
+            known: &copy.known,
+            takeover_after_ms: takeover_after_ms(copy.arrival, stall_timeout_ms),
+            now,
+        };
+        let turns = copy.plan.turns(&view);
+        for (index, turn) in turns {
+            if turn != Turn::Now {
+                continue;
+            }
+            if self.origin_health.retry_at > now {
+                self.ask_other_region(digest, index, now);
+                continue;
+            }
+            if self.origin_reads.len() >= ORIGIN_READS_MAX {
+                return;
+            }
+            self.order_read(digest, index);
+        }
+    }
+
+    fn order_read(&mut self, digest: &Digest, index: usize) {
+        let Some(copy) = self.copies.get_mut(digest) else {
+            return;
+        };
+        let chunk = copy.wanted.manifest.chunks[index];
+        if copy.held.contains(index) || self.origin_reads.contains_key(&chunk) {
+            return;
+        }
+        copy.requested.insert(index);
+        let (offset, length) = copy.wanted.manifest.range(index);
+        let cancelled = Arc::new(AtomicBool::new(false));
+        let order = OriginOrder {
+            chunk,
+            range: OriginRange {
+                object: copy.wanted.manifest.object.clone(),
+                offset,
+                length,
+            },
+            cancelled: Arc::clone(&cancelled),
+        };
+        let read = OriginRead {
+            manifest: *digest,
+            cancelled,
+        };
+        self.origin_reads.insert(chunk, read);
+        // The threads that carry out orders end only with this one.
+        let _ = self.orders.send(order);
+    }
+
+    pub(super) fn take_origin_read(
+        &mut self,
+        chunk: Digest,
+        result: Result<Arc<[u8]>, String>,
+        now: MonoMs,
+    ) {
+        let Some(read) = self.origin_reads.remove(&chunk) else {
+            return;
+        };
+        let message = match result {
+            Ok(data) if Digest::of(&data) == chunk => {
+                self.origin_health = OriginHealth::default();
+                self.store(chunk, data);
+                return;
+            }
+            Ok(_) => {
+                log_event!(
+                    event::CHUNK_CORRUPT,
+                    "chunk {chunk} from the origin does not match its digest"
+                );
+                "the chunk does not match its digest".to_owned()
+            }
+            Err(message) => message,
+        };
+        self.allow_again(&read.manifest, &chunk);
+        if read.cancelled.load(Ordering::Relaxed) {
+            return;
+        }
+        log_event!(event::ORIGIN_READ_FAILED, "chunk {chunk}: {message}");
+        let health = &mut self.origin_health;
+        let pause_ms = ORIGIN_PAUSE_MS << health.failures.min(8);
+        health.retry_at = now.plus_ms(pause_ms.min(ORIGIN_PAUSE_MAX_MS));
+        health.failures += 1;
+        let failures = health.failures;
+        let Some(copy) = self.copies.get(&read.manifest) else {
+            return;
+        };
+        let waited_ms = takeover_after_ms(copy.arrival, self.config.settings.stall_timeout_ms);
+        let region_is_served = now.since_ms(copy.known_grew_at) < waited_ms;
+        if failures >= REMOTE_AFTER_FAILURES && !region_is_served {
+            self.origin_health.ask_others = true;
+        }
+    }
+
+    /// Asks another region for a chunk while the origin delivers nothing to this
+    /// one; one chunk at a time, since the link between regions is thin.
+    fn ask_other_region(&mut self, digest: &Digest, index: usize, now: MonoMs) {
+        if !self.origin_health.ask_others || self.remote_request.is_some() {
+            return;
+        }
+        let Some(copy) = self.copies.get(digest) else {
+            return;
+        };
+        if copy.requested.contains(index) {
+            return;
+        }
+        let chunk = copy.wanted.manifest.chunks[index];
+        let Some(peer) = remote_peer(copy, &self.config.own, &chunk, self.remote_attempts) else {
+            return;
+        };
+        self.remote_attempts += 1;
+        if self.penalties.allows(&peer.id, now) {
+            self.remote_request = self.request(digest, index, &peer, now);
+        }
+    }
+
+    /// Gives up origin reads of chunks that no copy needs.
+    pub(super) fn cancel_origin_reads(&self, needed: &HashSet<Digest>) {
+        for (chunk, read) in &self.origin_reads {
+            if !needed.contains(chunk) {
+                read.cancelled.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Returns a VM of another region, the likely origin reader of `chunk` first.
+fn remote_peer(
+    copy: &CopyState,
+    own: &TransferPeer,
+    chunk: &Digest,
+    attempt: u64,
+) -> Option<TransferPeer> {
+    let peers = copy.wanted.peers.iter();
+    let remote: Vec<&TransferPeer> = peers.filter(|peer| peer.region != own.region).collect();
+    let ranked = rendezvous::rank(chunk.as_bytes(), &remote, |peer| {
+        CompactString::as_str(&peer.id)
+    });
+    let count = u64::try_from(ranked.len())
+        .ok()
+        .filter(|&count| count > 0)?;
+    let at = usize::try_from(attempt % count).ok()?;
+    Some((*ranked[at]).clone())
+}
--- a/crates/masticdock-daemon/src/agent/transfer/handle.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/handle.rs
@@ -3,15 +3,19 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use anyhow::Context as _;
 use compact_str::CompactString;
-use crossbeam::channel::{self, Receiver, Sender};
+use crossbeam::channel::{self, Sender};
 use masticdock_core::ids::Digest;
 use masticdock_platform::OriginClient;
 
+use super::message::Message;
+use super::origin::{self, OriginReader};
+use super::worker::Worker;
 use super::{CopyProgress, TransferPeer, VerifiedCopy, WantedCopy};
-use crate::net::rpc::{PeerReply, PeerRequest, Responder, RpcHandle};
+use crate::net::rpc::{PeerRequest, Responder, RpcHandle};
 use crate::settings::{LinkSettings, TransferSettings};
 
 /// Who this agent is and what its transfers may use.
@@ -25,13 +29,6 @@
     pub(crate) settings: TransferSettings,
 }
 
-/// Message to the transfer thread.
-pub(super) enum Message {
-    SetWanted(Vec<WantedCopy>),
-    Release(Digest),
-    Call(CompactString, PeerRequest, Responder),
-}
-
 /// State of one copy as other threads see it.
 #[derive(Debug, Clone)]
 pub(super) struct CopyStatus {
@@ -53,29 +50,36 @@
 ///
 /// # Errors
 ///
-/// Fails when the thread cannot be started.
+/// Fails when a thread cannot be started.
 pub(crate) fn spawn(
-    _config: TransferConfig,
-    _origin: OriginClient,
-    _rpc: RpcHandle,
+    config: TransferConfig,
+    origin: OriginClient,
+    rpc: RpcHandle,
+) -> anyhow::Result<TransferHandle> {
+    let stall_timeout = Duration::from_millis(config.settings.stall_timeout_ms);
+    spawn_with(config, &origin::reader(origin, stall_timeout), rpc)
+}
+
+pub(super) fn spawn_with(
+    config: TransferConfig,
+    origin: &OriginReader,
+    rpc: RpcHandle,
 ) -> anyhow::Result<TransferHandle> {
     let (sender, receiver) = channel::unbounded();
+    let (orders, order_receiver) = channel::unbounded();
+    let links = &config.links;
+    let origin_rate = links.vm_rate_bytes_per_s.scaled(links.weights_share);
+    origin::spawn_readers(&order_receiver, &sender, origin, origin_rate)
+        .context("cannot start the threads that read from the origin")?;
     let status = StatusTable::default();
+    let mut worker = Worker::new(config, rpc, orders, sender.clone(), Arc::clone(&status));
     thread::Builder::new()
         .name("transfer".to_owned())
-        .spawn(move || refuse_all(&receiver))
+        .spawn(move || worker.run(&receiver))
         .context("cannot start the transfer thread")?;
     Ok(TransferHandle { sender, status })
 }
 
-fn refuse_all(receiver: &Receiver<Message>) {
-    for message in receiver {
-        if let Message::Call(_, _, respond) = message {
-            respond(PeerReply::ChunkAbsent);
-        }
-    }
-}
-
 impl TransferHandle {
     fn send(&self, message: Message) {
         if self.sender.send(message).is_err() {
@@ -101,7 +105,8 @@
             .map(|status| status.progress.clone())
     }
 
-    /// Returns a wanted copy once it is complete and verified.
+    /// Returns a wanted copy once it is complete and verified, until its chunks
+    /// are dropped after [`TransferHandle::release`].
     pub(crate) fn copy(&self, digest: &Digest) -> Option<Arc<VerifiedCopy>> {
         self.status().get(digest)?.copy.clone()
     }
@@ -112,6 +117,12 @@
         self.send(Message::Release(*digest));
     }
 
+    /// Takes back a release, for example after the engine crashed; chunks that
+    /// were dropped are fetched again.
+    pub(crate) fn reload(&self, digest: &Digest) {
+        self.send(Message::Reload(*digest));
+    }
+
     /// Answers `Chunk` and `Announce` calls of other agents; drops any other
     /// call, which the caller sees as a failure.
     pub(crate) fn handle(&self, caller: CompactString, request: PeerRequest, respond: Responder) {
--- a/crates/masticdock-daemon/src/agent/transfer/mod.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/mod.rs
@@ -1,6 +1,16 @@
 //! Transfer of weights to this VM and on to others.
 
+mod announce;
+mod copy_state;
+mod fetch;
 mod handle;
+mod message;
+mod origin;
+mod uploads;
+mod worker;
+
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
