Test the request path over loopback with small fakes

Cause: nothing guarded the promises of the request path. Change: 20 tests that run callers, entries and agents in one process against fakes of engines, a plain service and the table: resumed and cut streams, lost answers of the table, resends through another entry, crashing requests, cancellation, refusals. The agent looks at a dying engine's status more than once before it decides whether the engine crashed.

--- a/crates/masticdock-daemon/src/main.rs
+++ b/crates/masticdock-daemon/src/main.rs
@@ -15,6 +15,8 @@
 mod secrets;
 mod settings;
 mod status;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/masticdock-daemon/src/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests that reach private items of the daemon.
+
+mod request_path;
--- /dev/null
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -0,0 +1,311 @@
+//! Fakes of an upstream and of the table.
+
+use std::collections::BTreeMap;
+use std::io::{Read as _, Write as _};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tiny_http::Request;
+
+use crate::request_http::{HandlerLimits, Listener, name, respond, value};
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub(super) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn serve(handle: impl Fn(Request) + Send + Sync + 'static) -> SocketAddr {
+    let limits = HandlerLimits {
+        body_bytes_max: 1 << 20,
+        header_bytes_max: 1 << 16,
+        requests_max: 256,
+    };
+    let listener = Listener::spawn("fake", loopback(), limits, handle);
+    listener.expect("a free port").addr()
+}
+
+fn read_json(request: &mut Request) -> Value {
+    let mut body = Vec::new();
+    request.as_reader().read_to_end(&mut body).expect("a body");
+    serde_json::from_slice(&body).unwrap_or(Value::Null)
+}
+
+/// What an engine does with completions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Script {
+    /// Answers.
+    Answer,
+    /// Breaks the connection at this token without a crash.
+    BreakAt(u64),
+    /// Breaks the connection at this token for runs that began before it.
+    BreakOnceAt(u64),
+    /// Crashes at this token: the boot changes and the connection breaks.
+    CrashAt(u64),
+    /// Sends a token each 20 ms until the reader goes away.
+    Endless,
+}
+
+/// One run as the upstream saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Run {
+    pub(super) request_id: String,
+    pub(super) resume_from: u64,
+}
+
+/// A model engine.
+pub(super) struct Engine {
+    pub(super) addr: SocketAddr,
+    pub(super) version: &'static str,
+    pub(super) script: Mutex<Script>,
+    pub(super) runs: Mutex<Vec<Run>>,
+    pub(super) cancelled: AtomicBool,
+    pub(super) status_reads: AtomicU64,
+    boot: AtomicU64,
+}
+
+impl Engine {
+    pub(super) fn spawn(version: &'static str) -> Arc<Self> {
+        Arc::new_cyclic(|weak: &std::sync::Weak<Self>| {
+            let weak = weak.clone();
+            let addr = serve(move |request| {
+                if let Some(engine) = weak.upgrade() {
+                    engine.handle(request);
+                }
+            });
+            Self {
+                addr,
+                version,
+                script: Mutex::new(Script::Answer),
+                runs: Mutex::default(),
+                cancelled: AtomicBool::new(false),
+                status_reads: AtomicU64::new(0),
+                boot: AtomicU64::new(1),
+            }
+        })
+    }
+
+    pub(super) fn set(&self, script: Script) {
+        *lock(&self.script) = script;
+    }
+
+    pub(super) fn runs(&self) -> Vec<Run> {
+        lock(&self.runs).clone()
+    }
+
+    /// Returns the text of the tokens from `first` up to `end`.
+    pub(super) fn text(version: &str, first: u64, end: u64) -> String {
+        (first..end)
+            .map(|index| format!("{version}-{index} "))
+            .collect()
+    }
+
+    fn handle(&self, mut request: Request) {
+        if request.url() == "/status" {
+            self.status_reads.fetch_add(1, Ordering::SeqCst);
+            let boot = self.boot.load(Ordering::SeqCst).to_string();
+            let status = json!({ "boot": boot, "state": "ready", "version": self.version });
+            let body = status.to_string().into_bytes();
+            return respond(request, 200, "application/json", &[], body);
+        }
+        let body = read_json(&mut request);
+        let first = body["resume_from"].as_u64().unwrap_or(0);
+        let request_id = value(request.headers(), name::REQUEST_ID).unwrap_or("");
+        lock(&self.runs).push(Run {
+            request_id: request_id.to_owned(),
+            resume_from: first,
+        });
+        let end = body["max_tokens"].as_u64().unwrap_or(4);
+        let script = *lock(&self.script);
+        let mut writer = request.into_writer();
+        let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+        let _ = writer.write_all(head.as_bytes());
+        let mut index = first;
+        while index < end || script == Script::Endless {
+            match script {
+                Script::BreakAt(at) if index >= at => return,
+                Script::BreakOnceAt(at) if index >= at && first < at => return,
+                Script::CrashAt(at) if index >= at => {
+                    self.boot.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+                Script::Endless => std::thread::sleep(Duration::from_millis(20)),
+                _ => {}
+            }
+            let text = Self::text(self.version, index, index + 1);
+            let token = json!({ "index": index, "text": text, "version": self.version });
+            let sent = write!(writer, "data: {token}\n\n").and_then(|()| writer.flush());
+            if sent.is_err() {
+                self.cancelled.store(true, Ordering::SeqCst);
+                return;
+            }
+            index += 1;
+        }
+        let _ = write!(writer, "data: [DONE]\n\n").and_then(|()| writer.flush());
+    }
+}
+
+/// A plain service that answers with its number of runs.
+pub(super) struct Plain {
+    pub(super) addr: SocketAddr,
+    pub(super) runs: AtomicU64,
+    /// Held by a test to keep requests in progress.
+    pub(super) hold: Mutex<()>,
+    /// Breaks the connection after the effect.
+    pub(super) lose_answer: AtomicBool,
+}
+
+impl Plain {
+    pub(super) fn spawn() -> Arc<Self> {
+        Arc::new_cyclic(|weak: &std::sync::Weak<Self>| {
+            let weak = weak.clone();
+            let addr = serve(move |mut request| {
+                let Some(plain) = weak.upgrade() else {
+                    return;
+                };
+                let _ = read_json(&mut request);
+                let run = plain.runs.fetch_add(1, Ordering::SeqCst) + 1;
+                drop(lock(&plain.hold));
+                if plain.lose_answer.load(Ordering::SeqCst) {
+                    drop(request.into_writer());
+                    return;
+                }
+                let body = json!({ "run": run }).to_string().into_bytes();
+                respond(request, 200, "application/json", &[], body);
+            });
+            Self {
+                addr,
+                runs: AtomicU64::new(0),
+                hold: Mutex::new(()),
+                lose_answer: AtomicBool::new(false),
+            }
+        })
+    }
+
+    pub(super) fn runs(&self) -> u64 {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+/// What the table does with writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TableMode {
+    /// Works.
+    Up,
+    /// Refuses everything without effect.
+    Down,
+    /// Applies each write and breaks the connection; reads work.
+    LoseAnswers,
+    /// Breaks the connection of writes without effect; reads work.
+    LoseRequests,
+}
+
+/// The table: single puts with a condition, and reads.
+pub(super) struct Table {
+    pub(super) addr: SocketAddr,
+    pub(super) mode: Mutex<TableMode>,
+    items: Mutex<BTreeMap<String, Value>>,
+}
+
+impl Table {
+    pub(super) fn spawn() -> Arc<Self> {
+        Arc::new_cyclic(|weak: &std::sync::Weak<Self>| {
+            let weak = weak.clone();
+            let addr = serve(move |request| {
+                if let Some(table) = weak.upgrade() {
+                    table.handle(request);
+                }
+            });
+            Self {
+                addr,
+                mode: Mutex::new(TableMode::Up),
+                items: Mutex::default(),
+            }
+        })
+    }
+
+    pub(super) fn set(&self, mode: TableMode) {
+        *lock(&self.mode) = mode;
+    }
+
+    /// Returns the state of each stored key.
+    pub(super) fn states(&self) -> Vec<String> {
+        let state = |item: &Value| item["state"]["S"].as_str().unwrap_or("").to_owned();
+        lock(&self.items).values().map(state).collect()
+    }
+
+    fn handle(&self, mut request: Request) {
+        let target = value(request.headers(), "X-Amz-Target")
+            .unwrap_or("")
+            .to_owned();
+        let body = read_json(&mut request);
+        let mode = *lock(&self.mode);
+        let json_type = "application/x-amz-json-1.0";
+        if mode == TableMode::Down {
+            return respond(request, 503, json_type, &[], b"{}".to_vec());
+        }
+        if target.ends_with("GetItem") {
+            let item = lock(&self.items).get(&key_of(&body["Key"])).cloned();
+            let answer = item.map_or(json!({}), |item| json!({ "Item": item }));
+            return respond(
+                request,
+                200,
+                json_type,
+                &[],
+                answer.to_string().into_bytes(),
+            );
+        }
+        if mode == TableMode::LoseRequests {
+            drop(request.into_writer());
+            return;
+        }
+        let applied = self.apply(&body["TransactItems"][0]["Put"]);
+        if mode == TableMode::LoseAnswers {
+            drop(request.into_writer());
+            return;
+        }
+        if applied {
+            return respond(request, 200, json_type, &[], b"{}".to_vec());
+        }
+        let failed = json!({
+            "__type": "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
+            "CancellationReasons": [{ "Code": "ConditionalCheckFailed" }],
+        });
+        respond(
+            request,
+            400,
+            json_type,
+            &[],
+            failed.to_string().into_bytes(),
+        );
+    }
+
+    fn apply(&self, put: &Value) -> bool {
+        let mut items = lock(&self.items);
+        let key = key_of(&put["Item"]);
+        let stored = items.get(&key);
+        let holds = match put["ConditionExpression"].as_str() {
+            None => true,
+            Some("attribute_not_exists(pk)") => stored.is_none(),
+            Some("#c = :c") => {
+                let name = put["ExpressionAttributeNames"]["#c"].as_str().unwrap_or("");
+                let wanted = &put["ExpressionAttributeValues"][":c"];
+                stored.is_some_and(|item| item[name] == *wanted)
+            }
+            Some(other) => panic!("the fake table does not know the condition `{other}`"),
+        };
+        if holds {
+            items.insert(key, put["Item"].clone());
+        }
+        holds
+    }
+}
+
+fn key_of(item: &Value) -> String {
+    format!("{}|{}", item["pk"]["S"], item["sk"]["S"])
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/tests/request_path/world.rs
@@ -0,0 +1,271 @@
+//! Entries and agents that share one published snapshot.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Receiver;
+use masticdock_core::config_log::{ConfigState, Stored};
+use masticdock_core::ids::{BootEpoch, Digest, Incarnation, Revision, VersionId};
+use masticdock_core::membership::{Liveness, Member, MemberStatus, Phase, Role};
+use masticdock_core::problem::{Problem, RunState};
+use serde_json::{Value, json};
+
+use super::fakes::{Engine, Plain, Table, lock, loopback};
+use crate::agent::{GateState, ServingGate, proxy};
+use crate::control::{ControlHandle, ControlMsg, Snapshot};
+use crate::entry::callers;
+use crate::metrics::Metrics;
+use crate::request_http::{EventReader, PeerKey, StreamEvent, name};
+use crate::settings::{AgentSettings, EntrySettings};
+
+/// Time within which anything that a test waits for happens.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until `condition` holds.
+pub(super) fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < PATIENCE, "never happened: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An agent with its gate.
+pub(super) struct Agent {
+    pub(super) proxy: proxy::Handle,
+    pub(super) gate: Arc<ServingGate>,
+}
+
+/// Entries, agents and the table.
+pub(super) struct World {
+    pub(super) table: Arc<Table>,
+    pub(super) control: ControlHandle,
+    pub(super) messages: Receiver<ControlMsg>,
+    members: Mutex<Vec<Member>>,
+    pub(super) requests: Value,
+}
+
+/// Token of the only workspace.
+pub(super) const TOKEN: &str = "alpenruh-token";
+
+fn resources() -> Vec<Stored> {
+    let digest = Digest::of(TOKEN.as_bytes());
+    let resources = json!([
+        { "kind": "workspace", "name": "alpenruh", "token_digest": digest },
+        { "kind": "service", "name": "assistant", "upstream": "engine", "timeout_ms": 15_000 },
+        { "kind": "service", "name": "orders", "upstream": "plain", "idempotent": false },
+    ]);
+    let resources: Vec<_> = serde_json::from_value(resources).expect("valid resources");
+    let stored = |resource| Stored {
+        revision: Revision(1),
+        resource,
+    };
+    resources.into_iter().map(stored).collect()
+}
+
+impl World {
+    pub(super) fn new() -> Self {
+        let (control, messages) = ControlHandle::channel();
+        let world = Self {
+            table: Table::spawn(),
+            control,
+            messages,
+            members: Mutex::default(),
+            requests: json!({ "stall_timeout_ms": 1_500 }),
+        };
+        world.publish();
+        world
+    }
+
+    pub(super) fn publish(&self) {
+        self.control.snapshots.publish(Snapshot {
+            config: Arc::new(ConfigState::from_resources(Revision(1), resources())),
+            members: Arc::new(lock(&self.members).clone()),
+            ..Snapshot::default()
+        });
+    }
+
+    fn common(&self, role: &str, id: &str) -> Value {
+        let url = format!("http://{}", self.table.addr);
+        json!({
+            "role": role,
+            "node": {
+                "id": id, "region": "tirol", "zone": "tirol-1",
+                "peer_addr": loopback(), "status_addr": loopback(),
+            },
+            "platform": {
+                "table_url": url, "object_store_url": url, "origin_url": url,
+                "fleet_view_url": url, "timeout_ms": 500,
+            },
+            "security": { "peer_key_file": "unused" },
+        })
+    }
+
+    fn agent(&self, id: &str, engine: bool, upstream: SocketAddr, state: GateState) -> Agent {
+        let service = if engine { "assistant" } else { "orders" };
+        let mut settings = self.common("agent", id);
+        settings["traffic_addr"] = json!(loopback());
+        settings["weights_addr"] = json!(loopback());
+        settings["upstream"] = json!({
+            "engine": engine, "url": format!("http://{upstream}"), "services": [service],
+        });
+        let settings: AgentSettings = serde_json::from_value(settings).expect("valid settings");
+        let gate = ServingGate::new();
+        gate.set_state(state.clone());
+        let proxy = proxy::spawn(proxy::Context {
+            settings: Arc::new(settings),
+            peer_key: PeerKey::derive(b"key"),
+            gate: Arc::clone(&gate),
+            control: self.control.clone(),
+            metrics: Metrics::new(),
+        });
+        let proxy = proxy.expect("a proxy");
+        let version = match state {
+            GateState::Serving(version) => version,
+            GateState::NotServing | GateState::Draining => None,
+        };
+        lock(&self.members).push(member(id, proxy.addr(), service, version));
+        self.publish();
+        Agent { proxy, gate }
+    }
+
+    pub(super) fn engine_agent(&self, id: &str, engine: &Engine) -> Agent {
+        let version: VersionId = engine.version.parse().expect("a version");
+        self.agent(id, true, engine.addr, GateState::Serving(Some(version)))
+    }
+
+    pub(super) fn plain_agent(&self, id: &str, plain: &Plain) -> Agent {
+        self.agent(id, false, plain.addr, GateState::Serving(None))
+    }
+
+    pub(super) fn entry(&self, id: &str) -> callers::Handle {
+        let mut settings = self.common("entry", id);
+        settings["callers_addr"] = json!(loopback());
+        settings["operators_addr"] = json!(loopback());
+        settings["operator_tokens_file"] = json!("unused");
+        settings["requests"] = self.requests.clone();
+        let settings: EntrySettings = serde_json::from_value(settings).expect("valid settings");
+        let handle = callers::spawn(callers::Context {
+            settings: Arc::new(settings),
+            peer_key: PeerKey::derive(b"key"),
+            control: self.control.clone(),
+            metrics: Metrics::new(),
+        });
+        handle.expect("a listener")
+    }
+
+    /// Declares an agent dead.
+    pub(super) fn declare_dead(&self, id: &str) {
+        for member in lock(&self.members).iter_mut() {
+            if member.id == id {
+                member.liveness = Liveness::Dead;
+            }
+        }
+        self.publish();
+    }
+}
+
+fn member(id: &str, addr: SocketAddr, service: &str, version: Option<VersionId>) -> Member {
+    Member {
+        id: id.into(),
+        role: Role::Agent,
+        liveness: Liveness::Alive,
+        incarnation: Incarnation(0),
+        boot_epoch: BootEpoch(1),
+        region: "tirol".parse().expect("a region"),
+        zone: "tirol-1".parse().expect("a zone"),
+        peer_addr: loopback(),
+        traffic_addr: Some(addr),
+        status: MemberStatus {
+            phase: Phase::Serving,
+            serving_version: version,
+            services: vec![service.parse().expect("a service")],
+            ..MemberStatus::default()
+        },
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: u16,
+    pub(super) version: Option<String>,
+    pub(super) body: Value,
+}
+
+impl Answer {
+    /// Returns the slug of the problem and whether the request can have run.
+    pub(super) fn problem(&self) -> (&'static str, RunState) {
+        let problem: Problem = serde_json::from_value(self.body.clone()).expect("a problem");
+        (problem.kind.slug(), problem.run_state)
+    }
+}
+
+pub(super) fn request(entry: SocketAddr, service: &str) -> attohttpc::RequestBuilder {
+    attohttpc::post(format!("http://{entry}/v1/{service}"))
+        .read_timeout(PATIENCE)
+        .header(name::AUTHORIZATION, format!("Bearer {TOKEN}"))
+}
+
+pub(super) fn read(builder: attohttpc::RequestBuilder, body: &Value) -> Answer {
+    let response = builder.text(body.to_string()).send().expect("an answer");
+    let (status, headers, reader) = response.split();
+    let text = reader.text_utf8().expect("a whole body");
+    let version = headers
+        .get(name::VERSION)
+        .and_then(|text| text.to_str().ok());
+    Answer {
+        status: status.as_u16(),
+        version: version.map(str::to_owned),
+        body: serde_json::from_str(&text).expect("a JSON body"),
+    }
+}
+
+pub(super) fn order(entry: &callers::Handle, key: &str) -> Answer {
+    let builder = request(entry.addr(), "orders").header(name::IDEMPOTENCY_KEY, key);
+    read(builder, &json!({ "pillows": 40 }))
+}
+
+pub(super) fn prompt(entry: &callers::Handle, prompt: &str) -> Answer {
+    let body = json!({ "prompt": prompt, "max_tokens": 6 });
+    read(request(entry.addr(), "assistant"), &body)
+}
+
+/// What a caller received as server-sent events.
+#[derive(Debug, Default)]
+pub(super) struct Streamed {
+    pub(super) text: String,
+    pub(super) versions: Vec<String>,
+    pub(super) problem: Option<Problem>,
+    pub(super) done: bool,
+}
+
+pub(super) fn stream(entry: &callers::Handle, max_tokens: u64) -> Streamed {
+    let body = json!({ "prompt": "p", "max_tokens": max_tokens, "stream": true });
+    let response = request(entry.addr(), "assistant")
+        .text(body.to_string())
+        .send();
+    let mut reader = EventReader::new(response.expect("an answer").split().2);
+    let mut streamed = Streamed::default();
+    loop {
+        match reader.next_event().expect("an event") {
+            StreamEvent::Token(token) => {
+                streamed.text.push_str(&token.text);
+                let version = token.version.to_string();
+                if streamed.versions.last() != Some(&version) {
+                    streamed.versions.push(version);
+                }
+            }
+            StreamEvent::Problem(problem) => {
+                streamed.problem = Some(*problem);
+                return streamed;
+            }
+            StreamEvent::Done => {
+                streamed.done = true;
+                return streamed;
+            }
+            StreamEvent::Heartbeat | StreamEvent::Answer(_) => {}
+        }
+    }
+}
