--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -100,9 +100,10 @@
 
     /// Returns the text of the tokens from `first` up to `end`.
     pub(super) fn text(version: &str, first: u64, end: u64) -> String {
-        (first..end)
+        let tokens: Vec<String> = (first..end)
             .map(|index| format!("{version}-{index} "))
-            .collect()
+            .collect();
+        tokens.concat()
     }
 
     fn handle(&self, mut request: Request) {
