Add gossip over UDP and the spreading of configuration

Members learned of each other and of revisions from the platform alone. Two readers per zone poll the table, all others pull `changesSince` from the member whose gossip shows a higher revision, and ask the table when no peer helps. A fleet view read by one reader makes the leaving VM itself refuse new work.

--- a/crates/masticdock-core/tests/membership_swim.rs
+++ b/crates/masticdock-core/tests/membership_swim.rs
@@ -268,7 +268,7 @@
     }
     let told = &network.notices;
     assert!(
-        told.into_iter()
+        told.iter()
             .any(|(id, n)| id == "vm-7" && *n == Notice::OwnLeaving)
     );
 }
--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -32,7 +32,8 @@
 
     // Place for `transfer::TransferHandle::spawn` (branch `transfer`): its
     // handler for chunk and announce calls is tried after `answer_peer`.
-    let rpc = spawn_rpc(settings, peer_key, &handle);
+    let rpc = spawn_rpc(settings, peer_key, &handle)?;
+    rpc.counters().register(metrics.registry())?;
 
     // Place for `switching` (branch `switching`): its tick hook returns the
     // own status and opens the gate.
@@ -46,6 +47,7 @@
             peer_key,
             own: own_member(settings),
             rpc,
+            metrics: metrics.clone(),
             hooks,
         },
         handle,
@@ -78,7 +80,7 @@
     settings: &AgentSettings,
     peer_key: [u8; 32],
     control: &ControlHandle,
-) -> Option<RpcHandle> {
+) -> anyhow::Result<RpcHandle> {
     let control = control.clone();
     let handler: PeerHandler = Arc::new(move |_from, request, respond| {
         if let Some(reply) = control::answer_peer(&control.snapshot(), &request) {
@@ -86,13 +88,7 @@
         }
     });
     let node = &settings.node;
-    match rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler) {
-        Ok(rpc) => Some(rpc),
-        Err(error) => {
-            log::warn!("calls between processes are off: {error:#}");
-            None
-        }
-    }
+    rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler)
 }
 
 fn own_member(settings: &AgentSettings) -> Member {
--- a/crates/masticdock-daemon/src/control/fleet_reader.rs
+++ b/crates/masticdock-daemon/src/control/fleet_reader.rs
@@ -3,49 +3,92 @@
 use std::thread;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use masticdock_core::event;
+use masticdock_core::membership::is_reader;
 use masticdock_platform::{FleetClient, HttpSettings};
 
 use super::{ControlHandle, ControlMsg};
 use crate::event_log::log_event;
 use crate::settings::PlatformSettings;
 
+/// Readers of the fleet view in each availability zone.
+const READERS_PER_ZONE: usize = 2;
+/// Intervals between two reads by all other processes, for labels, which gossip
+/// does not carry. What readers see as leaving arrives by gossip at once.
+const OTHERS_INTERVALS: u32 = 15;
+
 /// Starts the thread.
 ///
 /// # Errors
 ///
 /// Fails when the thread cannot be started.
-pub(super) fn spawn(settings: &PlatformSettings, control: ControlHandle) -> anyhow::Result<()> {
+pub(super) fn spawn(
+    settings: &PlatformSettings,
+    own_id: CompactString,
+    control: ControlHandle,
+) -> anyhow::Result<()> {
     let http = HttpSettings {
         timeout_ms: settings.timeout_ms,
     };
-    let mut client = FleetClient::new(settings.fleet_view_url.clone(), http);
+    let mut reader = FleetReader {
+        client: FleetClient::new(settings.fleet_view_url.clone(), http),
+        control,
+        own_id,
+        reachable: true,
+        skipped: OTHERS_INTERVALS,
+    };
     let interval = Duration::from_millis(settings.fleet_poll_interval_ms);
     thread::Builder::new()
         .name("fleet-reader".to_owned())
         .spawn(move || {
-            let mut reachable = true;
             loop {
-                reachable = read_once(&mut client, &control, reachable);
+                reader.poll_once();
                 thread::sleep(interval);
             }
         })?;
     Ok(())
 }
 
-fn read_once(client: &mut FleetClient, control: &ControlHandle, was_reachable: bool) -> bool {
-    match client.read() {
-        Ok(Some(list)) => control.send(ControlMsg::Fleet(list)),
-        Ok(None) => {}
-        Err(error) => {
-            if was_reachable {
-                log_event!(event::FLEET_VIEW_UNAVAILABLE, "{error}");
-            }
-            return false;
+struct FleetReader {
+    client: FleetClient,
+    control: ControlHandle,
+    own_id: CompactString,
+    reachable: bool,
+    skipped: u32,
+}
+
+impl FleetReader {
+    fn poll_once(&mut self) {
+        self.skipped += 1;
+        if self.skipped < OTHERS_INTERVALS && self.reachable && !self.has_duty() {
+            return;
         }
+        self.skipped = 0;
+        self.read_once();
     }
-    if !was_reachable {
-        log_event!(event::FLEET_VIEW_AVAILABLE, "the fleet view answers again");
+
+    fn has_duty(&self) -> bool {
+        let snapshot = self.control.snapshot();
+        let own = snapshot.members.iter().find(|m| m.id == self.own_id);
+        own.is_none_or(|own| is_reader(b"fleet", &snapshot.members, own, READERS_PER_ZONE))
+    }
+
+    fn read_once(&mut self) {
+        match self.client.read() {
+            Ok(Some(list)) => self.control.send(ControlMsg::Fleet(list)),
+            Ok(None) => {}
+            Err(error) => {
+                if self.reachable {
+                    log_event!(event::FLEET_VIEW_UNAVAILABLE, "{error}");
+                }
+                self.reachable = false;
+                return;
+            }
+        }
+        if !self.reachable {
+            log_event!(event::FLEET_VIEW_AVAILABLE, "the fleet view answers again");
+        }
+        self.reachable = true;
     }
-    true
 }
--- a/crates/masticdock-daemon/src/control/handle.rs
+++ b/crates/masticdock-daemon/src/control/handle.rs
@@ -1,11 +1,12 @@
 //! Messages to the control thread and hooks that run on it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use masticdock_core::config_log::{AcceptedChange, ConfigState};
 use masticdock_core::limiter::DemandRecord;
-use masticdock_core::membership::MemberStatus;
+use masticdock_core::membership::{GossipMessage, Member, MemberStatus};
 use masticdock_core::poison::CrashRecord;
 use masticdock_core::units::MonoMs;
 use masticdock_platform::FleetList;
@@ -27,6 +28,17 @@
     Adopted(ConfigState),
     /// Changes in order, read from the table or from a peer.
     Changes(Vec<AcceptedChange>),
+    /// A pull of configuration from a peer ended.
+    PullEnded {
+        /// True when the peer gave no usable answer.
+        failed: bool,
+    },
+    /// An authentic gossip datagram arrived.
+    Gossip(SocketAddr, GossipMessage),
+    /// Members known to another process.
+    Members(Vec<Member>),
+    /// The process is idle and stops now: tell the others that it is gone.
+    Left,
     /// The fleet view changed.
     Fleet(FleetList),
 }
--- a/crates/masticdock-daemon/src/control/snapshot.rs
+++ b/crates/masticdock-daemon/src/control/snapshot.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use masticdock_core::config_log::{ChangeWindow, ConfigState};
+use masticdock_core::ids::RegionId;
 use masticdock_core::limiter::DemandRecord;
 use masticdock_core::membership::Member;
 use masticdock_core::poison::CrashRecord;
@@ -32,6 +33,8 @@
     pub(crate) labels: Arc<BTreeMap<CompactString, Labels>>,
     /// VMs that the fleet view or an operator marks as leaving or stopping.
     pub(crate) marked_leaving: Arc<BTreeSet<CompactString>>,
+    /// Regions of which most became unreachable at once; their members are not routed to.
+    pub(crate) cut_regions: Arc<BTreeSet<RegionId>>,
     /// True when this process takes no new work.
     pub(crate) leaving: bool,
 }
--- a/crates/masticdock-daemon/src/control/state.rs
+++ b/crates/masticdock-daemon/src/control/state.rs
@@ -1,58 +1,68 @@
 //! State owned by the control thread.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use compact_str::{CompactString, ToCompactString};
 use masticdock_core::config_log::{AcceptedChange, Applied, ChangeWindow, ConfigState};
 use masticdock_core::event;
-use masticdock_core::ids::{BootEpoch, Incarnation};
-use masticdock_core::limiter::DemandRecord;
-use masticdock_core::membership::{Liveness, Member, MemberStatus};
-use masticdock_core::poison::CrashRecord;
-use masticdock_core::resource::{Labels, Resource, ResourceKind};
+use masticdock_core::ids::Revision;
+use masticdock_core::membership::{FleetEntry, Member, MemberStatus, Swim};
+use masticdock_core::units::MonoMs;
 use masticdock_platform::{FleetList, FleetVm, FleetVmState};
 
-use super::Snapshot;
+use super::{Snapshot, views};
 use crate::event_log::log_event;
 
 /// Changes kept for peers that lag.
 const RECENT_CHANGES_MAX: usize = 512;
+/// Shortest time between two snapshots that differ in members or records alone;
+/// bounds the work of copying the list while many members change.
+const MEMBER_SNAPSHOT_INTERVAL_MS: u64 = 200;
+
+/// Why this process takes no new work, marks by operators left out.
+#[derive(Debug, Default)]
+struct LeavingReasons {
+    stop_requested: bool,
+    fleet_view: bool,
+}
 
 /// Configuration, membership and gossiped records of this process.
 pub(super) struct ControlState {
-    own_id: CompactString,
+    pub(super) swim: Swim,
     config: Arc<ConfigState>,
     adopted: bool,
     recent: Arc<ChangeWindow>,
-    members: BTreeMap<CompactString, Member>,
     fleet: FleetList,
-    crashes: Vec<CrashRecord>,
-    demands: BTreeMap<(CompactString, CompactString), DemandRecord>,
-    leaving: bool,
+    leaving: LeavingReasons,
+    last: Snapshot,
     changed: bool,
+    seen_changes: u64,
+    next_member_snapshot: MonoMs,
 }
 
 impl ControlState {
-    pub(super) fn new(own: Member) -> Self {
-        let own_id = own.id.clone();
+    pub(super) fn new(swim: Swim) -> Self {
         Self {
-            members: BTreeMap::from([(own_id.clone(), own)]),
-            own_id,
+            swim,
             config: Arc::default(),
             adopted: false,
-            recent: Arc::new(ChangeWindow::new(
-                masticdock_core::ids::Revision(0),
-                RECENT_CHANGES_MAX,
-            )),
+            recent: Arc::new(ChangeWindow::new(Revision(0), RECENT_CHANGES_MAX)),
             fleet: FleetList::default(),
-            crashes: Vec::new(),
-            demands: BTreeMap::new(),
-            leaving: false,
+            leaving: LeavingReasons::default(),
+            last: Snapshot::default(),
             changed: true,
+            seen_changes: 0,
+            next_member_snapshot: MonoMs(0),
         }
     }
 
+    pub(super) fn revision(&self) -> Revision {
+        self.config.revision()
+    }
+
+    pub(super) const fn is_adopted(&self) -> bool {
+        self.adopted
+    }
+
     /// Takes a whole configuration unless the held one is as new.
     pub(super) fn adopt(&mut self, state: ConfigState) {
         if self.adopted && state.revision() <= self.config.revision() {
@@ -64,15 +74,16 @@
             "configuration adopted at revision {}",
             state.revision()
         );
+        self.swim.set_revision(state.revision());
         self.config = Arc::new(state);
         self.adopted = true;
-        self.changed = true;
+        self.config_changed();
     }
 
-    /// Applies the changes that follow the held revision.
-    pub(super) fn apply(&mut self, changes: Vec<AcceptedChange>) {
+    /// Applies the changes that follow the held revision; returns false at a gap.
+    pub(super) fn apply(&mut self, changes: Vec<AcceptedChange>) -> bool {
         if !self.adopted {
-            return;
+            return true;
         }
         for change in changes {
             if change.revision <= self.config.revision() {
@@ -80,8 +91,12 @@
             }
             let applied = Arc::make_mut(&mut self.config).apply(&change);
             if let Applied::Gap { missing } = applied {
-                log::debug!("revision {missing} is missing before {}", change.revision);
-                return;
+                log_event!(
+                    event::CONFIG_GAP,
+                    "revision {missing} is missing before {}",
+                    change.revision
+                );
+                return false;
             }
             log_event!(
                 event::CONFIG_APPLIED,
@@ -90,129 +105,104 @@
                 change.change_id,
                 change.operator
             );
+            self.swim.set_revision(change.revision);
             Arc::make_mut(&mut self.recent).push(change);
-            self.changed = true;
+            self.config_changed();
         }
+        true
+    }
+
+    fn config_changed(&mut self) {
+        self.last.labels = Arc::new(views::labels(&self.fleet, &self.config));
+        self.last.marked_leaving = Arc::new(views::marked_leaving(&self.fleet, &self.config));
+        self.changed = true;
+        self.publish_leaving();
     }
 
     /// Takes the members and labels of the fleet view.
     pub(super) fn set_fleet(&mut self, fleet: FleetList) {
-        for vm in &fleet.vms {
-            if !self.members.contains_key(&vm.id) {
-                self.members.insert(vm.id.clone(), member_of(vm));
-            }
-        }
+        let entries: Vec<FleetEntry> = fleet.vms.iter().map(entry_of).collect();
+        let own_id = self.swim.own().id.clone();
+        let own = entries.iter().find(|entry| entry.id == own_id);
+        self.leaving.fleet_view = own.is_some_and(|entry| entry.leaving);
+        self.swim.set_fleet(&entries);
         self.fleet = fleet;
-        self.changed = true;
+        self.config_changed();
     }
 
-    pub(super) fn add_crash(&mut self, crash: CrashRecord) {
-        if !self.crashes.contains(&crash) {
-            self.crashes.push(crash);
-            self.changed = true;
-        }
+    /// Notes that a reader of the fleet view sees this process as leaving.
+    pub(super) fn set_fleet_leaving(&mut self) {
+        self.leaving.fleet_view = true;
+        self.publish_leaving();
     }
 
-    pub(super) fn add_demand(&mut self, demand: DemandRecord) {
-        let key = (demand.entry.clone(), demand.workspace.to_compact_string());
-        let newer = self.demands.get(&key).is_none_or(|d| d.seq < demand.seq);
-        if newer {
-            self.demands.insert(key, demand);
-            self.changed = true;
-        }
+    /// Notes that the process was asked to stop.
+    pub(super) fn leave(&mut self) {
+        self.leaving.stop_requested = true;
+        self.publish_leaving();
     }
 
-    pub(super) fn leave(&mut self) {
-        self.leaving = true;
-        self.changed = true;
-        if let Some(own) = self.members.get_mut(&self.own_id) {
-            own.status.leaving = true;
-            own.status.seq += 1;
+    fn is_leaving(&self) -> bool {
+        let marked = self.last.marked_leaving.contains(&self.swim.own().id);
+        self.leaving.stop_requested || self.leaving.fleet_view || marked
+    }
+
+    fn publish_leaving(&mut self) {
+        let leaving = self.is_leaving();
+        let status = self.swim.own().status.clone();
+        self.swim.set_own_status(MemberStatus { leaving, ..status });
+        if leaving != self.last.leaving {
+            self.last.leaving = leaving;
+            self.changed = true;
         }
     }
 
     /// Replaces the own status; `seq`, `leaving` and `services` are kept here.
     pub(super) fn set_own_status(&mut self, status: MemberStatus) {
-        let leaving = self.leaving;
-        let Some(own) = self.members.get_mut(&self.own_id) else {
-            return;
-        };
-        let status = MemberStatus {
-            seq: own.status.seq,
-            leaving,
-            services: own.status.services.clone(),
-            ..status
-        };
-        if status == own.status {
-            return;
-        }
-        own.status = MemberStatus {
-            seq: status.seq + 1,
+        let own = self.swim.own().status.clone();
+        self.swim.set_own_status(MemberStatus {
+            leaving: own.leaving,
+            services: own.services,
             ..status
-        };
-        self.changed = true;
+        });
     }
 
     /// Returns a new snapshot when something changed since the last one.
-    pub(super) fn take_snapshot(&mut self) -> Option<Snapshot> {
-        if !std::mem::take(&mut self.changed) {
+    pub(super) fn take_snapshot(&mut self, now: MonoMs) -> Option<Snapshot> {
+        let members_changed = self.swim.change_count() != self.seen_changes;
+        let members_due = members_changed && now >= self.next_member_snapshot;
+        if !self.changed && !members_due {
             return None;
         }
-        Some(Snapshot {
-            seq: 0,
-            config: Arc::clone(&self.config),
-            adopted: self.adopted,
-            recent: Arc::clone(&self.recent),
-            members: Arc::new(self.members.values().cloned().collect()),
-            crashes: Arc::new(self.crashes.clone()),
-            demands: Arc::new(self.demands.values().cloned().collect()),
-            labels: Arc::new(self.labels()),
-            marked_leaving: Arc::new(self.marked_leaving()),
-            leaving: self.leaving,
-        })
-    }
-
-    fn labels(&self) -> BTreeMap<CompactString, Labels> {
-        let mut labels: BTreeMap<CompactString, Labels> = BTreeMap::new();
-        for vm in &self.fleet.vms {
-            labels.insert(vm.id.clone(), vm.labels.clone());
+        self.changed = false;
+        if members_changed {
+            self.seen_changes = self.swim.change_count();
+            self.next_member_snapshot = now.plus_ms(MEMBER_SNAPSHOT_INTERVAL_MS);
+            self.copy_membership();
         }
-        for stored in self.config.of_kind(ResourceKind::VmLabels) {
-            let Resource::VmLabels(given) = &stored.resource else {
-                continue;
-            };
-            let merged = labels.entry(given.name.to_compact_string()).or_default();
-            merged.extend(given.labels.clone());
-        }
-        labels
+        self.last.config = Arc::clone(&self.config);
+        self.last.adopted = self.adopted;
+        self.last.recent = Arc::clone(&self.recent);
+        Some(self.last.clone())
     }
 
-    fn marked_leaving(&self) -> BTreeSet<CompactString> {
-        let mut marked = BTreeSet::new();
-        for vm in &self.fleet.vms {
-            if vm.state == FleetVmState::Leaving {
-                marked.insert(vm.id.clone());
-            }
-        }
-        for stored in self.config.of_kind(ResourceKind::VmMark) {
-            marked.insert(stored.resource.key().name);
-        }
-        marked
+    fn copy_membership(&mut self) {
+        let members: Vec<Member> = self.swim.members().cloned().collect();
+        self.last.members = Arc::new(members);
+        self.last.crashes = Arc::new(self.swim.crashes().cloned().collect());
+        self.last.demands = Arc::new(self.swim.demands().cloned().collect());
+        self.last.cut_regions = Arc::new(self.swim.cut_regions().clone());
     }
 }
 
-/// Returns a member as the fleet view describes it; the first gossip from it replaces this.
-fn member_of(vm: &FleetVm) -> Member {
-    Member {
+fn entry_of(vm: &FleetVm) -> FleetEntry {
+    FleetEntry {
         id: vm.id.clone(),
         role: vm.role,
-        liveness: Liveness::Alive,
-        incarnation: Incarnation(0),
-        boot_epoch: BootEpoch(0),
+        leaving: vm.state == FleetVmState::Leaving,
         region: vm.region.clone(),
         zone: vm.zone.clone(),
         peer_addr: vm.peer_addr,
         traffic_addr: vm.traffic_addr,
-        status: MemberStatus::default(),
     }
 }
--- a/crates/masticdock-daemon/src/control/thread.rs
+++ b/crates/masticdock-daemon/src/control/thread.rs
@@ -1,17 +1,26 @@
 //! Loop of the control thread.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
-use masticdock_core::membership::Member;
+use masticdock_core::event;
+use masticdock_core::membership::{Member, Notice, Swim, SwimConfig};
 use masticdock_platform::{HttpSettings, TableClient};
 
+use super::config_pull::ConfigPull;
+use super::gauges::ControlGauges;
 use super::state::ControlState;
+use super::table_reader::TableReader;
 use super::{
-    ConfigTable, ControlHandle, ControlMsg, TickContext, TickHook, fleet_reader, mono_now,
-    table_reader,
+    ConfigTable, ControlHandle, ControlMsg, TickContext, TickHook, fleet_reader, member_sync,
+    mono_now, unix_now,
 };
+use crate::event_log::log_event;
+use crate::metrics::Metrics;
+use crate::net::gossip::{self, GossipSender};
 use crate::net::rpc::RpcHandle;
 use crate::settings::{GossipSettings, NodeSettings, PlatformSettings};
 
@@ -30,36 +39,42 @@
     pub(crate) peer_key: [u8; 32],
     /// This process as a member.
     pub(crate) own: Member,
-    /// Calls to other processes; `None` while RPC is not available.
-    pub(crate) rpc: Option<RpcHandle>,
+    /// Calls to other processes.
+    pub(crate) rpc: RpcHandle,
+    /// Metrics of the process.
+    pub(crate) metrics: Metrics,
     /// Hooks that run at each tick, in order.
     pub(crate) hooks: Vec<TickHook>,
 }
 
-/// Starts the control thread and the threads that read the platform.
+/// Starts the control thread, the UDP thread and the threads that read the platform.
 ///
 /// # Errors
 ///
-/// Fails when a thread cannot be started.
+/// Fails when the UDP address cannot be bound or a thread cannot be started.
 pub(crate) fn spawn(
     parts: ControlParts,
     handle: ControlHandle,
     receiver: Receiver<ControlMsg>,
 ) -> anyhow::Result<ControlHandle> {
-    let http = HttpSettings {
-        timeout_ms: parts.platform.timeout_ms,
-    };
-    let table = TableClient::new(
-        parts.platform.table_url.clone(),
-        parts.platform.table_name.clone(),
-        http,
-    );
-    let interval = Duration::from_millis(parts.platform.head_poll_interval_ms);
-    table_reader::spawn(ConfigTable::new(table), interval, handle.clone())?;
-    fleet_reader::spawn(&parts.platform, handle.clone())?;
+    let behind = Arc::new(AtomicBool::new(false));
+    spawn_readers(&parts, &handle, &behind)?;
+    let to_control = handle.clone();
+    let sender = gossip::spawn(
+        parts.node.peer_addr,
+        parts.peer_key,
+        parts.rpc.counters(),
+        parts.metrics.registry(),
+        move |from, message| to_control.send(ControlMsg::Gossip(from, message)),
+    )?;
+    let config = swim_config(&parts.gossip);
+    let swim = Swim::new(config, parts.own, rand::random());
     let mut control = ControlLoop {
-        state: ControlState::new(parts.own),
+        state: ControlState::new(swim),
         hooks: parts.hooks,
+        pull: ConfigPull::new(parts.rpc, handle.clone(), behind),
+        gauges: ControlGauges::register(parts.metrics.registry())?,
+        sender,
         handle: handle.clone(),
     };
     control.publish();
@@ -69,9 +84,61 @@
     Ok(handle)
 }
 
+fn spawn_readers(
+    parts: &ControlParts,
+    handle: &ControlHandle,
+    behind: &Arc<AtomicBool>,
+) -> anyhow::Result<()> {
+    let platform = &parts.platform;
+    let reader = TableReader {
+        table: config_table(platform),
+        interval: Duration::from_millis(platform.head_poll_interval_ms),
+        control: handle.clone(),
+        rpc: parts.rpc.clone(),
+        own_id: parts.own.id.clone(),
+        behind: Arc::clone(behind),
+    };
+    reader.spawn()?;
+    fleet_reader::spawn(platform, parts.own.id.clone(), handle.clone())?;
+    member_sync::spawn(
+        parts.rpc.clone(),
+        parts.node.seed_addrs.clone(),
+        parts.own.id.to_string(),
+        handle.clone(),
+    )
+}
+
+/// Makes a client of the configuration rows.
+pub(crate) fn config_table(platform: &PlatformSettings) -> ConfigTable {
+    let http = HttpSettings {
+        timeout_ms: platform.timeout_ms,
+    };
+    ConfigTable::new(TableClient::new(
+        platform.table_url.clone(),
+        platform.table_name.clone(),
+        http,
+    ))
+}
+
+fn swim_config(settings: &GossipSettings) -> SwimConfig {
+    let count = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+    SwimConfig {
+        push_interval_ms: settings.push_interval_ms,
+        push_fanout: count(settings.push_fanout),
+        probe_interval_ms: settings.probe_interval_ms,
+        probe_timeout_ms: settings.probe_timeout_ms,
+        indirect_probes: count(settings.indirect_probes),
+        suspicion_ms: settings.suspicion_ms,
+        ..SwimConfig::default()
+    }
+}
+
 struct ControlLoop {
     state: ControlState,
     hooks: Vec<TickHook>,
+    pull: ConfigPull,
+    gauges: ControlGauges,
+    sender: GossipSender,
     handle: ControlHandle,
 }
 
@@ -79,12 +146,14 @@
     fn run(&mut self, receiver: &Receiver<ControlMsg>) {
         let mut next_tick = Instant::now();
         loop {
+            // The tick comes first when due, so that a stream of messages cannot delay it.
+            if Instant::now() >= next_tick {
+                self.tick();
+                next_tick = Instant::now() + TICK_INTERVAL;
+            }
             match receiver.recv_deadline(next_tick) {
                 Ok(message) => self.on_message(message),
-                Err(RecvTimeoutError::Timeout) => {
-                    self.tick();
-                    next_tick = Instant::now() + TICK_INTERVAL;
-                }
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
         }
@@ -92,18 +161,52 @@
 
     fn on_message(&mut self, message: ControlMsg) {
         match message {
-            ControlMsg::Crash(crash) => self.state.add_crash(crash),
-            ControlMsg::Demand(demand) => self.state.add_demand(demand),
-            ControlMsg::Accepted(change) => self.state.apply(vec![change]),
-            ControlMsg::Leave => self.state.leave(),
+            ControlMsg::Gossip(from, message) => {
+                let answers = self.state.swim.receive(from, message, mono_now());
+                self.sender.send(&answers);
+            }
+            ControlMsg::Members(members) => {
+                for member in &members {
+                    self.state.swim.merge_update(member, mono_now());
+                }
+            }
+            ControlMsg::Crash(crash) => self.state.swim.add_crash(crash),
+            ControlMsg::Demand(demand) => self.state.swim.add_demand(demand),
+            ControlMsg::Accepted(change) => self.apply(vec![change]),
+            ControlMsg::Changes(changes) => self.apply(changes),
             ControlMsg::Adopted(config) => self.state.adopt(config),
-            ControlMsg::Changes(changes) => self.state.apply(changes),
+            ControlMsg::PullEnded { failed } => self.pull.ended(failed),
             ControlMsg::Fleet(fleet) => self.state.set_fleet(fleet),
+            ControlMsg::Leave => self.state.leave(),
+            ControlMsg::Left => {
+                let farewell = self.state.swim.leave();
+                self.sender.send(&farewell);
+            }
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<masticdock_core::config_log::AcceptedChange>) {
+        if !self.state.apply(changes) {
+            self.pull.note_gap();
         }
     }
 
     fn tick(&mut self) {
+        let now = mono_now();
+        let outgoing = self.state.swim.tick(now);
+        self.sender.send(&outgoing);
+        self.state.swim.prune_crashes(unix_now());
+        for notice in self.state.swim.take_notices() {
+            self.on_notice(notice);
+        }
+        let (revision, adopted) = (self.state.revision(), self.state.is_adopted());
+        self.pull.tick(revision, adopted, now);
+        self.publish();
+        self.run_hooks();
         self.publish();
+    }
+
+    fn run_hooks(&mut self) {
         let snapshot = self.handle.snapshot();
         let context = TickContext {
             now: mono_now(),
@@ -114,11 +217,25 @@
                 self.state.set_own_status(status);
             }
         }
-        self.publish();
+    }
+
+    fn on_notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Dead(id) => log_event!(event::MEMBER_DEAD, "{id} answers no probes"),
+            Notice::RegionCut(region) => {
+                log_event!(event::REGION_CUT, "most of region {region} is unreachable");
+            }
+            Notice::RegionReturned(region) => {
+                log_event!(event::REGION_RETURNED, "region {region} answers again");
+            }
+            Notice::HigherRevision { peer, revision } => self.pull.offer(peer, revision),
+            Notice::OwnLeaving => self.state.set_fleet_leaving(),
+        }
     }
 
     fn publish(&mut self) {
-        if let Some(snapshot) = self.state.take_snapshot() {
+        if let Some(snapshot) = self.state.take_snapshot(mono_now()) {
+            self.gauges.set(&snapshot);
             self.handle.snapshots.publish(snapshot);
         }
     }
--- a/crates/masticdock-daemon/src/drain/mod.rs
+++ b/crates/masticdock-daemon/src/drain/mod.rs
@@ -22,6 +22,9 @@
 /// others hear of it and requests under way to it are refused, not cut.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 
+/// Time in which the control thread sends its last datagrams.
+const FAREWELL_TIME: Duration = Duration::from_millis(150);
+
 /// Tells the others that this process leaves and waits until it is idle.
 pub(crate) fn leave_when_idle(control: &ControlHandle, in_progress: impl Fn() -> usize) {
     log_event!(
@@ -34,6 +37,8 @@
     while in_progress() > 0 {
         thread::sleep(POLL_INTERVAL);
     }
+    control.send(ControlMsg::Left);
+    thread::sleep(FAREWELL_TIME);
     log_event!(event::PROCESS_STOPPED, "no request in progress");
 }
 
--- a/crates/masticdock-daemon/src/entry/run.rs
+++ b/crates/masticdock-daemon/src/entry/run.rs
@@ -29,7 +29,8 @@
     let (handle, receiver) = ControlHandle::channel();
     log_event!(event::PROCESS_STARTED, "entry {}", settings.node.id);
 
-    let rpc = spawn_rpc(settings, peer_key, &handle);
+    let rpc = spawn_rpc(settings, peer_key, &handle)?;
+    rpc.counters().register(metrics.registry())?;
     let hooks: Vec<TickHook> = Vec::new();
     let control = control::spawn(
         ControlParts {
@@ -39,6 +40,7 @@
             peer_key,
             own: own_member(settings),
             rpc,
+            metrics: metrics.clone(),
             hooks,
         },
         handle,
@@ -67,7 +69,7 @@
     settings: &EntrySettings,
     peer_key: [u8; 32],
     control: &ControlHandle,
-) -> Option<RpcHandle> {
+) -> anyhow::Result<RpcHandle> {
     let control = control.clone();
     let handler: PeerHandler = Arc::new(move |_from, request, respond| {
         if let Some(reply) = control::answer_peer(&control.snapshot(), &request) {
@@ -75,13 +77,7 @@
         }
     });
     let node = &settings.node;
-    match rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler) {
-        Ok(rpc) => Some(rpc),
-        Err(error) => {
-            log::warn!("calls between processes are off: {error:#}");
-            None
-        }
-    }
+    rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler)
 }
 
 fn own_member(settings: &EntrySettings) -> Member {
--- a/crates/masticdock-daemon/src/net/mod.rs
+++ b/crates/masticdock-daemon/src/net/mod.rs
@@ -1,3 +1,4 @@
 //! Messages to other masticdock processes.
 
+pub(crate) mod gossip;
 pub(crate) mod rpc;
