Drive the switching of a VM's version from the control thread

The agent had no part that moves its engine to the version that a rollout wants.

A driver runs as a hook on the control thread, feeds the state chart and never blocks; three worker threads read manifests, change slots in the table and order the engine. An order carries the end of its lease and is withheld when the clock, read again right before sending, has reached it. A VM that is out of service anyway needs a fencing number and no slot. The gate opens only for a version whose root digest the engine itself computed.

The loopback listener streams a verified copy to the engine from the chunks in memory. The agent starts the transfer, the listener and the hook.

--- a/crates/masticdock-core/src/rollout/accept.rs
+++ b/crates/masticdock-core/src/rollout/accept.rs
@@ -76,7 +76,7 @@
     format!(
         "rollout `{name}`: the selector `{selector}` matches no live VM at present; \
          VMs that appear later with matching labels get the version; \
-         tip: compare it with the labels in `masticdock vms`"
+         tip: compare it with the labels in `masticdock vm list`"
     )
 }
 
--- a/crates/masticdock-core/tests/rollout.rs
+++ b/crates/masticdock-core/tests/rollout.rs
@@ -179,7 +179,7 @@
         .check(&[rollout_yaml("s", "fleet=asistant", "v1")])
         .unwrap();
     assert_eq!(accepted.matched, [("s".parse().unwrap(), vec![])]);
-    insta::assert_snapshot!(accepted.warnings[0], @"rollout `s`: the selector `fleet=asistant` matches no live VM at present; VMs that appear later with matching labels get the version; tip: compare it with the labels in `masticdock vms`");
+    insta::assert_snapshot!(accepted.warnings[0], @"rollout `s`: the selector `fleet=asistant` matches no live VM at present; VMs that appear later with matching labels get the version; tip: compare it with the labels in `masticdock vm list`");
 }
 
 /// Guards against resources that agents could not act on.
--- a/crates/masticdock-core/tests/switch_chart.rs
+++ b/crates/masticdock-core/tests/switch_chart.rs
@@ -41,14 +41,18 @@
             (Fetching, undo_drain)
         }
         E::WantHeld if phase == Serving => (Serving, vec![]),
-        E::WantHeld if phase == Failed => (Serving, vec![A::OpenGate]),
+        E::WantHeld if matches!(phase, Idle | Failed) => (Serving, vec![A::OpenGate]),
+        E::WantHeld if phase == Draining => {
+            undo_drain.push(A::DropCopies);
+            (Serving, undo_drain)
+        }
+        E::WantHeld => (Serving, vec![A::OpenGate, A::DropCopies]),
         E::WantNone if phase == Idle => (Idle, vec![]),
-        E::WantHeld | E::WantNone => {
+        E::WantNone => {
             if holds_copies {
                 undo_drain.push(A::DropCopies);
             }
-            let to = if event == E::WantHeld { Serving } else { Idle };
-            (to, undo_drain)
+            (Idle, undo_drain)
         }
         E::EngineCrashed => {
             let mut actions = vec![A::CloseGate];
@@ -67,7 +71,8 @@
         E::TimedOut if phase == Draining => (Verified, undo_drain),
         E::Drained if phase == Draining => (Loading, vec![A::OrderLoad]),
         E::EngineReady if phase == Failed => (Failed, vec![A::OpenGate, A::DropCopies]),
-        E::RestoreNeeded if phase == Failed => (Fetching, vec![A::StartRestore]),
+        E::EngineReady if phase == Idle => (Idle, vec![A::OpenGate]),
+        E::RestoreNeeded if matches!(phase, Idle | Failed) => (Fetching, vec![A::StartRestore]),
         _ => (phase, vec![]),
     }
 }
--- a/crates/masticdock-daemon/src/agent/mod.rs
+++ b/crates/masticdock-daemon/src/agent/mod.rs
@@ -3,7 +3,9 @@
 mod gate;
 pub(crate) mod proxy;
 mod run;
+pub(crate) mod switching;
 pub(crate) mod transfer;
+pub(crate) mod weights;
 
 pub(crate) use gate::{GateState, InProgress, Refusal, ServingGate};
 
--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -1,17 +1,21 @@
 //! Start and stop of an agent.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use masticdock_core::event;
 use masticdock_core::ids::{BootEpoch, Incarnation};
 use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
+use masticdock_platform::{HttpSettings, OriginClient};
 
-use super::{GateState, ServingGate, proxy};
+use super::switching::{self, SwitchingParts, TransferPort};
+use super::transfer::{self, TransferConfig, TransferHandle, TransferPeer};
+use super::weights::{self, CopySource};
+use super::{ServingGate, proxy};
 use crate::control::{self, ControlHandle, ControlParts, TickHook};
 use crate::drain::{self, StopSignal};
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
-use crate::net::rpc::{self, PeerHandler, RpcHandle};
+use crate::net::rpc::{self, PeerHandler, PeerReply, RpcHandle};
 use crate::request_http::PeerKey;
 use crate::secrets;
 use crate::settings::AgentSettings;
@@ -30,13 +34,24 @@
     let (handle, receiver) = ControlHandle::channel();
     log_event!(event::PROCESS_STARTED, "agent {}", settings.node.id);
 
-    // Place for `transfer::TransferHandle::spawn` (branch `transfer`): its
-    // handler for chunk and announce calls is tried after `answer_peer`.
-    let rpc = spawn_rpc(settings, peer_key, &handle);
-
-    // Place for `switching` (branch `switching`): its tick hook returns the
-    // own status and opens the gate.
-    let hooks: Vec<TickHook> = Vec::new();
+    let transfer_slot = Arc::new(OnceLock::new());
+    let rpc = spawn_rpc(settings, peer_key, &handle, &transfer_slot);
+    let transfer = match &rpc {
+        Some(rpc) => Some(spawn_transfer(settings, rpc)?),
+        None => None,
+    };
+    if let Some(transfer) = &transfer {
+        // Calls that came before this were answered as for an empty copy.
+        transfer_slot.get_or_init(|| transfer.clone());
+    }
+    let weights_url = spawn_weights(settings, transfer.as_ref())?;
+    let hooks: Vec<TickHook> = vec![switching::spawn(SwitchingParts {
+        settings,
+        gate: Arc::clone(&gate),
+        transfer: TransferPort::new(transfer),
+        weights_url,
+        registry: metrics.registry(),
+    })?];
 
     let control = control::spawn(
         ControlParts {
@@ -52,10 +67,6 @@
         receiver,
     )?;
 
-    if !settings.upstream.engine {
-        // A plain service has no version to switch, so it serves from the start.
-        gate.set_state(GateState::Serving(None));
-    }
     let proxy = proxy::spawn(proxy::Context {
         settings: Arc::new(settings.clone()),
         peer_key: PeerKey::derive(&peer_key),
@@ -78,11 +89,17 @@
     settings: &AgentSettings,
     peer_key: [u8; 32],
     control: &ControlHandle,
+    transfer: &Arc<OnceLock<TransferHandle>>,
 ) -> Option<RpcHandle> {
     let control = control.clone();
-    let handler: PeerHandler = Arc::new(move |_from, request, respond| {
+    let transfer = Arc::clone(transfer);
+    let handler: PeerHandler = Arc::new(move |from, request, respond| {
         if let Some(reply) = control::answer_peer(&control.snapshot(), &request) {
-            respond(reply);
+            return respond(reply);
+        }
+        match transfer.get() {
+            Some(transfer) => transfer.handle(from, request, respond),
+            None => respond(PeerReply::ChunkAbsent),
         }
     });
     let node = &settings.node;
@@ -95,6 +112,34 @@
     }
 }
 
+fn spawn_transfer(settings: &AgentSettings, rpc: &RpcHandle) -> anyhow::Result<TransferHandle> {
+    let node = &settings.node;
+    let config = TransferConfig {
+        own: TransferPeer {
+            id: node.id.clone(),
+            region: node.region.clone(),
+            zone: node.zone.clone(),
+            peer_addr: node.peer_addr,
+        },
+        links: settings.links.clone(),
+        settings: settings.transfer.clone(),
+    };
+    let http = HttpSettings {
+        timeout_ms: settings.platform.timeout_ms,
+    };
+    let origin = OriginClient::new(settings.platform.origin_url.clone(), http);
+    transfer::spawn(config, origin, rpc.clone())
+}
+
+fn spawn_weights(
+    settings: &AgentSettings,
+    transfer: Option<&TransferHandle>,
+) -> anyhow::Result<String> {
+    let transfer = transfer.cloned();
+    let copies: CopySource = Arc::new(move |digest| transfer.as_ref()?.copy(digest));
+    weights::spawn(settings.weights_addr, &copies)
+}
+
 fn own_member(settings: &AgentSettings) -> Member {
     Member {
         id: settings.node.id.clone(),
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/driver.rs
@@ -0,0 +1,281 @@
+//! Drives the state chart of the own VM; runs on the control thread.
+//!
+//! The driver never blocks: it takes reports, feeds events to the chart, carries
+//! out its actions and leaves commands for the worker threads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use masticdock_core::event;
+use masticdock_core::ids::{Digest, Fence, RolloutId};
+use masticdock_core::lease::HeldLease;
+use masticdock_core::membership::{MemberStatus, Phase};
+use masticdock_core::switch::{Chart, ChartError, Machine, SwitchEvent, Timeouts};
+use masticdock_core::units::MonoMs;
+
+use super::engine_view::EngineView;
+use super::manifests::Manifests;
+use super::message::{Command, Report};
+use super::metrics::SwitchingMetrics;
+use super::target::{Target, resolve};
+use super::want::{Evaluator, Want, Wanted};
+use super::{SwitchingConfig, TransferPort};
+use crate::agent::transfer::TransferPeer;
+use crate::agent::{GateState, ServingGate};
+use crate::control::Snapshot;
+use crate::event_log::log_event;
+
+/// Longest time in which requests in progress end before the VM serves on.
+const DRAIN_TIMEOUT_MS: u64 = 600_000;
+
+/// Why a target is loaded.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Purpose {
+    /// A rollout brings it.
+    Switch(Wanted),
+    /// The engine lost it; the wish at that time must not end the recovery.
+    Restore(Option<Target>),
+}
+
+/// Target that the VM works towards.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Goal {
+    pub(super) target: Target,
+    pub(super) purpose: Purpose,
+}
+
+/// Leave to order a load.
+#[derive(Debug, Clone)]
+pub(super) struct Permit {
+    pub(super) fence: Fence,
+    pub(super) valid_until: MonoMs,
+    /// Lease of the slot; `None` for a VM that is out of service anyway.
+    pub(super) lease: Option<HeldLease>,
+}
+
+/// State of the order to the engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum OrderState {
+    /// None is out.
+    #[default]
+    None,
+    /// It is with the worker thread.
+    Sending,
+    /// The engine was not reached; it is sent again at this time.
+    Retry(MonoMs),
+    /// The engine took it or may have taken it.
+    Out,
+}
+
+/// Target that failed on this VM.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Failure {
+    pub(super) rollout: RolloutId,
+    pub(super) target: Target,
+}
+
+/// See the module.
+pub(super) struct Driver {
+    pub(super) config: SwitchingConfig,
+    pub(super) gate: Arc<ServingGate>,
+    pub(super) transfer: TransferPort,
+    pub(super) metrics: SwitchingMetrics,
+    pub(super) machine: Machine,
+    pub(super) evaluator: Evaluator,
+    pub(super) manifests: Manifests,
+    pub(super) engine: EngineView,
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) want: Want,
+    /// Last text of each event about a lasting condition, so that it is logged once.
+    pub(super) complaints: BTreeMap<u16, String>,
+    pub(super) goal: Option<Goal>,
+    /// Goal that the next `start_fetch` takes.
+    pub(super) next_goal: Option<Goal>,
+    /// What the engine holds, checked by its root digest.
+    pub(super) held: Option<Target>,
+    /// What the engine held before it was lost; a recovery is due while set.
+    pub(super) lost: Option<Target>,
+    pub(super) open: bool,
+    pub(super) failure: Option<Failure>,
+    pub(super) failure_reason: String,
+    pub(super) permit: Option<Permit>,
+    pub(super) last_fence: Option<Fence>,
+    pub(super) table_busy: bool,
+    pub(super) claim_again_at: MonoMs,
+    pub(super) renew_again_at: MonoMs,
+    pub(super) restore_again_at: MonoMs,
+    pub(super) order: OrderState,
+    /// True when the engine may have taken an order that got no answer.
+    pub(super) order_uncertain: bool,
+    pub(super) serving_since: MonoMs,
+    pub(super) wanted_copies: Vec<Digest>,
+    pub(super) wanted_peers: Arc<Vec<TransferPeer>>,
+    pub(super) commands: Vec<Command>,
+}
+
+impl Driver {
+    /// Starts with nothing known.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the built-in chart is faulty.
+    pub(super) fn new(
+        config: SwitchingConfig,
+        gate: Arc<ServingGate>,
+        transfer: TransferPort,
+        metrics: SwitchingMetrics,
+        now: MonoMs,
+    ) -> Result<Self, ChartError> {
+        let timeouts = Timeouts {
+            drain_ms: DRAIN_TIMEOUT_MS,
+            load_ms: config.load_timeout_ms,
+        };
+        Ok(Self {
+            machine: Machine::new(Chart::built_in()?, timeouts, now),
+            evaluator: Evaluator::new(CompactString::new(config.vm.as_str())),
+            config,
+            gate,
+            transfer,
+            metrics,
+            manifests: Manifests::default(),
+            engine: EngineView::default(),
+            snapshot: Arc::default(),
+            want: Want::Nothing,
+            complaints: BTreeMap::new(),
+            goal: None,
+            next_goal: None,
+            held: None,
+            lost: None,
+            open: true,
+            failure: None,
+            failure_reason: String::new(),
+            permit: None,
+            last_fence: None,
+            table_busy: false,
+            claim_again_at: MonoMs(0),
+            renew_again_at: MonoMs(0),
+            restore_again_at: MonoMs(0),
+            order: OrderState::None,
+            order_uncertain: false,
+            serving_since: MonoMs(0),
+            wanted_copies: Vec::new(),
+            wanted_peers: Arc::default(),
+            commands: Vec::new(),
+        })
+    }
+
+    /// Takes a report of a worker thread.
+    pub(super) fn report(&mut self, report: Report, now: MonoMs) {
+        match report {
+            Report::Manifest(digest, read) => self.manifests.take(digest, read, now),
+            Report::Claimed(result) => self.on_claimed(result, now),
+            Report::Fenced(result) => self.on_fenced(result, now),
+            Report::Renewed(result) => self.on_renewed(result, now),
+            Report::Ordered(result) => self.on_ordered(result, now),
+            Report::Engine(status) => self.on_engine(status, now),
+        }
+    }
+
+    /// Takes a snapshot and goes as far as possible without blocking.
+    pub(super) fn tick(&mut self, now: MonoMs, snapshot: &Arc<Snapshot>) -> MemberStatus {
+        if self.snapshot.seq != snapshot.seq {
+            self.take_snapshot(snapshot);
+        }
+        // Until the engine was asked, a version that it holds might be read in vain.
+        if self.snapshot.adopted && self.engine.is_seen() {
+            if !self.is_finding_held(now) {
+                self.follow_want(now);
+            }
+            self.follow_copies(now);
+            self.follow_permit(now);
+            self.follow_order(now);
+        }
+        if self.machine.is_timed_out(now) {
+            self.on_timeout(now);
+        }
+        self.sync_gate();
+        self.status()
+    }
+
+    fn take_snapshot(&mut self, snapshot: &Arc<Snapshot>) {
+        self.snapshot = Arc::clone(snapshot);
+        let want = self.evaluator.want(snapshot);
+        if want != self.want {
+            self.complaints.clear();
+            self.want = want;
+        }
+        if let Some(failure) = &self.failure {
+            let rollout = self.evaluator.rollout(&failure.rollout);
+            let target = rollout.map(|it| resolve(&snapshot.config, &it.version, &it.adapters));
+            if target != Some(Ok(failure.target.clone())) {
+                self.failure = None;
+            }
+        }
+        let kept = [&self.held, &self.lost];
+        let goal = self.goal.as_ref().map(|goal| &goal.target);
+        let wanted = self.any_want().map(|wanted| &wanted.target);
+        let keep: Vec<Target> = kept
+            .into_iter()
+            .flatten()
+            .chain(goal)
+            .chain(wanted)
+            .cloned()
+            .collect();
+        if self.held.is_some() {
+            self.manifests
+                .retain(|digest| keep.iter().any(|target| target.names(digest)));
+        }
+    }
+
+    /// Takes the commands for the worker threads.
+    pub(super) fn take_commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    fn on_timeout(&mut self, now: MonoMs) {
+        match self.machine.phase() {
+            Phase::Draining => log_event!(
+                event::DRAIN_TIMED_OUT,
+                "{} requests are still in progress after {DRAIN_TIMEOUT_MS} ms",
+                self.gate.in_progress()
+            ),
+            _ => {
+                self.failure_reason = format!(
+                    "field `load_timeout_ms`: the engine did not load within {} ms",
+                    self.config.load_timeout_ms
+                );
+            }
+        }
+        self.feed(SwitchEvent::TimedOut, now);
+    }
+
+    /// Makes the gate agree with what the engine holds.
+    pub(super) fn sync_gate(&self) {
+        let state = match (&self.held, self.open) {
+            (_, false) => GateState::Draining,
+            (None, true) => GateState::NotServing,
+            (Some(held), true) => GateState::Serving(Some(held.version.clone())),
+        };
+        if self.gate.state() != state {
+            self.gate.set_state(state);
+        }
+    }
+
+    fn status(&self) -> MemberStatus {
+        let held = self.held.as_ref().filter(|_| self.open);
+        let mut phase = self.machine.phase();
+        let settled = matches!(phase, Phase::Idle | Phase::Serving);
+        let failed_here = self.failure.as_ref();
+        if settled && failed_here.is_some_and(|it| self.held.as_ref() != Some(&it.target)) {
+            phase = Phase::Failed;
+        }
+        self.metrics.set_phase(phase);
+        MemberStatus {
+            phase,
+            serving_version: held.map(|target| target.version.clone()),
+            failed: failed_here.map(|it| (it.rollout.clone(), it.target.version.clone())),
+            ..MemberStatus::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/engine_view.rs
@@ -0,0 +1,138 @@
+//! What the engine holds, by its own reports.
+
+use std::sync::Arc;
+
+use masticdock_core::ids::{AdapterId, VersionId};
+use masticdock_core::manifest::Manifest;
+use masticdock_platform::{EngineState, EngineStatus, PlatformError, PlatformErrorKind};
+
+use super::target::Target;
+
+/// Refused connections in a row after which the engine counts as stopped.
+const REFUSED_MAX: u32 = 2;
+
+/// What a status says about a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Holding {
+    /// The engine holds it, intact.
+    Yes,
+    /// The engine holds something else or nothing.
+    No,
+    /// The engine loads.
+    Loading,
+    /// The engine holds it by name, but a root digest disagrees.
+    Corrupt(String),
+    /// The last load failed.
+    Failed(String),
+}
+
+/// Change that a report shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EngineChange {
+    /// Nothing that matters.
+    None,
+    /// The engine started anew or is gone.
+    Restarted,
+}
+
+/// Last report of the engine.
+#[derive(Debug, Default)]
+pub(super) struct EngineView {
+    status: Option<EngineStatus>,
+    boot: Option<compact_str::CompactString>,
+    refused: u32,
+    seen: bool,
+}
+
+impl EngineView {
+    /// Takes a report.
+    pub(super) fn take(&mut self, report: Result<EngineStatus, PlatformError>) -> EngineChange {
+        self.seen = true;
+        match report {
+            Ok(status) => {
+                self.refused = 0;
+                let boot = self.boot.replace(status.boot.clone());
+                let restarted = boot.is_some_and(|boot| boot != status.boot);
+                self.status = Some(status);
+                if restarted {
+                    return EngineChange::Restarted;
+                }
+            }
+            Err(error) => {
+                // A slow answer is no sign of a crash; a refused connection is.
+                self.status = None;
+                if error.kind != PlatformErrorKind::NotSent {
+                    return EngineChange::None;
+                }
+                self.refused += 1;
+                if self.refused == REFUSED_MAX {
+                    return EngineChange::Restarted;
+                }
+            }
+        }
+        EngineChange::None
+    }
+
+    /// Returns true once the engine answered or failed to.
+    pub(super) const fn is_seen(&self) -> bool {
+        self.seen
+    }
+
+    /// Returns the version and adapters of an engine that is ready.
+    pub(super) fn ready_version(&self) -> Option<(VersionId, Vec<AdapterId>)> {
+        let status = self.status.as_ref()?;
+        if status.state != EngineState::Ready {
+            return None;
+        }
+        let adapters = status.adapters.iter().map(|it| it.0.clone()).collect();
+        Some((status.version.clone()?, adapters))
+    }
+
+    /// Forgets the status, because an order made it out of date.
+    pub(super) fn forget(&mut self) {
+        self.status = None;
+    }
+
+    /// Compares the status with a target; `None` while the engine does not answer.
+    pub(super) fn holding(&self, target: &Target, manifests: &[Arc<Manifest>]) -> Option<Holding> {
+        let status = self.status.as_ref()?;
+        Some(match status.state {
+            EngineState::Empty => Holding::No,
+            EngineState::Loading => Holding::Loading,
+            EngineState::Failed => Holding::Failed(status.reason.to_string()),
+            EngineState::Ready => compare(status, target, manifests),
+        })
+    }
+}
+
+fn compare(status: &EngineStatus, target: &Target, manifests: &[Arc<Manifest>]) -> Holding {
+    let same_names = status.adapters.len() == target.adapters.len()
+        && target
+            .adapters
+            .iter()
+            .all(|(name, _)| status.adapters.iter().any(|(held, _)| held == name));
+    if status.version.as_ref() != Some(&target.version) || !same_names {
+        return Holding::No;
+    }
+    let Some((base, adapters)) = manifests.split_first() else {
+        return Holding::No;
+    };
+    if status.root != Some(base.root) {
+        let root = status
+            .root
+            .map_or("none".to_owned(), |root| root.to_string());
+        return Holding::Corrupt(format!(
+            "field `root`: the engine computed {root} for version `{}`, the manifest says {}",
+            target.version, base.root
+        ));
+    }
+    for ((name, _), manifest) in target.adapters.iter().zip(adapters) {
+        let held = status.adapters.iter().find(|(held, _)| held == name);
+        if held.map(|(_, root)| *root) != Some(manifest.root) {
+            return Holding::Corrupt(format!(
+                "field `root`: the engine holds other weights of adapter `{name}` than the manifest"
+            ));
+        }
+    }
+    Holding::Yes
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/manifests.rs
@@ -0,0 +1,158 @@
+//! Manifests read from the object store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use masticdock_core::event;
+use masticdock_core::ids::Digest;
+use masticdock_core::manifest::Manifest;
+use masticdock_core::units::MonoMs;
+use masticdock_platform::{PlatformError, PlatformErrorKind};
+
+use super::target::{Target, UnusableError, Weights};
+use crate::event_log::log_event;
+
+/// Time after which a failed read is tried again.
+const RETRY_MS: u64 = 5_000;
+
+/// Why a manifest was not read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ManifestFailure {
+    /// The stored object is missing or wrong.
+    Unusable(UnusableError),
+    /// The object store does not answer.
+    Unavailable(String),
+}
+
+/// Result of one read.
+pub(super) type ManifestRead = Result<Arc<Manifest>, ManifestFailure>;
+
+/// Checks what the object store returned; runs on a worker thread.
+pub(super) fn check_read(digest: &Digest, read: Result<Vec<u8>, PlatformError>) -> ManifestRead {
+    let bytes = read.map_err(|error| match error.kind {
+        PlatformErrorKind::NotFound => ManifestFailure::Unusable(UnusableError::new(
+            "manifest",
+            format!("the object store has no `{}`", key(digest)),
+        )),
+        _ => ManifestFailure::Unavailable(error.to_string()),
+    })?;
+    let manifest = Manifest::parse(&bytes, digest).map_err(|error| {
+        ManifestFailure::Unusable(UnusableError::new(error.field, error.to_string()))
+    })?;
+    Ok(Arc::new(manifest))
+}
+
+/// Returns the key of a manifest in the object store.
+pub(super) fn key(digest: &Digest) -> String {
+    format!("manifests/{digest}")
+}
+
+#[derive(Debug)]
+enum Entry {
+    Reading,
+    Known(Arc<Manifest>),
+    Failed(ManifestFailure, MonoMs),
+}
+
+/// Manifests of a target, the version's first.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Lookup {
+    /// Reads are in progress.
+    Pending,
+    /// All are known and agree with their resources.
+    Ready(Vec<Arc<Manifest>>),
+    /// One is missing or wrong.
+    Unusable(UnusableError),
+}
+
+/// Cache of the manifests that the agent deals with.
+#[derive(Debug, Default)]
+pub(super) struct Manifests {
+    entries: BTreeMap<Digest, Entry>,
+}
+
+impl Manifests {
+    /// Looks up the manifests of a target; digests to read are added to `reads`.
+    pub(super) fn lookup(
+        &mut self,
+        target: &Target,
+        now: MonoMs,
+        reads: &mut Vec<Digest>,
+    ) -> Lookup {
+        let mut manifests = Vec::new();
+        let mut pending = false;
+        for weights in target.parts() {
+            match self.lookup_one(weights, now, reads) {
+                Ok(Some(manifest)) => manifests.push(manifest),
+                Ok(None) => pending = true,
+                Err(error) => return Lookup::Unusable(error),
+            }
+        }
+        if pending {
+            return Lookup::Pending;
+        }
+        Lookup::Ready(manifests)
+    }
+
+    fn lookup_one(
+        &mut self,
+        weights: &Weights,
+        now: MonoMs,
+        reads: &mut Vec<Digest>,
+    ) -> Result<Option<Arc<Manifest>>, UnusableError> {
+        let digest = weights.manifest;
+        let due = match self.entries.get(&digest) {
+            None => true,
+            Some(Entry::Failed(_, retry_at)) => now >= *retry_at,
+            Some(Entry::Reading | Entry::Known(_)) => false,
+        };
+        if due && !reads.contains(&digest) {
+            reads.push(digest);
+        }
+        match self.entries.get(&digest) {
+            Some(Entry::Known(manifest)) if manifest.total_bytes != weights.size_bytes => {
+                let message = format!(
+                    "the resource says {} bytes and manifest {digest} says {}",
+                    weights.size_bytes.0, manifest.total_bytes.0
+                );
+                Err(UnusableError::new("size_bytes", message))
+            }
+            Some(Entry::Known(manifest)) => Ok(Some(Arc::clone(manifest))),
+            Some(Entry::Failed(ManifestFailure::Unusable(error), _)) => Err(error.clone()),
+            Some(Entry::Failed(ManifestFailure::Unavailable(_), _) | Entry::Reading) => Ok(None),
+            None => {
+                self.entries.insert(digest, Entry::Reading);
+                Ok(None)
+            }
+        }
+    }
+
+    /// Returns the known manifests of a target, or `None` unless all are known.
+    pub(super) fn known(&self, target: &Target) -> Option<Vec<Arc<Manifest>>> {
+        let known = |weights: &Weights| match self.entries.get(&weights.manifest) {
+            Some(Entry::Known(manifest)) => Some(Arc::clone(manifest)),
+            _ => None,
+        };
+        target.parts().map(known).collect()
+    }
+
+    /// Takes the result of a read.
+    pub(super) fn take(&mut self, digest: Digest, read: ManifestRead, now: MonoMs) {
+        let entry = match read {
+            Ok(manifest) => Entry::Known(manifest),
+            Err(failure) => {
+                let first = !matches!(self.entries.get(&digest), Some(Entry::Failed(..)));
+                if let (ManifestFailure::Unavailable(message), true) = (&failure, first) {
+                    log_event!(event::MANIFEST_UNAVAILABLE, "manifest {digest}: {message}");
+                }
+                Entry::Failed(failure, now.plus_ms(RETRY_MS))
+            }
+        };
+        self.entries.insert(digest, entry);
+    }
+
+    /// Drops every manifest that `keep` does not name.
+    pub(super) fn retain(&mut self, keep: impl Fn(&Digest) -> bool) {
+        self.entries.retain(|digest, _| keep(digest));
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/orders.rs
@@ -0,0 +1,31 @@
+//! Orders to the engine; runs on a worker thread.
+
+use masticdock_core::units::MonoMs;
+use masticdock_platform::{LoadOrder, PlatformError, PlatformErrorKind};
+
+use super::message::{OrderResult, TimedOrder};
+
+/// Sends an order unless the lease behind it may have ended.
+///
+/// The clock is read here, right before the order: this process may have been
+/// paused since the decision, and an engine that ignores fencing numbers would
+/// follow a late order.
+pub(super) fn send(
+    timed: &TimedOrder,
+    clock: impl Fn() -> MonoMs,
+    load: impl Fn(&LoadOrder) -> Result<(), PlatformError>,
+) -> OrderResult {
+    if clock() >= timed.valid_until {
+        return OrderResult::Withheld;
+    }
+    let Err(error) = load(&timed.order) else {
+        return OrderResult::Taken;
+    };
+    match error.kind {
+        PlatformErrorKind::Refused => OrderResult::Refused(error.to_string()),
+        PlatformErrorKind::OutcomeUnknown | PlatformErrorKind::Malformed => {
+            OrderResult::Unknown(error.to_string())
+        }
+        _ => OrderResult::NotSent(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/spawn.rs
@@ -0,0 +1,251 @@
+//! Threads around the driver.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
+use masticdock_core::ids::VmId;
+use masticdock_core::membership::{MemberStatus, Phase};
+use masticdock_platform::{EngineClient, HttpSettings, ObjectClient, TableClient};
+use prometheus::Registry;
+
+use super::driver::Driver;
+use super::manifests;
+use super::message::{Command, Report, TimedOrder};
+use super::metrics::SwitchingMetrics;
+use super::orders;
+use super::slots::{SlotWorker, TablePort};
+use super::{SwitchingConfig, TransferPort};
+use crate::agent::{GateState, ServingGate};
+use crate::control::{self, Snapshot, TickContext, TickHook};
+use crate::settings::{AgentSettings, PlatformSettings};
+
+/// Time between two reads of the engine's status.
+const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Parts of the agent that switching works with.
+pub(crate) struct SwitchingParts<'a> {
+    /// Settings of the agent.
+    pub(crate) settings: &'a AgentSettings,
+    /// Gate in front of the upstream.
+    pub(crate) gate: Arc<ServingGate>,
+    /// Transfer of weights.
+    pub(crate) transfer: TransferPort,
+    /// Base URL of the listener from which the engine reads weights.
+    pub(crate) weights_url: String,
+    /// Registry for the metrics.
+    pub(crate) registry: &'a Registry,
+}
+
+/// Starts the worker threads and returns the hook for the control thread.
+///
+/// # Errors
+///
+/// Fails when a thread cannot be started or the state chart is faulty.
+pub(crate) fn spawn(parts: SwitchingParts<'_>) -> anyhow::Result<TickHook> {
+    if !parts.settings.upstream.engine {
+        let mark = LeavingMark::new(parts.settings.node.id.clone(), Arc::clone(&parts.gate));
+        return Ok(plain_hook(parts.gate, mark));
+    }
+    let settings = parts.settings;
+    let vm: VmId = settings.node.id.parse()?;
+    let (report_sender, reports) = channel::unbounded();
+    let workers = Workers::spawn(settings, &vm, &report_sender)?;
+    let config = SwitchingConfig {
+        vm,
+        zone: settings.node.zone.clone(),
+        slot_lease_ms: settings.slot_lease_ms,
+        load_timeout_ms: settings.load_timeout_ms,
+        weights_url: parts.weights_url,
+    };
+    let metrics = SwitchingMetrics::register(parts.registry)?;
+    let mut mark = LeavingMark::new(settings.node.id.clone(), Arc::clone(&parts.gate));
+    let now = control::mono_now();
+    let mut driver = Driver::new(config, parts.gate, parts.transfer, metrics, now)?;
+    Ok(Box::new(move |context: &TickContext<'_>| {
+        for report in reports.try_iter() {
+            driver.report(report, context.now);
+        }
+        mark.follow(context.snapshot);
+        let status = driver.tick(context.now, context.snapshot);
+        for command in driver.take_commands() {
+            workers.send(command);
+        }
+        Some(status)
+    }))
+}
+
+/// A plain service has no version: it serves once a configuration is in force.
+fn plain_hook(gate: Arc<ServingGate>, mut mark: LeavingMark) -> TickHook {
+    Box::new(move |context: &TickContext<'_>| {
+        mark.follow(context.snapshot);
+        if !context.snapshot.adopted {
+            return None;
+        }
+        if gate.state() == GateState::NotServing {
+            gate.set_state(GateState::Serving(None));
+        }
+        Some(MemberStatus {
+            phase: Phase::Serving,
+            ..MemberStatus::default()
+        })
+    })
+}
+
+/// Closes the gate while an operator or the fleet view marks the VM as leaving.
+struct LeavingMark {
+    own: CompactString,
+    gate: Arc<ServingGate>,
+    marked: bool,
+}
+
+impl LeavingMark {
+    const fn new(own: CompactString, gate: Arc<ServingGate>) -> Self {
+        Self {
+            own,
+            gate,
+            marked: false,
+        }
+    }
+
+    fn follow(&mut self, snapshot: &Snapshot) {
+        let marked = snapshot.marked_leaving.contains(&self.own);
+        if marked == self.marked {
+            return;
+        }
+        self.marked = marked;
+        self.gate.set_leaving(marked || snapshot.leaving);
+    }
+}
+
+/// Channels to the worker threads.
+struct Workers {
+    objects: Sender<Command>,
+    table: Sender<Command>,
+    engine: Sender<TimedOrder>,
+}
+
+impl Workers {
+    fn spawn(
+        settings: &AgentSettings,
+        vm: &VmId,
+        reports: &Sender<Report>,
+    ) -> anyhow::Result<Self> {
+        let platform = &settings.platform;
+        let http = HttpSettings {
+            timeout_ms: platform.timeout_ms,
+        };
+        let (objects, object_commands) = channel::unbounded();
+        let store = ObjectClient::new(platform.object_store_url.clone(), http);
+        let sender = reports.clone();
+        worker("switch-objects", move || {
+            read_manifests(&object_commands, &store, &sender);
+        })?;
+
+        let (table, table_commands) = channel::unbounded();
+        let port = table_port(platform, http);
+        let mut slots = SlotWorker::new(port, vm.clone(), settings.slot_lease_ms);
+        let sender = reports.clone();
+        worker("switch-table", move || {
+            change_slots(&table_commands, &mut slots, &sender);
+        })?;
+
+        let (engine, orders) = channel::unbounded();
+        let client = EngineClient::new(settings.upstream.url.clone(), http);
+        let sender = reports.clone();
+        worker("switch-engine", move || {
+            follow_engine(&orders, &client, &sender);
+        })?;
+        Ok(Self {
+            objects,
+            table,
+            engine,
+        })
+    }
+
+    /// Hands a command to its thread; a thread ends only with the process.
+    fn send(&self, command: Command) {
+        let sent = match command {
+            Command::ReadManifest(_) => self.objects.send(command).is_ok(),
+            Command::Order(order) => self.engine.send(order).is_ok(),
+            Command::Claim(_) | Command::RaiseFence | Command::Renew | Command::Release => {
+                self.table.send(command).is_ok()
+            }
+        };
+        if !sent {
+            log::debug!("a worker thread of switching has ended");
+        }
+    }
+}
+
+fn worker(name: &str, run: impl FnOnce() + Send + 'static) -> anyhow::Result<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)?;
+    Ok(())
+}
+
+fn table_port(platform: &PlatformSettings, http: HttpSettings) -> TablePort {
+    let client = TableClient::new(
+        platform.table_url.clone(),
+        platform.table_name.clone(),
+        http,
+    );
+    let writer = client.clone();
+    TablePort {
+        get: Box::new(move |key| client.get(key)),
+        transact: Box::new(move |writes, token| writer.transact(writes, token)),
+        clock: Box::new(control::mono_now),
+    }
+}
+
+fn read_manifests(commands: &Receiver<Command>, store: &ObjectClient, reports: &Sender<Report>) {
+    for command in commands {
+        let Command::ReadManifest(digest) = command else {
+            continue;
+        };
+        let bytes = store.get(&manifests::key(&digest));
+        let read = manifests::check_read(&digest, bytes);
+        if reports.send(Report::Manifest(digest, read)).is_err() {
+            return;
+        }
+    }
+}
+
+fn change_slots(commands: &Receiver<Command>, slots: &mut SlotWorker, reports: &Sender<Report>) {
+    for command in commands {
+        let report = match command {
+            Command::Claim(key) => Report::Claimed(slots.claim(&key)),
+            Command::RaiseFence => Report::Fenced(slots.raise_fence()),
+            Command::Renew => Report::Renewed(slots.renew()),
+            Command::Release => {
+                slots.release();
+                continue;
+            }
+            Command::ReadManifest(_) | Command::Order(_) => continue,
+        };
+        if reports.send(report).is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends orders and reads the status in between.
+///
+/// One thread does both, so a status that follows the report of an order was
+/// read after the engine took the order.
+fn follow_engine(orders: &Receiver<TimedOrder>, client: &EngineClient, reports: &Sender<Report>) {
+    loop {
+        let report = match orders.recv_timeout(ENGINE_POLL_INTERVAL) {
+            Ok(order) => {
+                let load = |order: &_| client.load(order);
+                Report::Ordered(orders::send(&order, control::mono_now, load))
+            }
+            Err(RecvTimeoutError::Timeout) => Report::Engine(client.status()),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        if reports.send(report).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/target.rs
@@ -0,0 +1,106 @@
+//! What an engine is to hold.
+
+use masticdock_core::config_log::ConfigState;
+use masticdock_core::ids::{AdapterId, Digest, VersionId};
+use masticdock_core::units::ByteCount;
+
+/// Weights of a version or an adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Weights {
+    /// Digest of the manifest.
+    pub(super) manifest: Digest,
+    /// Size as stated by the resource.
+    pub(super) size_bytes: ByteCount,
+}
+
+/// A version with its adapters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Target {
+    /// The version.
+    pub(super) version: VersionId,
+    /// Its weights.
+    pub(super) weights: Weights,
+    /// Adapters, by name.
+    pub(super) adapters: Vec<(AdapterId, Weights)>,
+}
+
+impl Target {
+    /// Iterates over the weights of the version and of its adapters.
+    pub(super) fn parts(&self) -> impl Iterator<Item = &Weights> {
+        let adapters = self.adapters.iter().map(|(_, weights)| weights);
+        std::iter::once(&self.weights).chain(adapters)
+    }
+
+    /// Returns true when `digest` names one of the manifests.
+    pub(super) fn names(&self, digest: &Digest) -> bool {
+        self.parts().any(|weights| weights.manifest == *digest)
+    }
+}
+
+/// Why a wanted version cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("field `{field}`: {message}")]
+pub(super) struct UnusableError {
+    /// Field of the resource or manifest that is wrong.
+    pub(super) field: &'static str,
+    /// What is wrong with it.
+    pub(super) message: String,
+}
+
+impl UnusableError {
+    pub(super) fn new(field: &'static str, message: String) -> Self {
+        Self { field, message }
+    }
+}
+
+/// Looks up a version and its adapters in the configuration.
+///
+/// # Errors
+///
+/// Names the reference that does not exist, or an adapter of another base.
+pub(super) fn resolve(
+    config: &ConfigState,
+    version: &VersionId,
+    adapter_names: &[AdapterId],
+) -> Result<Target, UnusableError> {
+    let Some(found) = config.version(version) else {
+        let message = format!("there is no version `{version}`");
+        return Err(UnusableError::new("version", message));
+    };
+    let mut adapters = Vec::with_capacity(adapter_names.len());
+    for name in adapter_names {
+        adapters.push((name.clone(), resolve_adapter(config, version, name)?));
+    }
+    adapters.sort_by(|a, b| a.0.cmp(&b.0));
+    adapters.dedup_by(|a, b| a.0 == b.0);
+    Ok(Target {
+        version: version.clone(),
+        weights: Weights {
+            manifest: found.manifest,
+            size_bytes: found.size_bytes,
+        },
+        adapters,
+    })
+}
+
+fn resolve_adapter(
+    config: &ConfigState,
+    version: &VersionId,
+    name: &AdapterId,
+) -> Result<Weights, UnusableError> {
+    let Some(adapter) = config.adapter(name) else {
+        let message = format!("there is no adapter `{name}`");
+        return Err(UnusableError::new("adapters", message));
+    };
+    if adapter.base != *version {
+        let message = format!(
+            "adapter `{name}` is for base `{}`, not for version `{version}`",
+            adapter.base
+        );
+        return Err(UnusableError::new("adapters", message));
+    }
+    Ok(Weights {
+        manifest: adapter.manifest,
+        size_bytes: adapter.size_bytes,
+    })
+}
