--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -1,17 +1,21 @@
 //! Start and stop of an agent.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use masticdock_core::event;
 use masticdock_core::ids::{BootEpoch, Incarnation};
 use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
+use masticdock_platform::{HttpSettings, OriginClient};
 
-use super::{GateState, ServingGate, proxy};
+use super::switching::{self, SwitchingParts, TransferPort};
+use super::transfer::{self, TransferConfig, TransferHandle, TransferPeer};
+use super::weights::{self, CopySource};
+use super::{ServingGate, proxy};
 use crate::control::{self, ControlHandle, ControlParts, TickHook};
 use crate::drain::{self, StopSignal};
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
-use crate::net::rpc::{self, PeerHandler, RpcHandle};
+use crate::net::rpc::{self, PeerHandler, PeerReply, RpcHandle};
 use crate::request_http::PeerKey;
 use crate::secrets;
 use crate::settings::AgentSettings;
@@ -30,14 +34,20 @@
     let (handle, receiver) = ControlHandle::channel();
     log_event!(event::PROCESS_STARTED, "agent {}", settings.node.id);
 
-    // Place for `transfer::TransferHandle::spawn` (branch `transfer`): its
-    // handler for chunk and announce calls is tried after `answer_peer`.
-    let rpc = spawn_rpc(settings, peer_key, &handle)?;
+    let transfer_slot = Arc::new(OnceLock::new());
+    let rpc = spawn_rpc(settings, peer_key, &handle, &transfer_slot)?;
     rpc.counters().register(metrics.registry())?;
-
-    // Place for `switching` (branch `switching`): its tick hook returns the
-    // own status and opens the gate.
-    let hooks: Vec<TickHook> = Vec::new();
+    let transfer = spawn_transfer(settings, &rpc)?;
+    // Calls that came before this were answered as for an empty copy.
+    transfer_slot.get_or_init(|| transfer.clone());
+    let weights_url = spawn_weights(settings, &transfer)?;
+    let hooks: Vec<TickHook> = vec![switching::spawn(SwitchingParts {
+        settings,
+        gate: Arc::clone(&gate),
+        transfer: TransferPort::new(Some(transfer)),
+        weights_url,
+        registry: metrics.registry(),
+    })?];
 
     let control = control::spawn(
         ControlParts {
@@ -54,10 +64,6 @@
         receiver,
     )?;
 
-    if !settings.upstream.engine {
-        // A plain service has no version to switch, so it serves from the start.
-        gate.set_state(GateState::Serving(None));
-    }
     let proxy = proxy::spawn(proxy::Context {
         settings: Arc::new(settings.clone()),
         peer_key: PeerKey::derive(&peer_key),
@@ -80,17 +86,48 @@
     settings: &AgentSettings,
     peer_key: [u8; 32],
     control: &ControlHandle,
+    transfer: &Arc<OnceLock<TransferHandle>>,
 ) -> anyhow::Result<RpcHandle> {
     let control = control.clone();
-    let handler: PeerHandler = Arc::new(move |_from, request, respond| {
+    let transfer = Arc::clone(transfer);
+    let handler: PeerHandler = Arc::new(move |from, request, respond| {
         if let Some(reply) = control::answer_peer(&control.snapshot(), &request) {
-            respond(reply);
+            return respond(reply);
+        }
+        match transfer.get() {
+            Some(transfer) => transfer.handle(from, request, respond),
+            None => respond(PeerReply::ChunkAbsent),
         }
     });
     let node = &settings.node;
     rpc::spawn(node.peer_addr, node.id.clone(), peer_key, handler)
 }
 
+fn spawn_transfer(settings: &AgentSettings, rpc: &RpcHandle) -> anyhow::Result<TransferHandle> {
+    let node = &settings.node;
+    let config = TransferConfig {
+        own: TransferPeer {
+            id: node.id.clone(),
+            region: node.region.clone(),
+            zone: node.zone.clone(),
+            peer_addr: node.peer_addr,
+        },
+        links: settings.links.clone(),
+        settings: settings.transfer.clone(),
+    };
+    let http = HttpSettings {
+        timeout_ms: settings.platform.timeout_ms,
+    };
+    let origin = OriginClient::new(settings.platform.origin_url.clone(), http);
+    transfer::spawn(config, origin, rpc.clone())
+}
+
+fn spawn_weights(settings: &AgentSettings, transfer: &TransferHandle) -> anyhow::Result<String> {
+    let transfer = transfer.clone();
+    let copies: CopySource = Arc::new(move |digest| transfer.copy(digest));
+    weights::spawn(settings.weights_addr, &copies)
+}
+
 fn own_member(settings: &AgentSettings) -> Member {
     Member {
         id: settings.node.id.clone(),
