--- a/crates/masticdock-daemon/src/agent/gate.rs
+++ b/crates/masticdock-daemon/src/agent/gate.rs
@@ -40,6 +40,7 @@
 struct Inner {
     state: GateState,
     leaving: bool,
+    stopped: bool,
     in_progress: u32,
 }
 
@@ -57,6 +58,7 @@
             inner: Mutex::new(Inner {
                 state: GateState::NotServing,
                 leaving: false,
+                stopped: false,
                 in_progress: 0,
             }),
             idle: Condvar::new(),
@@ -77,7 +79,7 @@
         wanted: Option<&VersionId>,
     ) -> Result<InProgress, Refusal> {
         let mut inner = self.lock();
-        if inner.leaving {
+        if inner.leaving || inner.stopped {
             return Err(Refusal::Leaving);
         }
         let serving = match &inner.state {
@@ -110,6 +112,14 @@
         self.lock().leaving = leaving;
     }
 
+    /// Refuses new work for good, before the process ends.
+    ///
+    /// Kept apart from `leaving`, which the control thread may still clear from
+    /// a snapshot that is older than the signal to stop.
+    pub(crate) fn stop(&self) {
+        self.lock().stopped = true;
+    }
+
     /// Returns the number of requests in progress.
     pub(crate) fn in_progress(&self) -> u32 {
         self.lock().in_progress
--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -77,7 +77,7 @@
     status::spawn(settings.node.status_addr, metrics.clone(), Arc::new(ready))?;
 
     stop.wait();
-    gate.set_leaving(true);
+    gate.stop();
     drain::leave_when_idle(&control, || proxy.in_progress());
     Ok(())
 }
--- /dev/null
+++ b/crates/masticdock-daemon/src/tests/gate.rs
@@ -0,0 +1,26 @@
+//! Admission of requests by an agent.
+
+use crate::agent::{GateState, Refusal, ServingGate};
+
+/// Guards against new work between the signal to stop and the end of the
+/// process, when an older snapshot clears the leaving mark.
+#[test]
+fn stopped_gate_stays_closed_when_leaving_is_cleared() {
+    let gate = ServingGate::new();
+    gate.set_state(GateState::Serving(None));
+    gate.stop();
+    gate.set_leaving(false);
+    assert_eq!(gate.enter(None).err(), Some(Refusal::Leaving));
+}
+
+/// Guards against a drain that ends while an admitted request still runs.
+#[test]
+fn requests_in_progress_outlive_a_stop() {
+    let gate = ServingGate::new();
+    gate.set_state(GateState::Serving(None));
+    let running = gate.enter(None).expect("the gate is open");
+    gate.stop();
+    assert_eq!(gate.in_progress(), 1);
+    drop(running);
+    assert_eq!(gate.in_progress(), 0);
+}
