--- /dev/null
+++ b/crates/masticdock-bench/src/spread/sample.rs
@@ -0,0 +1,161 @@
+//! Repeated look at all VMs.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use masticdock_core::ids::Digest;
+use masticdock_platform::{EngineState, EngineStatus};
+
+use super::VERSION;
+use crate::fleet::Fleet;
+
+/// Counter of the agents' control messages.
+const CONTROL_BYTES: &str = "masticdock_control_bytes_total";
+
+#[derive(Debug, Clone, Default)]
+struct Vm {
+    id: String,
+    cpu_ms_before: u64,
+    control_bytes_before: f64,
+    resident_bytes_max: u64,
+    cpu_share: f64,
+    control_bytes_per_s: f64,
+    serves_after_s: Option<f64>,
+}
+
+/// Figures of all VMs since the start of the transfer.
+pub(super) struct Sampler {
+    begin: Instant,
+    root: Digest,
+    vms: Vec<Vm>,
+    /// Engines that served weights with another root digest.
+    pub(super) corrupt_accepted: BTreeSet<String>,
+    /// Engines that served while the version or root was missing or another one.
+    pub(super) mixed_or_partial: BTreeSet<String>,
+}
+
+impl Sampler {
+    pub(super) fn new(fleet: &mut Fleet, count: usize, root: Digest) -> anyhow::Result<Self> {
+        let mut vms = Vec::with_capacity(count);
+        for index in 0..count {
+            let id = format!("vm-{index}");
+            vms.push(Vm {
+                cpu_ms_before: fleet.cpu_ms(&id)?,
+                control_bytes_before: fleet.metric(&id, CONTROL_BYTES)?,
+                id,
+                ..Vm::default()
+            });
+        }
+        Ok(Self {
+            begin: Instant::now(),
+            root,
+            vms,
+            corrupt_accepted: BTreeSet::new(),
+            mixed_or_partial: BTreeSet::new(),
+        })
+    }
+
+    /// Looks at the engine of each VM, and measures an agent when its engine
+    /// begins to serve.
+    pub(super) fn sample(
+        &mut self,
+        fleet: &mut Fleet,
+        killed: &BTreeSet<String>,
+    ) -> anyhow::Result<()> {
+        let mut serving = 0;
+        for vm in &mut self.vms {
+            if killed.contains(&vm.id) {
+                continue;
+            }
+            if let Ok(resident_bytes) = fleet.resident_bytes(&vm.id) {
+                vm.resident_bytes_max = vm.resident_bytes_max.max(resident_bytes);
+            }
+            let status: EngineStatus =
+                fleet.control_get(&format!("engine-{}", vm.id), "/status")?;
+            if status.state != EngineState::Ready {
+                continue;
+            }
+            if status.version.as_ref().map(|it| it.as_str()) != Some(VERSION) {
+                self.mixed_or_partial.insert(vm.id.clone());
+                continue;
+            }
+            if status.root != Some(self.root) {
+                self.corrupt_accepted.insert(vm.id.clone());
+                continue;
+            }
+            serving += 1;
+            if vm.serves_after_s.is_none() {
+                let elapsed_s = self.begin.elapsed().as_secs_f64();
+                vm.serves_after_s = Some(elapsed_s);
+                vm.finish(fleet, elapsed_s)?;
+            }
+        }
+        log::info!(
+            "{:.1} s: {serving} of {} VMs serve",
+            self.begin.elapsed().as_secs_f64(),
+            self.vms.len() - killed.len()
+        );
+        Ok(())
+    }
+
+    pub(super) fn all_serve(&self, killed: &BTreeSet<String>) -> bool {
+        let mut alive = self.vms.iter().filter(|vm| !killed.contains(&vm.id));
+        alive.all(|vm| vm.serves_after_s.is_some())
+    }
+
+    /// Logs what is known about VMs that do not serve.
+    pub(super) fn explain(&self, fleet: &mut Fleet, killed: &BTreeSet<String>) {
+        for vm in &self.vms {
+            if vm.serves_after_s.is_some() || killed.contains(&vm.id) {
+                continue;
+            }
+            log::warn!("{} does not serve\n{}", vm.id, fleet.log_tail(&vm.id));
+        }
+    }
+
+    pub(super) fn time_to_n_s(&self) -> f64 {
+        self.max(|vm| vm.serves_after_s.unwrap_or(0.0))
+    }
+
+    pub(super) fn median_s(&self) -> f64 {
+        let mut times: Vec<f64> = self.vms.iter().filter_map(|vm| vm.serves_after_s).collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    pub(super) fn serving(&self) -> usize {
+        let serving = self.vms.iter().filter(|vm| vm.serves_after_s.is_some());
+        serving.count()
+    }
+
+    pub(super) fn resident_bytes_max(&self) -> u64 {
+        let all = self.vms.iter().map(|vm| vm.resident_bytes_max);
+        all.max().unwrap_or(0)
+    }
+
+    pub(super) fn cpu_share_max(&self) -> f64 {
+        self.max(|vm| vm.cpu_share)
+    }
+
+    pub(super) fn control_bytes_per_s_max(&self) -> f64 {
+        self.max(|vm| vm.control_bytes_per_s)
+    }
+
+    fn max(&self, figure: impl Fn(&Vm) -> f64) -> f64 {
+        self.vms.iter().map(figure).fold(0.0, f64::max)
+    }
+}
+
+impl Vm {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "processor time is far below 2^52 ms"
+    )]
+    fn finish(&mut self, fleet: &mut Fleet, elapsed_s: f64) -> anyhow::Result<()> {
+        let cpu_ms = fleet.cpu_ms(&self.id)?.saturating_sub(self.cpu_ms_before);
+        self.cpu_share = cpu_ms as f64 / 1_000.0 / elapsed_s;
+        let control_bytes = fleet.metric(&self.id, CONTROL_BYTES)? - self.control_bytes_before;
+        self.control_bytes_per_s = control_bytes / elapsed_s;
+        Ok(())
+    }
+}
