Add the process launcher for tests and measurements

Cause: process tests and the measurements need fleets of real processes that fail on command and never outlive their test.

Change: `masticdock_bench::fleet` builds the binaries once, gives each child its own loopback address, writes settings and secrets to a temporary folder, and starts stand-ins, agents and entries:

let places = [Place::new("r1", "a"), Place::new("r2", "a")]; let mut fleet = Fleet::start(FleetPlan::spread(&places, 2, 4))?; fleet.wait_all_ready()?; fleet.put(vec![operators::workspace("ws", "token")?])?;

`kill`, `stop`, `go_on`, `terminate`, `restart` and `kill_vm` act on processes by name, `set_faults` and `set_engine` on stand-ins, `publish_generated` on the origin and the object store, `change` and `propose` on the operators' interface; `metric`, `resident_bytes` and `cpu_ms` measure. All children end when the `Fleet` is dropped, also on panic; logs are then kept.

A link relays the four platform services of one region over one paced rate (`region_links`). Gossip and RPC between agents do not pass a link, because members spread their own `peer_addr`.

The ledger of engines and plain services now records `user` of the JSON body, by which a test finds its requests behind the entry.

--- /dev/null
+++ b/crates/masticdock-bench/src/fleet/mod.rs
@@ -0,0 +1,320 @@
+//! Fleet of child processes: stand-ins, entries and agents.
+//!
+//! ```no_run
+//! use masticdock_bench::fleet::{Fleet, FleetPlan, Place};
+//!
+//! let places = [Place::new("r1", "a"), Place::new("r2", "a")];
+//! let mut fleet = Fleet::start(FleetPlan::spread(&places, 2, 4))?;
+//! fleet.wait_all_ready()?;
+//! let version = fleet.publish_generated("assistant", "v1", 8 << 20, 1 << 20)?;
+//! fleet.put(vec![version])?;
+//! fleet.kill("vm-0")?;
+//! fleet.restart("vm-0")?;
+//! # anyhow::Ok(())
+//! ```
+//!
+//! Names of processes: `table`, `objects`, `origin`, `fleet`, `engines`,
+//! `plain-<vm>`, `link-<region>`, `entry-<n>` and the ids of the VMs. All end
+//! when the [`Fleet`] is dropped. After a panic the folder with settings and
+//! logs is kept and its path printed.
+
+mod addresses;
+mod binaries;
+mod launch;
+mod measure;
+pub mod operators;
+mod plan;
+mod process;
+mod settings;
+mod weights;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use masticdock_standins::engine::EngineOptions;
+use masticdock_standins::{Faults, LedgerPage};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value as Json;
+
+pub use plan::{AgentPlan, FleetPlan, Place, RegionLink, Upstream};
+
+use process::Process;
+
+/// Time that processes have to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time-out of calls to control addresses.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Addresses of an entry.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// Running processes of one fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    plan: FleetPlan,
+    folder: PathBuf,
+    processes: BTreeMap<String, Process>,
+    /// Control addresses of stand-ins; those of engines under `engine-<vm>`.
+    controls: BTreeMap<String, SocketAddr>,
+    entries: Vec<EntryAddrs>,
+    /// List last put to the fleet view.
+    fleet_list: Vec<Json>,
+    changes: u64,
+}
+
+impl Fleet {
+    /// Returns the plan.
+    #[must_use]
+    pub const fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
+    /// Returns the folder with settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Returns the addresses of the entries in their order.
+    #[must_use]
+    pub fn entries(&self) -> &[EntryAddrs] {
+        &self.entries
+    }
+
+    fn process(&mut self, name: &str) -> anyhow::Result<&mut Process> {
+        let found = self.processes.get_mut(name);
+        found.with_context(|| format!("there is no process `{name}`"))
+    }
+
+    /// Ends a process with SIGKILL.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process.
+    pub fn kill(&mut self, name: &str) -> anyhow::Result<()> {
+        self.process(name)?.kill();
+        Ok(())
+    }
+
+    /// Freezes a process with SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not run.
+    pub fn stop(&mut self, name: &str) -> anyhow::Result<()> {
+        self.process(name)?.signal("STOP")
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not run.
+    pub fn go_on(&mut self, name: &str) -> anyhow::Result<()> {
+        self.process(name)?.signal("CONT")
+    }
+
+    /// Asks a process to stop, with SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not run.
+    pub fn terminate(&mut self, name: &str) -> anyhow::Result<()> {
+        self.process(name)?.signal("TERM")
+    }
+
+    /// Waits until a process ended by itself; returns whether its exit status is 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it still runs after `timeout`.
+    pub fn wait_ended(&mut self, name: &str, timeout: Duration) -> anyhow::Result<bool> {
+        self.process(name)?.wait_ended(timeout)
+    }
+
+    /// Starts a process again with the same settings and addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails for `engines` and links, whose ports are not fixed.
+    pub fn restart(&mut self, name: &str) -> anyhow::Result<()> {
+        if name == "engines" || name.starts_with("link-") {
+            bail!("`{name}` cannot be restarted, because its ports are not fixed");
+        }
+        self.process(name)?.restart().map(|_| ())
+    }
+
+    /// Ends an agent with SIGKILL and its engine for `down_ms`, as a dying VM does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such VM with an engine.
+    pub fn kill_vm(&mut self, vm: &str, down_ms: u64) -> anyhow::Result<()> {
+        self.kill(vm)?;
+        let options = EngineOptions {
+            restart_ms: down_ms,
+            ..self.plan.engine.clone()
+        };
+        self.set_engine(vm, &options)?;
+        self.control_post(&format!("engine-{vm}"), "/crash", &Json::Null)
+    }
+
+    /// Waits until each entry and agent answers `/readyz`.
+    ///
+    /// # Errors
+    ///
+    /// Names the process that did not become ready and shows the end of its log.
+    pub fn wait_all_ready(&mut self) -> anyhow::Result<()> {
+        let names: Vec<String> = self.processes.keys().cloned().collect();
+        for name in names {
+            if self.process(&name)?.plan.status_addr.is_some() {
+                self.wait_ready(&name)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until one entry or agent answers `/readyz`.
+    ///
+    /// # Errors
+    ///
+    /// Shows the last answer and the end of the log.
+    pub fn wait_ready(&mut self, name: &str) -> anyhow::Result<()> {
+        let begin = Instant::now();
+        let status_addr = self.process(name)?.plan.status_addr;
+        let addr = status_addr.with_context(|| format!("`{name}` has no status address"))?;
+        loop {
+            let answer = get_text(addr, "/readyz");
+            let Err(error) = answer else {
+                return Ok(());
+            };
+            let process = self.process(name)?;
+            if process.pid().is_none() {
+                bail!("{name} ended\n{}", process.log_tail());
+            }
+            if begin.elapsed() > READY_TIMEOUT {
+                bail!("{name} is not ready: {error}\n{}", process.log_tail());
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Waits until `condition` returns true.
+    ///
+    /// # Errors
+    ///
+    /// Fails after `timeout` with `what`.
+    pub fn wait_until(
+        &mut self,
+        what: &str,
+        timeout: Duration,
+        mut condition: impl FnMut(&mut Self) -> bool,
+    ) -> anyhow::Result<()> {
+        let begin = Instant::now();
+        while !condition(self) {
+            if begin.elapsed() > timeout {
+                bail!("{what}: not so after {timeout:?}");
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
+    }
+
+    /// Returns the control address of a stand-in, `engine-<vm>` for engines.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such stand-in.
+    pub fn control(&self, name: &str) -> anyhow::Result<SocketAddr> {
+        let found = self.controls.get(name).copied();
+        found.with_context(|| format!("there is no stand-in `{name}`"))
+    }
+
+    /// Replaces the faults of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub fn set_faults(&self, name: &str, faults: &Faults) -> anyhow::Result<()> {
+        self.control_post(name, "/faults", faults)
+    }
+
+    /// Replaces the options of the engine of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine does not answer.
+    pub fn set_engine(&self, vm: &str, options: &EngineOptions) -> anyhow::Result<()> {
+        self.control_post(&format!("engine-{vm}"), "/options", options)
+    }
+
+    /// Returns the ledger of `engine-<vm>` or `plain-<vm>`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub fn ledger(&self, name: &str) -> anyhow::Result<LedgerPage> {
+        self.control_get(name, "/ledger")
+    }
+
+    /// Reads JSON from the control address of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub fn control_get<T: DeserializeOwned>(&self, name: &str, path: &str) -> anyhow::Result<T> {
+        let text = get_text(self.control(name)?, path)?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
+    fn control_post<T: Serialize>(&self, name: &str, path: &str, body: &T) -> anyhow::Result<()> {
+        let url = format!("http://{}{path}", self.control(name)?);
+        let response = attohttpc::post(url)
+            .timeout(CALL_TIMEOUT)
+            .json(body)?
+            .send()?;
+        response.error_for_status()?;
+        Ok(())
+    }
+}
+
+/// Reads text from a local HTTP address; fails on a status other than 200.
+fn get_text(addr: SocketAddr, path: &str) -> anyhow::Result<String> {
+    let response = attohttpc::get(format!("http://{addr}{path}"))
+        .timeout(CALL_TIMEOUT)
+        .send()?;
+    let status = response.status();
+    let text = response.text()?;
+    if status != 200 {
+        bail!("status {status}: {text}");
+    }
+    Ok(text)
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Daemons first, so that they do not log the loss of the stand-ins.
+        self.processes
+            .retain(|_, process| process.plan.status_addr.is_none());
+        self.processes.clear();
+        if std::thread::panicking() {
+            eprintln!("settings and logs are kept in {}", self.folder.display());
+            return;
+        }
+        if let Err(error) = std::fs::remove_dir_all(&self.folder) {
+            log::warn!("cannot remove {}: {error}", self.folder.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Process launcher for the demo, the measurements and process tests.
+
+pub mod fleet;
--- a/crates/masticdock-standins/src/engine/complete.rs
+++ b/crates/masticdock-standins/src/engine/complete.rs
@@ -26,9 +26,12 @@
     /// Index of the first token that the caller does not have yet.
     #[serde(default)]
     resume_from: u32,
-    /// Higher ones leave the queue first.
+    /// Higher ones leave the queue first; `X-Masticdock-Priority` adds to it.
     #[serde(default)]
     priority: i32,
+    /// Kept in the ledger.
+    #[serde(default)]
+    user: String,
 }
 
 const fn default_max_tokens() -> u32 {
@@ -50,10 +53,16 @@
 }
 
 pub(super) fn handle(mut call: Call, engine: &Arc<Engine>) {
-    let completion: Completion = match call.json() {
+    let mut completion: Completion = match call.json() {
         Ok(completion) => completion,
         Err(error) => return call.answer(400, "text/plain", error.as_bytes()),
     };
+    completion.priority += match call.header("X-Masticdock-Priority").as_deref() {
+        Some("high") => 1,
+        Some("low") => -1,
+        _ => 0,
+    };
+    let user = completion.user.clone();
     let (version, epoch) = {
         let held = engine.held();
         match &held.version {
@@ -64,7 +73,9 @@
             }
         }
     };
-    let (position, _) = engine.ledger.begin(&call, &version, completion.resume_from);
+    let (position, _) = engine
+        .ledger
+        .begin(&call, user, &version, completion.resume_from);
     let mut run = Run {
         engine,
         version,
--- a/crates/masticdock-standins/src/ledger.rs
+++ b/crates/masticdock-standins/src/ledger.rs
@@ -26,8 +26,10 @@
 /// One run of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerEntry {
-    /// Value of `X-Request-Id`.
+    /// Value of `X-Masticdock-Request-Id` or else of `X-Request-Id`.
     pub request_id: String,
+    /// Value of `user` in the JSON body, by which tests find their requests.
+    pub user: String,
     /// Value of `Idempotency-Key`.
     pub key: String,
     /// Path of the call.
@@ -67,8 +69,17 @@
     }
 
     /// Records that a run begins; returns its position and count.
-    pub(crate) fn begin(&self, call: &Call, version: &str, resume_from: u32) -> (usize, u32) {
-        let request_id = call.header("X-Request-Id").unwrap_or_default();
+    pub(crate) fn begin(
+        &self,
+        call: &Call,
+        user: String,
+        version: &str,
+        resume_from: u32,
+    ) -> (usize, u32) {
+        let request_id = call
+            .header("X-Masticdock-Request-Id")
+            .or_else(|| call.header("X-Request-Id"))
+            .unwrap_or_default();
         let key = call.header("Idempotency-Key").unwrap_or_default();
         let mut inner = self.lock();
         let count = inner.counts.entry(request_id.clone()).or_default();
@@ -76,6 +87,7 @@
         let count = *count;
         inner.entries.push(LedgerEntry {
             request_id,
+            user,
             key,
             path: call.path.clone(),
             count,
--- a/crates/masticdock-standins/src/link.rs
+++ b/crates/masticdock-standins/src/link.rs
@@ -1,4 +1,4 @@
-//! Paced TCP relay between a listen address and a target address.
+//! Paced TCP relay between listen addresses and target addresses that share a link.
 //!
 //! The faults are set on the control address: `unavailable` 1 cuts the link,
 //! `stall` 1 holds all bytes, `corrupt` flips a byte of a read with this
@@ -24,12 +24,12 @@
 const CUT_POLL: Duration = Duration::from_millis(20);
 
 /// Options of a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LinkOptions {
-    /// Address on which connections are taken.
+    /// Address on which connections are taken; with port 0 each target has its own port.
     pub listen: SocketAddr,
-    /// Address to which they are relayed.
-    pub target: SocketAddr,
+    /// Addresses to which they are relayed.
+    pub targets: Vec<SocketAddr>,
     /// Address of the fault controls.
     pub control: SocketAddr,
     /// Rate of each direction over all connections; 0 means no limit.
@@ -54,12 +54,12 @@
     faults: Arc<FaultControl>,
 }
 
-/// Starts a link; returns the control and the address on which it listens.
+/// Starts a link; returns the control and the address that stands for each target.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub fn spawn(options: LinkOptions) -> io::Result<(Running, SocketAddr)> {
+pub fn spawn(options: &LinkOptions) -> io::Result<(Running, Vec<SocketAddr>)> {
     let faults = Arc::new(FaultControl::default());
     let direction = || {
         Arc::new(Direction {
@@ -70,10 +70,14 @@
         })
     };
     let (there, back) = (direction(), direction());
-    let listener = http::bind(options.listen)?;
-    let addr = listener.local_addr()?;
-    let handler = {
+    let mut addrs = Vec::with_capacity(options.targets.len());
+    for target in options.targets.iter().copied() {
+        let listener = http::bind(options.listen)?;
+        addrs.push(listener.local_addr()?);
         let (there, back) = (Arc::clone(&there), Arc::clone(&back));
+        thread::spawn(move || accept(&listener, target, &there, &back));
+    }
+    let handler = {
         Arc::new(move |call: Call| {
             let stats = LinkStats {
                 to_target_bytes: there.bytes.load(Ordering::Relaxed),
@@ -83,12 +87,11 @@
         })
     };
     let control = http::spawn(options.control, &faults, handler)?;
-    thread::spawn(move || accept(&listener, options.target, &there, &back));
     let running = Running {
         addr: control,
         faults,
     };
-    Ok((running, addr))
+    Ok((running, addrs))
 }
 
 fn accept(
--- a/crates/masticdock-standins/src/main.rs
+++ b/crates/masticdock-standins/src/main.rs
@@ -72,14 +72,14 @@
         #[arg(long, default_value_t = 0)]
         work_ms: u64,
     },
-    /// Runs a relay.
+    /// Runs relays that share one link.
     Link {
         /// Address to bind.
         #[arg(long, default_value = "127.0.0.1:0")]
         addr: SocketAddr,
-        /// Address to relay to.
-        #[arg(long)]
-        target: SocketAddr,
+        /// Address to relay to; may be given several times.
+        #[arg(long = "target", required = true)]
+        targets: Vec<SocketAddr>,
         /// Address of the fault controls.
         #[arg(long, default_value = "127.0.0.1:0")]
         control: SocketAddr,
@@ -127,19 +127,22 @@
         }
         Command::Link {
             addr,
-            target,
+            targets,
             control,
             rate_bytes_per_s,
             latency_ms,
         } => {
-            let (running, listen) = link::spawn(LinkOptions {
+            let (running, listens) = link::spawn(&LinkOptions {
                 listen: addr,
-                target,
+                targets,
                 control,
                 rate_bytes_per_s,
                 latency_ms,
             })?;
-            print(&running, Some(listen))
+            for listen in listens {
+                print(&running, Some(listen))?;
+            }
+            Ok(())
         }
     }
 }
--- a/crates/masticdock-standins/src/plain.rs
+++ b/crates/masticdock-standins/src/plain.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value as Json, json};
 
 use crate::Running;
 use crate::faults::FaultControl;
@@ -39,7 +39,9 @@
         Ok(body) => body,
         Err(error) => return call.answer(400, "text/plain", error.to_string().as_bytes()),
     };
-    let (position, count) = ledger.begin(&call, "", 0);
+    let parsed: Json = serde_json::from_slice(&body).unwrap_or_default();
+    let user = parsed["user"].as_str().unwrap_or_default().to_owned();
+    let (position, count) = ledger.begin(&call, user, "", 0);
     thread::sleep(work);
     ledger.end(position, Outcome::Complete, 0);
     let echo = json!({
--- a/crates/masticdock-standins/tests/storage.rs
+++ b/crates/masticdock-standins/tests/storage.rs
@@ -107,16 +107,16 @@
 #[test]
 fn link_relays_until_it_is_cut() {
     let running = origin::spawn(any_addr(), 0).unwrap();
-    let (link, listen) = link::spawn(LinkOptions {
+    let (link, listens) = link::spawn(&LinkOptions {
         listen: any_addr(),
-        target: running.addr,
+        targets: vec![running.addr],
         control: any_addr(),
         rate_bytes_per_s: 10_000_000,
         latency_ms: 1,
     })
     .unwrap();
     let http = HttpSettings { timeout_ms: 1_000 };
-    let client = OriginClient::new(format!("http://{listen}"), http);
+    let client = OriginClient::new(format!("http://{}", listens[0]), http);
     let read = || client.read("generated/300000/a", 0, 300_000);
     let whole = origin::generated("/generated/300000/a", 0, 300_000);
     assert_eq!(read().unwrap(), whole);
