Test the decisions of the request path against naive versions

The model of the claim protocol found two ways to leave a key claimed for ever: a late claim could still match the released entry of another claim, and a release could bring back a tag that a late claim waited for. Change: property tests with fixed seeds; a release replaces any released entry and carries a fresh claim id, so no tag comes back.

--- a/crates/masticdock-core/src/ledger/entry.rs
+++ b/crates/masticdock-core/src/ledger/entry.rs
@@ -116,9 +116,13 @@
     }
 
     /// Returns the entry after the claim was given up.
+    ///
+    /// `fresh` is new for each write: a tag that came back would let a claim that
+    /// waits for it take effect.
     #[must_use]
-    pub fn released(&self) -> Self {
+    pub fn released(&self, fresh: ClaimId) -> Self {
         Self {
+            claim: fresh,
             state: EntryState::Released,
             ..self.clone()
         }
--- a/crates/masticdock-core/src/ledger/mod.rs
+++ b/crates/masticdock-core/src/ledger/mod.rs
@@ -87,12 +87,18 @@
 }
 
 /// Decides the next write that releases `own`.
+///
+/// A claim under way waits for an absent entry or for the tag of a released one.
+/// Neither comes back once another entry stands there, so replacing a released
+/// entry is enough to keep the own claim from taking effect.
 #[must_use]
 pub fn release_step(stored: Option<&LedgerEntry>, own: &ClaimId) -> ReleaseStep {
-    match stored {
-        None => ReleaseStep::PutIfAbsent,
-        Some(entry) if entry.claim != *own => ReleaseStep::Settled,
-        Some(entry) if entry.state == EntryState::Claimed => ReleaseStep::PutIfTag(entry.tag()),
-        Some(_) => ReleaseStep::Settled,
+    let Some(entry) = stored else {
+        return ReleaseStep::PutIfAbsent;
+    };
+    match entry.state {
+        EntryState::Claimed if entry.claim == *own => ReleaseStep::PutIfTag(entry.tag()),
+        EntryState::Released => ReleaseStep::PutIfTag(entry.tag()),
+        EntryState::Claimed | EntryState::Done(_) => ReleaseStep::Settled,
     }
 }
--- /dev/null
+++ b/crates/masticdock-core/tests/poison.rs
@@ -0,0 +1,75 @@
+//! Compares the count of deaths with a naive version.
+
+use compact_str::format_compact;
+use masticdock_core::poison::{CrashRecord, CrashTracker, Fingerprint, PoisonRules, Suspicion};
+use masticdock_core::units::UnixMs;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(14),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+const RULES: PoisonRules = PoisonRules {
+    crash_limit: 3,
+    memory_ms: 1_000,
+};
+
+fn record() -> impl Strategy<Value = CrashRecord> {
+    // Few VMs and times, so that the same death arrives more than once.
+    (0..3_u8, 0..4_u8, 0..20_u64).prop_map(|(fingerprint, vm, at)| CrashRecord {
+        fingerprint: Fingerprint([fingerprint; 16]),
+        vm: format_compact!("vm-{vm}"),
+        at_unix_ms: UnixMs(at * 100),
+    })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Guards against one death that counts twice because gossip repeats it.
+    #[test]
+    fn deaths_equal_the_distinct_records(
+        records in prop::collection::vec(record(), 0..40),
+        now in 0..4_000_u64,
+        expired in any::<bool>(),
+    ) {
+        let mut tracker = CrashTracker::default();
+        for record in &records {
+            tracker.record(record);
+        }
+        if expired {
+            tracker.expire(RULES, UnixMs(now));
+        }
+        for byte in 0..4 {
+            let fingerprint = Fingerprint([byte; 16]);
+            let mut counted: Vec<&CrashRecord> = Vec::new();
+            for record in &records {
+                let recent = now.saturating_sub(record.at_unix_ms.0) < RULES.memory_ms;
+                if record.fingerprint == fingerprint && recent && !counted.contains(&record) {
+                    counted.push(record);
+                }
+            }
+            let naive = match counted.len() {
+                0 => Suspicion::Clear,
+                1 | 2 => Suspicion::Suspect,
+                _ => Suspicion::Refused,
+            };
+            prop_assert_eq!(tracker.suspicion(fingerprint, RULES, UnixMs(now)), naive);
+        }
+    }
+
+    // Guards against requests that share a fingerprint because their parts run together.
+    #[test]
+    fn fingerprints_keep_parts_apart(a in "[a-c]{0,3}", b in "[a-c]{0,3}", c in "[a-c]{0,3}", d in "[a-c]{0,3}") {
+        let left = Fingerprint::of(&a, &b, b"x");
+        let right = Fingerprint::of(&c, &d, b"x");
+        prop_assert_eq!(left == right, a == c && b == d);
+        prop_assert_eq!(left.to_string().parse::<Fingerprint>(), Ok(left));
+    }
+}
--- a/crates/masticdock-daemon/src/agent/proxy/claims.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/claims.rs
@@ -329,8 +329,8 @@
         ReleaseStep::PutIfAbsent => Condition::Absent,
         ReleaseStep::PutIfTag(tag) => tag_is(&tag),
     };
-    let token = format!("{}-r", claim.entry.claim);
-    put(table, claim, &claim.entry.released(), condition, &token).is_ok()
+    let released = claim.entry.released(ClaimId::from_random(rand::random()));
+    put(table, claim, &released, condition, released.claim.as_str()).is_ok()
 }
 
 fn settle_all(table: &TableClient, open: &Open, queue: &Receiver<Settle>) {
