--- a/crates/masticdock-core/tests/limiter.rs
+++ b/crates/masticdock-core/tests/limiter.rs
@@ -171,12 +171,12 @@
 #[test]
 fn a_concurrency_limit_holds_across_entries_while_demand_shifts() {
     const LIMIT: u64 = 12;
-    let names = ["entry-1", "entry-2", "entry-3"];
+    let entries = ["entry-1", "entry-2", "entry-3"];
     for demands in [[0, 0, 0], [30, 0, 0], [1, 1, 30], [30, 30, 30]] {
-        let named: Vec<(&str, u64)> = names.into_iter().zip(demands).collect();
+        let shared: Vec<(&str, u64)> = entries.into_iter().zip(demands).collect();
         let mut admitted = 0;
-        for (name, demand) in &named {
-            admitted += entry_share(LIMIT, &named, name).min(*demand);
+        for (name, demand) in &shared {
+            admitted += entry_share(LIMIT, &shared, name).min(*demand);
         }
         assert!(admitted <= LIMIT);
         if demands.iter().sum::<u64>() >= 30 {
