--- a/crates/masticdock-daemon/src/drain/mod.rs
+++ b/crates/masticdock-daemon/src/drain/mod.rs
@@ -1,13 +1,10 @@
 //! Graceful shutdown on SIGTERM and SIGINT.
 
-mod activity;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-pub(crate) use activity::{Activity, ActivityGuard};
 use masticdock_core::event;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::flag;
