Add the operators' calls to the entry

The listener answered 404 to everything. A lost answer is resolved by the change id; a change of the same resource since the expected revision is a conflict that shows it, changes of other resources are not. A table outage answers `table-unavailable`.

--- a/crates/masticdock-core/src/resource/mod.rs
+++ b/crates/masticdock-core/src/resource/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod kinds;
+mod references;
 
 use compact_str::{CompactString, ToCompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -11,6 +12,8 @@
     Adapter, Mark, Model, Rollout, Service, ServiceKind, Version, VmLabels, VmMark, Workspace,
 };
 
+pub use references::check_references;
+
 /// Maps label keys to values.
 pub type Labels = std::collections::BTreeMap<CompactString, CompactString>;
 
--- /dev/null
+++ b/crates/masticdock-daemon/src/entry/operators/changes.rs
@@ -0,0 +1,246 @@
+//! `POST /v1/changes`.
+
+use std::cell::RefCell;
+use std::thread;
+use std::time::Duration;
+
+use masticdock_core::config_log::{
+    Accepted, AcceptedChange, Applied, ConfigState, Proposal, ProposalError, ProposalPorts,
+    TableDown, WRITE_CHANGE_ID, WriteOutcome, propose, transaction,
+};
+use masticdock_core::event;
+use masticdock_core::ids::{OperatorId, Revision};
+use masticdock_core::operator_api::{ChangeAnswer, ChangeRequest, Problem};
+use masticdock_core::resource::{ResourceChange, ResourceError, check_references};
+use masticdock_core::rollout::{Acceptance, Fleet, check_change};
+use masticdock_platform::{PlatformError, PlatformErrorKind};
+use tiny_http::Request;
+
+use super::answer::{Answer, json};
+use super::queries::fleet_of;
+use super::{Shared, problems};
+use crate::control::{ConfigReadError, ControlMsg, Snapshot, unix_now};
+use crate::event_log::log_event;
+use crate::request_http::{ReadError, read_body};
+
+/// Resources of one change; a transaction of the table holds at most 100 rows.
+const RESOURCES_MAX: usize = 90;
+/// Size of a change as JSON; a row of the table holds at most 400 KB.
+const CHANGE_BYTES_MAX: usize = 350_000;
+/// Time before the second attempt; each further one waits as much longer.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+pub(super) fn handle(shared: &Shared, operator: &OperatorId, request: &mut Request) -> Answer {
+    let body = read_body(request, shared.limits).map_err(|error| match error {
+        ReadError::TooLarge(_) => problems::too_large(format!(
+            "send at most {} bytes",
+            shared.limits.body_bytes_max
+        )),
+        ReadError::Gone(error) => problems::malformed(&error.to_string()),
+    })?;
+    let change: ChangeRequest =
+        serde_json::from_slice(&body).map_err(|error| problems::malformed(&error.to_string()))?;
+    check_size(&change, body.len())?;
+    if !shared.control.snapshot().adopted {
+        let detail = "this entry has not adopted a configuration yet";
+        return Err(problems::table_unavailable(detail));
+    }
+    if change.dry_run {
+        return dry_run(shared, &change);
+    }
+    accept(shared, operator, &change)
+}
+
+fn check_size(change: &ChangeRequest, bytes: usize) -> Result<(), Box<Problem>> {
+    if change.changes.is_empty() {
+        return Err(problems::malformed("the change holds no resource"));
+    }
+    if change.changes.len() > RESOURCES_MAX {
+        return Err(problems::too_large(format!(
+            "{} resources, at most {RESOURCES_MAX} are possible",
+            change.changes.len()
+        )));
+    }
+    if bytes > CHANGE_BYTES_MAX {
+        return Err(problems::too_large(format!(
+            "{bytes} bytes, at most {CHANGE_BYTES_MAX} are possible"
+        )));
+    }
+    Ok(())
+}
+
+/// Checks a change against a configuration and the fleet as this entry sees it.
+fn check(
+    config: &ConfigState,
+    snapshot: &Snapshot,
+    changes: &[ResourceChange],
+) -> Result<Acceptance, ResourceError> {
+    let fleet = Fleet {
+        config,
+        ..fleet_of(snapshot)
+    };
+    let acceptance = check_change(&fleet, changes)?;
+    check_references(config, changes)?;
+    Ok(acceptance)
+}
+
+fn down(error: &ConfigReadError) -> TableDown {
+    TableDown(error.to_string())
+}
+
+/// Returns the configuration of the table's head.
+fn state_at_head(shared: &Shared) -> Result<ConfigState, TableDown> {
+    let head = shared.table.head().map_err(|error| down(&error))?;
+    let snapshot = shared.control.snapshot();
+    let mut state = ConfigState::clone(&snapshot.config);
+    if head <= state.revision() {
+        return Ok(state);
+    }
+    let log = shared.table.log_after(state.revision());
+    for change in log.map_err(|error| down(&error))? {
+        if let Applied::Gap { missing } = state.apply(&change) {
+            return Err(TableDown(format!(
+                "the log has no row for revision {missing}"
+            )));
+        }
+    }
+    Ok(state)
+}
+
+fn dry_run(shared: &Shared, change: &ChangeRequest) -> Answer {
+    let state = state_at_head(shared).map_err(|error| problems::table_unavailable(error.0))?;
+    if change
+        .expected_revision
+        .is_some_and(|r| r > state.revision())
+    {
+        return Err(problems::unknown_revision(
+            change.expected_revision.unwrap_or_default(),
+        ));
+    }
+    let snapshot = shared.control.snapshot();
+    let acceptance =
+        check(&state, &snapshot, &change.changes).map_err(|error| problems::invalid(&error))?;
+    json(&answer_of(state.revision(), acceptance))
+}
+
+fn answer_of(revision: Revision, acceptance: Acceptance) -> ChangeAnswer {
+    ChangeAnswer {
+        revision,
+        warnings: acceptance.warnings,
+        matched: acceptance.matched,
+    }
+}
+
+/// Names one write of one proposal; a repeated call with the name has one effect.
+fn token_of(change: &AcceptedChange) -> String {
+    let name = format!("{}/{}", change.change_id, change.revision);
+    blake3::hash(name.as_bytes()).to_hex()[..32].to_owned()
+}
+
+fn write(shared: &Shared, change: &AcceptedChange) -> WriteOutcome {
+    let token = token_of(change);
+    match shared.table.write(&transaction(change), &token) {
+        Ok(()) => WriteOutcome::Written,
+        Err(error) => outcome_of(error),
+    }
+}
+
+fn outcome_of(error: PlatformError) -> WriteOutcome {
+    let text = error.to_string();
+    match error.kind {
+        PlatformErrorKind::ConditionFailed(writes) => {
+            if writes.contains(&WRITE_CHANGE_ID) {
+                WriteOutcome::ChangeIdExists
+            } else {
+                WriteOutcome::HeadMoved
+            }
+        }
+        // A transaction cancelled by a concurrent one reports this, too, and had no effect.
+        PlatformErrorKind::Throttled => WriteOutcome::HeadMoved,
+        PlatformErrorKind::NotSent => WriteOutcome::NotWritten(text),
+        PlatformErrorKind::Refused | PlatformErrorKind::NotFound => WriteOutcome::Refused(text),
+        _ => WriteOutcome::Unknown(text),
+    }
+}
+
+fn accept(shared: &Shared, operator: &OperatorId, change: &ChangeRequest) -> Answer {
+    let acceptance = RefCell::new(Acceptance::default());
+    let proposal = Proposal {
+        change_id: change.change_id.clone(),
+        operator: operator.clone(),
+        expected: change.expected_revision,
+        keys: change.changes.iter().map(ResourceChange::key).collect(),
+        at: unix_now(),
+    };
+    let result = propose(
+        &proposal,
+        &mut ProposalPorts {
+            revision_of: &mut |id| shared.table.revision_of(id).map_err(|e| down(&e)),
+            state_at_head: &mut || state_at_head(shared),
+            changes_after: &mut |after| shared.table.log_after(after).map_err(|e| down(&e)),
+            check: &mut |state| {
+                let snapshot = shared.control.snapshot();
+                let checked = check(state, &snapshot, &change.changes)?;
+                let changes = checked.changes.clone();
+                *acceptance.borrow_mut() = checked;
+                Ok::<_, ResourceError>(changes)
+            },
+            write: &mut |change| write(shared, change),
+            pause: &mut |attempt| thread::sleep(RETRY_PAUSE * attempt),
+        },
+    );
+    match result {
+        Ok(accepted) => {
+            let revision = note_accepted(shared, operator, change, accepted);
+            json(&answer_of(revision, acceptance.into_inner()))
+        }
+        Err(error) => Err(problem_of(error, change)),
+    }
+}
+
+fn note_accepted(
+    shared: &Shared,
+    operator: &OperatorId,
+    change: &ChangeRequest,
+    accepted: Accepted,
+) -> Revision {
+    let revision = match &accepted {
+        Accepted::Now(change) => change.revision,
+        Accepted::Before(revision) => *revision,
+    };
+    log_event!(
+        event::CHANGE_ACCEPTED,
+        "change {} by {operator} made revision {revision}",
+        change.change_id
+    );
+    if let Accepted::Now(change) = accepted {
+        shared.control.send(ControlMsg::Accepted(change));
+    }
+    revision
+}
+
+fn problem_of(error: ProposalError<ResourceError>, change: &ChangeRequest) -> Box<Problem> {
+    let id = &change.change_id;
+    match error {
+        ProposalError::Conflict(other) => {
+            log_event!(
+                event::CHANGE_CONFLICT,
+                "change {id} met change {} of {}",
+                other.change_id,
+                other.operator
+            );
+            problems::conflict(*other)
+        }
+        ProposalError::UnknownRevision(revision) => problems::unknown_revision(revision),
+        ProposalError::Invalid(error) => problems::invalid(&error),
+        ProposalError::TableUnavailable(reason) => {
+            log_event!(event::CHANGE_UNAVAILABLE, "change {id}: {reason}");
+            problems::table_unavailable(reason)
+        }
+        ProposalError::Refused(reason) => problems::too_large(reason),
+        ProposalError::OutcomeUnknown(reason) => {
+            log_event!(event::CHANGE_UNKNOWN, "change {id}: {reason}");
+            problems::outcome_unknown(reason)
+        }
+    }
+}
--- a/crates/masticdock-daemon/src/entry/run.rs
+++ b/crates/masticdock-daemon/src/entry/run.rs
@@ -46,7 +46,7 @@
         handle,
         receiver,
     )?;
-    operators::spawn(settings, &control, &metrics)?;
+    let operators = operators::spawn(settings, &control, &metrics)?;
 
     let callers = callers::spawn(callers::Context {
         settings: Arc::new(settings.clone()),
@@ -61,7 +61,7 @@
 
     stop.wait();
     callers.begin_drain();
-    drain::leave_when_idle(&control, || callers.in_progress());
+    drain::leave_when_idle(&control, || callers.in_progress() + operators.in_progress());
     Ok(())
 }
 
