Test switching against pauses, lags, crashes and bad input

Each test guards against a failure that a naive agent shows: the late order that an engine without fencing would follow, a share lost when slots or members lag, a version that changes between verification and order, a bad version that is tried for ever. The naive sender and the naive table are run beside the real ones and do fail.

--- a/crates/masticdock-daemon/src/agent/switching/permits.rs
+++ b/crates/masticdock-daemon/src/agent/switching/permits.rs
@@ -14,6 +14,9 @@
 /// Time between two looks at a slot that another VM holds.
 const CLAIM_RETRY_MS: u64 = 1_000;
 
+/// Time between two looks at a group with no VM to spare.
+const GROUP_RETRY_MS: u64 = 250;
+
 impl Driver {
     /// Claims, renews or gives up the leave to order a load.
     pub(super) fn follow_permit(&mut self, now: MonoMs) {
@@ -52,11 +55,12 @@
     fn claim_slot(&mut self, wanted: &super::want::Wanted, now: MonoMs) {
         let group = self
             .evaluator
-            .group(&self.snapshot, &wanted.rollout, now)
+            .newest_group(&self.snapshot, &wanted.rollout, now)
             .clone();
         // The table limits the VMs that switch. VMs that are out of service for
         // another reason hold no slot, so the group's share counts them too.
         if group.out_of_service >= group.slots {
+            self.claim_again_at = now.plus_ms(GROUP_RETRY_MS);
             return;
         }
         self.table_busy = true;
--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/switching/tests/rig.rs
@@ -0,0 +1,491 @@
+//! One driver with fakes of everything around it and a clock set by the test.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use compact_str::CompactString;
+use masticdock_core::config_log::{ConfigState, Stored};
+use masticdock_core::ids::{AdapterId, Digest, Fence, Revision, VersionId};
+use masticdock_core::manifest::Manifest;
+use masticdock_core::membership::{Member, MemberStatus, Phase};
+use masticdock_core::resource::{Labels, Resource};
+use masticdock_core::units::MonoMs;
+use masticdock_platform::{
+    Condition, EngineState, EngineStatus, Item, ItemKey, LoadOrder, PlatformError,
+    PlatformErrorKind, Write,
+};
+use prometheus::Registry;
+
+use super::super::driver::Driver;
+use super::super::manifests;
+use super::super::message::{Command, Report, TimedOrder};
+use super::super::metrics::SwitchingMetrics;
+use super::super::orders;
+use super::super::slots::{SlotWorker, TablePort};
+use super::super::{SwitchingConfig, TransferPort};
+use crate::agent::transfer::{CopyProgress, WantedCopy};
+use crate::agent::{GateState, ServingGate};
+use crate::control::Snapshot;
+
+pub(super) const LEASE_MS: u64 = 15_000;
+pub(super) const LOAD_TIMEOUT_MS: u64 = 300_000;
+
+pub(super) fn failed_call(kind: PlatformErrorKind) -> PlatformError {
+    PlatformError {
+        kind,
+        call: "fake",
+        message: "fake".to_owned(),
+    }
+}
+
+/// Table with the conditions that slots use.
+#[derive(Default)]
+pub(super) struct FakeTable {
+    pub(super) items: BTreeMap<ItemKey, Item>,
+    pub(super) down: bool,
+    /// True for a naive table that checks no condition and shows no slot.
+    pub(super) grants_all: bool,
+    pub(super) reads: u32,
+}
+
+impl FakeTable {
+    fn get(&mut self, key: &ItemKey) -> Result<Option<Item>, PlatformError> {
+        self.reads += 1;
+        if self.down {
+            return Err(failed_call(PlatformErrorKind::NotSent));
+        }
+        if self.grants_all && key.pk.starts_with("slot/") {
+            return Ok(None);
+        }
+        Ok(self.items.get(key).cloned())
+    }
+
+    fn holds(&self, key: &ItemKey, condition: &Condition) -> bool {
+        let stored = self.items.get(key);
+        match condition {
+            Condition::Always => true,
+            Condition::Absent => stored.is_none(),
+            Condition::Equals(name, value) => {
+                stored.and_then(|item| item.attributes.get(name)) == Some(value)
+            }
+            Condition::AbsentOrEquals(name, value) => {
+                stored.is_none_or(|item| item.attributes.get(name) == Some(value))
+            }
+        }
+    }
+
+    fn transact(&mut self, writes: &[Write]) -> Result<(), PlatformError> {
+        if self.down {
+            return Err(failed_call(PlatformErrorKind::NotSent));
+        }
+        for write in writes {
+            let (key, condition) = match write {
+                Write::Put { item, condition } => (&item.key, condition),
+                Write::Delete { key, condition } | Write::Check { key, condition } => {
+                    (key, condition)
+                }
+            };
+            if !self.grants_all && !self.holds(key, condition) {
+                return Err(failed_call(PlatformErrorKind::ConditionFailed(vec![0])));
+            }
+        }
+        for write in writes {
+            match write {
+                Write::Put { item, .. } => {
+                    self.items.insert(item.key.clone(), item.clone());
+                }
+                Write::Delete { key, .. } => {
+                    self.items.remove(key);
+                }
+                Write::Check { .. } => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Engine that loads when the test says so.
+pub(super) struct FakeEngine {
+    pub(super) status: EngineStatus,
+    pub(super) checks_fence: bool,
+    pub(super) orders: Vec<LoadOrder>,
+    pub(super) fails: BTreeSet<VersionId>,
+    /// Root that the engine reports instead of the right one.
+    pub(super) wrong_root: Option<Digest>,
+}
+
+impl FakeEngine {
+    fn new() -> Self {
+        Self {
+            status: EngineStatus {
+                boot: "1".into(),
+                state: EngineState::Empty,
+                version: None,
+                root: None,
+                adapters: Vec::new(),
+                fence: Fence(0),
+                in_progress: 0,
+                queued: 0,
+                reason: CompactString::default(),
+            },
+            checks_fence: true,
+            orders: Vec::new(),
+            fails: BTreeSet::new(),
+            wrong_root: None,
+        }
+    }
+
+    pub(super) fn load(&mut self, order: &LoadOrder) -> Result<(), PlatformError> {
+        if self.checks_fence {
+            if order.fence < self.status.fence {
+                return Err(failed_call(PlatformErrorKind::Refused));
+            }
+            self.status.fence = order.fence;
+        }
+        self.orders.push(order.clone());
+        self.status.state = EngineState::Loading;
+        self.status.version = Some(order.version.clone());
+        self.status.root = None;
+        Ok(())
+    }
+
+    pub(super) fn finish_load(&mut self) {
+        let Some(order) = self.orders.last() else {
+            return;
+        };
+        if self.fails.contains(&order.version) {
+            self.status.state = EngineState::Failed;
+            self.status.reason = "out of memory".into();
+            return;
+        }
+        self.status.state = EngineState::Ready;
+        self.status.root = Some(self.wrong_root.unwrap_or(order.root));
+        self.status.adapters = order
+            .adapters
+            .iter()
+            .map(|adapter| (adapter.name.clone(), adapter.root))
+            .collect();
+    }
+
+    pub(super) fn restart(&mut self) {
+        let boot = format!("{}+", self.status.boot);
+        self.status = Self::new().status;
+        self.status.boot = boot.into();
+    }
+}
+
+#[derive(Default)]
+pub(super) struct FakeTransfer {
+    pub(super) wanted: Vec<WantedCopy>,
+    /// Every digest that was ever wanted.
+    pub(super) ever: BTreeSet<Digest>,
+    pub(super) verified: BTreeSet<Digest>,
+}
+
+/// Configuration and object store that rigs share.
+#[derive(Default, Clone)]
+pub(super) struct World {
+    pub(super) resources: Vec<Stored>,
+    pub(super) objects: BTreeMap<String, Vec<u8>>,
+    pub(super) members: Vec<Member>,
+    pub(super) marked_leaving: BTreeSet<CompactString>,
+}
+
+pub(super) fn resource(yaml: &str) -> Resource {
+    serde_yaml_ng::from_str(yaml).unwrap()
+}
+
+pub(super) fn member(id: &str) -> Member {
+    serde_json::from_value(serde_json::json!({
+        "id": id, "role": "agent", "liveness": "alive", "incarnation": 0, "boot_epoch": 0,
+        "region": "wien", "zone": "a", "peer_addr": "127.0.0.1:1", "traffic_addr": null,
+        "status": { "seq": 0, "phase": "idle", "serving_version": null, "leaving": false,
+                    "services": [], "failed": null },
+    }))
+    .unwrap()
+}
+
+impl World {
+    /// Makes VMs `vm-0` and on, versions v1 to v3 and a rollout `r` that brings v1.
+    pub(super) fn new(vms: usize) -> Self {
+        let mut world = Self::default();
+        for index in 0..vms {
+            world.members.push(member(&format!("vm-{index}")));
+        }
+        for version in ["v1", "v2", "v3"] {
+            world.publish("version", version, "model: m");
+        }
+        world.roll("v1", "");
+        world
+    }
+
+    pub(super) fn put(&mut self, resource: Resource) {
+        let revision = Revision(self.resources.len() as u64 + 1);
+        let key = resource.key();
+        self.resources.retain(|stored| stored.resource.key() != key);
+        self.resources.push(Stored { revision, resource });
+    }
+
+    pub(super) fn publish(&mut self, kind: &str, name: &str, rest: &str) -> Digest {
+        let manifest = Manifest::build(name, name.as_bytes(), 4);
+        let (bytes, digest) = manifest.encode();
+        self.objects.insert(manifests::key(&digest), bytes);
+        let size = name.len();
+        self.put(resource(&format!(
+            "{{kind: {kind}, name: {name}, {rest}, manifest: '{digest}', size_bytes: {size}}}"
+        )));
+        digest
+    }
+
+    pub(super) fn roll(&mut self, version: &str, rest: &str) {
+        self.put(resource(&format!(
+            "{{kind: rollout, name: r, selector: 'region=wien', version: {version}, {rest}}}"
+        )));
+    }
+
+    pub(super) fn snapshot(&self, seq: u64) -> Arc<Snapshot> {
+        let revision = Revision(seq);
+        let config = ConfigState::from_resources(revision, self.resources.clone());
+        Arc::new(Snapshot {
+            seq,
+            config: Arc::new(config),
+            adopted: true,
+            members: Arc::new(self.members.clone()),
+            labels: Arc::new(BTreeMap::<CompactString, Labels>::new()),
+            marked_leaving: Arc::new(self.marked_leaving.clone()),
+            ..Snapshot::default()
+        })
+    }
+}
+
+pub(super) struct Rig {
+    pub(super) index: usize,
+    pub(super) driver: Driver,
+    pub(super) gate: Arc<ServingGate>,
+    pub(super) clock: Arc<AtomicU64>,
+    pub(super) engine: FakeEngine,
+    pub(super) transfer: Arc<Mutex<FakeTransfer>>,
+    pub(super) table: Arc<Mutex<FakeTable>>,
+    slots: SlotWorker,
+    pub(super) status: MemberStatus,
+    /// Orders that the worker thread has not sent yet.
+    pub(super) held_orders: Option<Vec<TimedOrder>>,
+    /// True to leave out the check of the clock before an order, as a naive agent does.
+    pub(super) naive_orders: bool,
+    seq: u64,
+}
+
+fn transfer_port(transfer: &Arc<Mutex<FakeTransfer>>) -> TransferPort {
+    let (wanting, reading) = (Arc::clone(transfer), Arc::clone(transfer));
+    TransferPort {
+        set_wanted: Arc::new(move |wanted| {
+            let mut transfer = wanting.lock().unwrap();
+            transfer.ever.extend(wanted.iter().map(|copy| copy.digest));
+            transfer.wanted = wanted;
+        }),
+        progress: Arc::new(move |digest| {
+            let transfer = reading.lock().unwrap();
+            if !transfer.wanted.iter().any(|copy| copy.digest == *digest) {
+                return None;
+            }
+            Some(CopyProgress {
+                chunks_held: 0,
+                chunks_total: 1,
+                verified: transfer.verified.contains(digest),
+                failure: None,
+            })
+        }),
+        release: Arc::new(|_| {}),
+    }
+}
+
+impl Rig {
+    pub(super) fn new(index: usize, table: &Arc<Mutex<FakeTable>>, clock: &Arc<AtomicU64>) -> Self {
+        let vm = format!("vm-{index}").parse().unwrap();
+        let config = SwitchingConfig {
+            vm,
+            zone: "a".parse().unwrap(),
+            slot_lease_ms: LEASE_MS,
+            load_timeout_ms: LOAD_TIMEOUT_MS,
+            weights_url: "http://weights".to_owned(),
+        };
+        let transfer = Arc::new(Mutex::new(FakeTransfer::default()));
+        let gate = ServingGate::new();
+        let (reader, writer, timer) = (Arc::clone(table), Arc::clone(table), Arc::clone(clock));
+        let port = TablePort {
+            get: Box::new(move |key| reader.lock().unwrap().get(key)),
+            transact: Box::new(move |writes, _| writer.lock().unwrap().transact(writes)),
+            clock: Box::new(move || MonoMs(timer.load(Ordering::Relaxed))),
+        };
+        let slots = SlotWorker::new(port, config.vm.clone(), LEASE_MS);
+        let metrics = SwitchingMetrics::register(&Registry::new()).unwrap();
+        let driver = Driver::new(
+            config,
+            Arc::clone(&gate),
+            transfer_port(&transfer),
+            metrics,
+            MonoMs(0),
+        );
+        Self {
+            index,
+            driver: driver.unwrap(),
+            gate,
+            clock: Arc::clone(clock),
+            engine: FakeEngine::new(),
+            transfer,
+            table: Arc::clone(table),
+            slots,
+            status: MemberStatus::default(),
+            held_orders: None,
+            naive_orders: false,
+            seq: 0,
+        }
+    }
+
+    /// Makes a single VM of a world.
+    pub(super) fn single() -> Self {
+        Self::new(0, &Arc::default(), &Arc::default())
+    }
+
+    pub(super) fn now(&self) -> MonoMs {
+        MonoMs(self.clock.load(Ordering::Relaxed))
+    }
+
+    pub(super) fn advance(&self, ms: u64) {
+        self.clock.fetch_add(ms, Ordering::Relaxed);
+    }
+
+    /// Reads the engine's status, ticks once and carries out the commands.
+    pub(super) fn step(&mut self, world: &World) {
+        let status = self.engine.status.clone();
+        self.driver.report(Report::Engine(Ok(status)), self.now());
+        self.tick(world);
+    }
+
+    /// Ticks once and, when a worker thread reported something, once more.
+    pub(super) fn tick(&mut self, world: &World) {
+        for _ in 0..2 {
+            self.seq += 1;
+            let snapshot = world.snapshot(self.seq);
+            self.status = self.driver.tick(self.now(), &snapshot);
+            let commands = self.driver.take_commands();
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                if let Some(report) = self.execute(command, world) {
+                    self.driver.report(report, self.now());
+                }
+            }
+        }
+    }
+
+    pub(super) fn steps(&mut self, world: &World, count: usize) {
+        for _ in 0..count {
+            self.step(world);
+            self.advance(50);
+        }
+    }
+
+    fn execute(&mut self, command: Command, world: &World) -> Option<Report> {
+        Some(match command {
+            Command::ReadManifest(digest) => {
+                let bytes = world.objects.get(&manifests::key(&digest)).cloned();
+                let read = bytes.ok_or_else(|| failed_call(PlatformErrorKind::NotFound));
+                Report::Manifest(digest, manifests::check_read(&digest, read))
+            }
+            Command::Claim(key) => Report::Claimed(self.slots.claim(&key)),
+            Command::RaiseFence => Report::Fenced(self.slots.raise_fence()),
+            Command::Renew => Report::Renewed(self.slots.renew()),
+            Command::Release => {
+                self.slots.release();
+                return None;
+            }
+            Command::Order(order) => {
+                if let Some(held) = &mut self.held_orders {
+                    held.push(order);
+                    return None;
+                }
+                self.send(&order)
+            }
+        })
+    }
+
+    /// Sends an order as the worker thread does.
+    pub(super) fn send(&mut self, order: &TimedOrder) -> Report {
+        let now = if self.naive_orders {
+            MonoMs(0)
+        } else {
+            self.now()
+        };
+        let engine = std::cell::RefCell::new(&mut self.engine);
+        let result = orders::send(order, || now, |order| engine.borrow_mut().load(order));
+        Report::Ordered(result)
+    }
+
+    /// Lets the worker thread go on with the orders that it was given.
+    pub(super) fn send_held_orders(&mut self) {
+        for order in self.held_orders.take().unwrap_or_default() {
+            let report = self.send(&order);
+            self.driver.report(report, self.now());
+        }
+    }
+
+    pub(super) fn verify(&self, digest: Digest) {
+        self.transfer.lock().unwrap().verified.insert(digest);
+    }
+
+    /// Verifies all copies that are wanted now.
+    pub(super) fn verify_wanted(&self) {
+        let mut transfer = self.transfer.lock().unwrap();
+        let wanted: Vec<Digest> = transfer.wanted.iter().map(|copy| copy.digest).collect();
+        transfer.verified.extend(wanted);
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        self.status.phase
+    }
+
+    pub(super) fn serving(&self) -> Option<&str> {
+        self.status.serving_version.as_ref().map(VersionId::as_str)
+    }
+
+    pub(super) fn gate_version(&self) -> Option<String> {
+        match self.gate.state() {
+            GateState::Serving(version) => version.map(|version| version.to_string()),
+            _ => None,
+        }
+    }
+
+    /// Goes all the way to serving the wanted version.
+    pub(super) fn switch(&mut self, world: &World) {
+        for _ in 0..10 {
+            self.verify_wanted();
+            self.steps(world, 2);
+            self.engine.finish_load();
+        }
+        self.steps(world, 2);
+    }
+
+    /// Goes on until the VM waits for a slot.
+    pub(super) fn fetch(&mut self, world: &World) {
+        self.steps(world, 4);
+        self.verify_wanted();
+        self.step(world);
+    }
+}
+
+/// Makes a VM that serves v1 and a world that wants v2 on it.
+pub(super) fn serving_v1() -> (Rig, World) {
+    let mut world = World::new(1);
+    let mut rig = Rig::single();
+    rig.switch(&world);
+    assert_eq!((rig.phase(), rig.serving()), (Phase::Serving, Some("v1")));
+    world.roll("v2", "max_load_failures: 1");
+    (rig, world)
+}
+
+pub(super) fn adapter(name: &str) -> AdapterId {
+    name.parse().unwrap()
+}
--- a/crates/masticdock-daemon/src/agent/switching/want.rs
+++ b/crates/masticdock-daemon/src/agent/switching/want.rs
@@ -152,18 +152,29 @@
         let key = (rollout.name.clone(), snapshot.config.revision().0);
         let old = self.group_of.as_ref() != Some(&key);
         if old || now.since_ms(self.group_at) >= GROUP_INTERVAL_MS {
-            let mut group = self.evaluate_group(snapshot, rollout);
-            if group.peers == self.group.peers {
-                // The same list stays, so the transfer sees no change.
-                group.peers = Arc::clone(&self.group.peers);
-            }
-            self.group = group;
             self.group_of = Some(key);
-            self.group_at = now;
+            return self.newest_group(snapshot, rollout, now);
         }
         &self.group
     }
 
+    /// Returns the VMs of a rollout as of this snapshot.
+    pub(super) fn newest_group(
+        &mut self,
+        snapshot: &Snapshot,
+        rollout: &Rollout,
+        now: MonoMs,
+    ) -> &Group {
+        let mut group = self.evaluate_group(snapshot, rollout);
+        if group.peers == self.group.peers {
+            // The same list stays, so the transfer sees no change.
+            group.peers = Arc::clone(&self.group.peers);
+        }
+        self.group = group;
+        self.group_at = now;
+        &self.group
+    }
+
     fn evaluate_group(&self, snapshot: &Snapshot, rollout: &Rollout) -> Group {
         let fleet = fleet_of(snapshot);
         let targets = self.rollouts.targets(&fleet, &rollout.name);
