--- /dev/null
+++ b/crates/masticdock-bench/src/demo/verdict.rs
@@ -0,0 +1,78 @@
+//! Verdict of the demo.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use masticdock_standins::LedgerPage;
+
+use super::callers::Tally;
+
+/// Copies read from the origin in each region at weighting 0, at most, in hundredths.
+const ORIGIN_COPIES_PER_REGION_PERCENT: u64 = 105;
+
+/// Figures that the demo ends with.
+#[derive(Debug)]
+pub(super) struct Verdict {
+    pub(super) replicas: usize,
+    pub(super) regions: usize,
+    pub(super) on_new_version: u32,
+    pub(super) time_to_replicas: Duration,
+    pub(super) origin_bytes: u64,
+    pub(super) weights_bytes: u64,
+    pub(super) orders_doubled: usize,
+    pub(super) tally: Tally,
+}
+
+/// Returns how many idempotency keys ran more than once.
+pub(super) fn doubled_keys(page: &LedgerPage) -> usize {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for entry in &page.entries {
+        *runs.entry(entry.user.as_str()).or_default() += 1;
+    }
+    runs.values().filter(|count| **count > 1).count()
+}
+
+impl Verdict {
+    fn holds(&self) -> bool {
+        let both_versions = ["v1", "v2"]
+            .iter()
+            .all(|version| self.tally.by_version.contains_key(*version));
+        let origin_bytes_max =
+            self.regions as u64 * self.weights_bytes * ORIGIN_COPIES_PER_REGION_PERCENT / 100;
+        self.on_new_version as usize == self.replicas
+            && self.tally.lost() == 0
+            && self.tally.failures.is_empty()
+            && self.orders_doubled == 0
+            && self.origin_bytes <= origin_bytes_max
+            && both_versions
+    }
+
+    /// Prints the verdict in one line; returns whether it holds.
+    pub(super) fn print(&self) -> bool {
+        for failure in &self.tally.failures {
+            println!("failure: {failure}");
+        }
+        for (version, count) in &self.tally.by_version {
+            println!("whole answers of {version}: {count}");
+        }
+        let holds = self.holds();
+        let origin_copies_percent = self.origin_bytes * 100 / self.weights_bytes;
+        println!(
+            "{}: {} of {} VMs on the new version in {:.1} s, origin read {}.{:02} copies for {} regions, \
+             requests {} sent / {} whole / {} lost ({} refused unrun and sent again), {} orders run twice",
+            if holds { "PASS" } else { "FAIL" },
+            self.on_new_version,
+            self.replicas,
+            self.time_to_replicas.as_secs_f64(),
+            origin_copies_percent / 100,
+            origin_copies_percent % 100,
+            self.regions,
+            self.tally.sent,
+            self.tally.whole,
+            self.tally.lost(),
+            self.tally.resent,
+            self.orders_doubled,
+        );
+        holds
+    }
+}
--- a/crates/masticdock-bench/src/fleet/binaries.rs
+++ b/crates/masticdock-bench/src/fleet/binaries.rs
@@ -11,7 +11,11 @@
 static DIRECTORY: OnceLock<Result<PathBuf, String>> = OnceLock::new();
 
 /// Returns the path of a binary of this workspace; builds all of them on the first call.
-pub(super) fn path_of(binary: &str) -> anyhow::Result<PathBuf> {
+///
+/// # Errors
+///
+/// Fails when they cannot be built.
+pub fn path_of(binary: &str) -> anyhow::Result<PathBuf> {
     let directory = DIRECTORY.get_or_init(|| build().map_err(|error| format!("{error:#}")));
     match directory {
         Ok(directory) => Ok(directory.join(binary)),
--- a/crates/masticdock-bench/src/fleet/mod.rs
+++ b/crates/masticdock-bench/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value as Json;
 
+pub use binaries::path_of as binary_path;
 pub use plan::{AgentPlan, FleetPlan, Place, RegionLink, Upstream};
 
 use process::Process;
--- a/crates/masticdock-bench/src/main.rs
+++ b/crates/masticdock-bench/src/main.rs
@@ -1,2 +1,36 @@
-//! Placeholder.
-fn main() {}
+//! Demo and measurements of masticdock.
+
+mod demo;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Runs masticdock on this machine, with stand-ins for the platform.
+#[derive(Debug, Parser)]
+#[command(name = "masticdock-bench", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Rolls a second version out over four VMs while requests flow
+    Demo,
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let result = match Cli::parse().command {
+        Command::Demo => demo::run(),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
