--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -44,7 +44,7 @@
     let hooks: Vec<TickHook> = vec![switching::spawn(SwitchingParts {
         settings,
         gate: Arc::clone(&gate),
-        transfer: TransferPort::new(Some(transfer)),
+        transfer: TransferPort::new(transfer),
         weights_url,
         registry: metrics.registry(),
     })?];
--- a/crates/masticdock-daemon/src/agent/switching/mod.rs
+++ b/crates/masticdock-daemon/src/agent/switching/mod.rs
@@ -58,21 +58,13 @@
 }
 
 impl TransferPort {
-    /// Calls `transfer`, or wants nothing when there is none.
-    pub(crate) fn new(transfer: Option<TransferHandle>) -> Self {
-        let (wanting, reading, releasing) = (transfer.clone(), transfer.clone(), transfer);
+    /// Calls `transfer`.
+    pub(crate) fn new(transfer: TransferHandle) -> Self {
+        let (wanting, reading) = (transfer.clone(), transfer.clone());
         Self {
-            set_wanted: Arc::new(move |wanted| {
-                if let Some(transfer) = &wanting {
-                    transfer.set_wanted(wanted);
-                }
-            }),
-            progress: Arc::new(move |digest| reading.as_ref()?.progress(digest)),
-            release: Arc::new(move |digest| {
-                if let Some(transfer) = &releasing {
-                    transfer.release(digest);
-                }
-            }),
+            set_wanted: Arc::new(move |wanted| wanting.set_wanted(wanted)),
+            progress: Arc::new(move |digest| reading.progress(digest)),
+            release: Arc::new(move |digest| transfer.release(digest)),
         }
     }
 }
--- a/crates/masticdock-daemon/src/agent/switching/tests/failures.rs
+++ b/crates/masticdock-daemon/src/agent/switching/tests/failures.rs
@@ -5,7 +5,8 @@
 use masticdock_platform::PlatformErrorKind;
 
 use super::super::message::Report;
-use super::rig::{LOAD_TIMEOUT_MS, Rig, World, failed_call, serving_v1};
+use super::fakes::failed_call;
+use super::rig::{LOAD_TIMEOUT_MS, Rig, World, serving_v1};
 
 /// Guards against an engine that stays empty after a crash, or waits for the table.
 #[test]
--- a/crates/masticdock-daemon/src/agent/switching/tests/mod.rs
+++ b/crates/masticdock-daemon/src/agent/switching/tests/mod.rs
@@ -1,5 +1,6 @@
 mod bad_input;
 mod failures;
+mod fakes;
 mod leases;
 mod rig;
 mod share;
