--- a/crates/masticdock-bench/src/fleet/addresses.rs
+++ b/crates/masticdock-bench/src/fleet/addresses.rs
@@ -2,11 +2,18 @@
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// Numbers the processes that this process started.
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a port is probed and while a child is forked. Until it executes its
+/// program, a child holds copies of all descriptors, so a probed port would stay
+/// bound for that time.
+static FORK_LOCK: Mutex<()> = Mutex::new(());
+
 /// Processes that get an address of their own.
 const PROCESSES_MAX: u32 = 508;
 /// Attempts to find a port that is free for TCP and UDP.
@@ -32,6 +39,7 @@
 
 /// Returns a port of `ip` that is free for TCP and UDP.
 pub(super) fn free_addr(ip: IpAddr) -> io::Result<SocketAddr> {
+    let _guard = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..PORT_ATTEMPTS {
         let addr = TcpListener::bind((ip, 0))?.local_addr()?;
         if UdpSocket::bind(addr).is_ok() {
@@ -40,3 +48,9 @@
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
+
+/// Starts a child while no port is probed.
+pub(super) fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _guard = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
--- a/crates/masticdock-bench/src/fleet/launch.rs
+++ b/crates/masticdock-bench/src/fleet/launch.rs
@@ -12,7 +12,7 @@
 use super::plan::{AgentPlan, FleetPlan, Place, Upstream};
 use super::process::{Announced, Process, ProcessPlan};
 use super::settings::{self, PlatformAddrs, SecretFiles};
-use super::{EntryAddrs, Fleet, binaries};
+use super::{CALL_TIMEOUT, EntryAddrs, Fleet, binaries};
 
 /// Numbers the fleets of this process.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
@@ -191,7 +191,8 @@
     pub(super) fn put_fleet_list(&self) -> anyhow::Result<()> {
         let url = format!("http://{}/vms", self.control("fleet")?);
         let list = json!({ "vms": self.fleet_list });
-        let response = attohttpc::put(url).json(&list)?.send()?;
+        let request = attohttpc::put(url).timeout(CALL_TIMEOUT).json(&list)?;
+        let response = request.send().context("cannot put the list of VMs")?;
         response.error_for_status()?;
         Ok(())
     }
--- a/crates/masticdock-bench/src/fleet/mod.rs
+++ b/crates/masticdock-bench/src/fleet/mod.rs
@@ -284,7 +284,8 @@
         let response = attohttpc::post(url)
             .timeout(CALL_TIMEOUT)
             .json(body)?
-            .send()?;
+            .send()
+            .with_context(|| format!("no answer from `{name}` to {path}"))?;
         response.error_for_status()?;
         Ok(())
     }
--- a/crates/masticdock-bench/src/fleet/process.rs
+++ b/crates/masticdock-bench/src/fleet/process.rs
@@ -10,6 +10,8 @@
 use anyhow::{Context, bail, ensure};
 use serde::Deserialize;
 
+use super::addresses;
+
 /// Lines of the log that an error shows.
 const LOG_TAIL_LINES: usize = 15;
 /// Time between two looks at whether a process has ended.
@@ -64,13 +66,14 @@
         } else {
             (Stdio::null(), Stdio::from(log.try_clone()?))
         };
-        let child = Command::new(&plan.binary)
+        let mut command = Command::new(&plan.binary);
+        command
             .args(&plan.args)
             .env("RUST_LOG", &plan.log_level)
             .stdin(stdin)
             .stdout(stdout)
-            .stderr(log)
-            .spawn()
+            .stderr(log);
+        let child = addresses::spawn(&mut command)
             .with_context(|| format!("cannot start {}", plan.binary.display()))?;
         let child = self.child.insert(child);
         let mut announced = Vec::with_capacity(self.plan.announced);
@@ -117,10 +120,10 @@
         let Some(pid) = self.pid() else {
             bail!("{} does not run", self.plan.name);
         };
-        let status = Command::new("kill")
-            .args([format!("-{signal}"), pid.to_string()])
-            .status()
-            .context("cannot run kill")?;
+        let mut command = Command::new("kill");
+        command.args([format!("-{signal}"), pid.to_string()]);
+        let mut kill = addresses::spawn(&mut command).context("cannot run kill")?;
+        let status = kill.wait()?;
         ensure!(
             status.success(),
             "cannot send {signal} to {}",
--- a/crates/masticdock-bench/src/fleet/weights.rs
+++ b/crates/masticdock-bench/src/fleet/weights.rs
@@ -1,5 +1,7 @@
 //! Publishing of versions.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use compact_str::CompactString;
 use masticdock_core::ids::{Digest, DigestHasher};
@@ -10,6 +12,9 @@
 
 use super::Fleet;
 
+/// Time to store weights or a manifest.
+const PUT_TIMEOUT: Duration = Duration::from_mins(1);
+
 impl Fleet {
     /// Stores weights at the origin and their manifest in the object store.
     ///
@@ -25,7 +30,10 @@
     ) -> anyhow::Result<Resource> {
         let object = format!("weights/{version}");
         let url = format!("http://{}/{object}", self.control("origin")?);
-        let response = attohttpc::put(url).bytes(weights).send()?;
+        let response = attohttpc::put(url)
+            .timeout(PUT_TIMEOUT)
+            .bytes(weights)
+            .send()?;
         response.error_for_status()?;
         self.publish_manifest(
             model,
@@ -81,7 +89,10 @@
         let (bytes, digest) = manifest.encode();
         let store = self.control("objects")?;
         let url = format!("http://{store}/masticdock/manifests/{digest}");
-        let response = attohttpc::put(url).bytes(bytes).send()?;
+        let response = attohttpc::put(url)
+            .timeout(PUT_TIMEOUT)
+            .bytes(bytes)
+            .send()?;
         response
             .error_for_status()
             .context("manifest was refused")?;
