Give each listener of a process a port of its own

Cause: the kernel offered one port of an address twice after the first probe was closed (1,739 different ports in 2,000 probes), so an agent got the same port for requests and for weights and ended with 'Address already in use'.

Change: the launcher remembers all addresses that it gave out.

--- a/crates/masticdock-bench/src/fleet/addresses.rs
+++ b/crates/masticdock-bench/src/fleet/addresses.rs
@@ -1,5 +1,6 @@
 //! Loopback addresses of the child processes.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command};
@@ -9,10 +10,12 @@
 /// Numbers the processes that this process started.
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// Held while a port is probed and while a child is forked. Until it executes its
-/// program, a child holds copies of all descriptors, so a probed port would stay
-/// bound for that time.
-static FORK_LOCK: Mutex<()> = Mutex::new(());
+/// Addresses given out, because the kernel may offer a port again once it was closed.
+///
+/// The lock is held while a port is probed and while a child is forked. Until it
+/// executes its program, a child holds copies of all descriptors, so a probed
+/// port would stay bound for that time.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
 
 /// Processes that get an address of their own.
 const PROCESSES_MAX: u32 = 508;
@@ -39,10 +42,10 @@
 
 /// Returns a port of `ip` that is free for TCP and UDP.
 pub(super) fn free_addr(ip: IpAddr) -> io::Result<SocketAddr> {
-    let _guard = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..PORT_ATTEMPTS {
         let addr = TcpListener::bind((ip, 0))?.local_addr()?;
-        if UdpSocket::bind(addr).is_ok() {
+        if UdpSocket::bind(addr).is_ok() && given.insert(addr) {
             return Ok(addr);
         }
     }
@@ -51,6 +54,6 @@
 
 /// Starts a child while no port is probed.
 pub(super) fn spawn(command: &mut Command) -> io::Result<Child> {
-    let _guard = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let _guard = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
     command.spawn()
 }
