Show an accepted change in the next read, and read missing labels at once

Cause: in the demo 'rollout status' straight after 'apply' did not find the rollout, because the entry answered before its own control thread had applied the change; and the rollout selected 0 VMs, because an entry that is no reader of the fleet view read labels once at its start and then every 30 s. Ruled out: the table write and the rollout check, which were right. Change: the entry answers once the change is in force on itself (2 s at most); a process reads the fleet view while gossip knows a member without labels.

--- a/crates/masticdock-daemon/src/control/fleet_reader.rs
+++ b/crates/masticdock-daemon/src/control/fleet_reader.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use masticdock_core::event;
-use masticdock_core::membership::is_reader;
+use masticdock_core::membership::{Member, is_reader};
 use masticdock_platform::{FleetClient, HttpSettings};
 
 use super::{ControlHandle, ControlMsg};
@@ -70,6 +70,12 @@
 
     fn has_duty(&self) -> bool {
         let snapshot = self.control.snapshot();
+        // The fleet view lags behind gossip: a VM that just started may have been
+        // missing in the last read, and selectors need its labels.
+        let unlisted = |member: &Member| !snapshot.labels.contains_key(&member.id);
+        if snapshot.members.iter().any(unlisted) {
+            return true;
+        }
         let own = snapshot.members.iter().find(|m| m.id == self.own_id);
         own.is_none_or(|own| is_reader(b"fleet", &snapshot.members, own, READERS_PER_ZONE))
     }
--- a/crates/masticdock-daemon/src/entry/operators/changes.rs
+++ b/crates/masticdock-daemon/src/entry/operators/changes.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticdock_core::config_log::{
     Accepted, AcceptedChange, Applied, ConfigState, Proposal, ProposalError, ProposalPorts,
@@ -27,6 +27,9 @@
 const RESOURCES_MAX: usize = 90;
 /// Size of a change as JSON; a row of the table holds at most 400 KB.
 const CHANGE_BYTES_MAX: usize = 350_000;
+/// Time to wait until an accepted change is in force on this entry, so that the
+/// operator's next read shows it.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time before the second attempt; each further one waits as much longer.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -216,9 +219,22 @@
     if let Accepted::Now(change) = accepted {
         shared.control.send(ControlMsg::Accepted(change));
     }
+    wait_in_force(shared, revision);
     revision
 }
 
+fn wait_in_force(shared: &Shared, revision: Revision) {
+    let deadline = Instant::now() + IN_FORCE_TIMEOUT;
+    let mut snapshot = shared.control.snapshot();
+    while snapshot.config.revision() < revision {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        snapshot = shared.control.snapshots.wait_newer(snapshot.seq, left);
+    }
+}
+
 fn problem_of(error: ProposalError<ResourceError>, change: &ChangeRequest) -> Box<Problem> {
     let id = &change.change_id;
     match error {
