Measure how weights spread over a fleet of real agents

Before: no figure of time to N replicas or of origin bytes. The command starts agents in 3 regions with paced links and prints one JSON object. Every agent knows its labels before the rollout, because an agent that is no reader of the fleet view learns a list that was put after its start up to 15 intervals later: in a trial with 9 VMs one of them began 28 s after the others for that reason.

--- a/crates/masticdock-bench/src/fleet/measure.rs
+++ b/crates/masticdock-bench/src/fleet/measure.rs
@@ -45,6 +45,13 @@
         Ok(sum)
     }
 
+    /// Returns the last lines of the log of a process, empty when there is none.
+    #[must_use]
+    pub fn log_tail(&self, name: &str) -> String {
+        let process = self.processes.get(name);
+        process.map_or_else(String::new, super::process::Process::log_tail)
+    }
+
     /// Returns the process id of a running process.
     ///
     /// # Errors
--- a/crates/masticdock-bench/src/spread/mod.rs
+++ b/crates/masticdock-bench/src/spread/mod.rs
@@ -39,6 +39,14 @@
 /// Time between two looks at all engines.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two reads of the fleet view by a reader; other processes read it
+/// every 15th time.
+const FLEET_POLL_INTERVAL_MS: u64 = 400;
+
+/// Time before the rollout in which every agent learns its own labels from the
+/// fleet view; a fleet that has run for a minute knows them.
+const SETTLE: Duration = Duration::from_secs(10);
+
 /// Multiple of the bound after which a run is given up.
 const GIVE_UP_FACTOR: u32 = 6;
 
@@ -55,7 +63,7 @@
 ///
 /// The naive version (every VM reads the whole copy from the origin) runs at the
 /// same time against an origin of its own with the same rate, with as many VMs
-/// as can end in twice the time allowed.
+/// as can end in the time allowed.
 #[derive(Debug, Clone, Args)]
 pub struct SpreadArgs {
     /// Number of VMs.
@@ -95,6 +103,7 @@
     let mut fleet = Fleet::start(plan(args, &rates)?)?;
     fleet.wait_all_ready()?;
     log::info!("{} agents are ready", args.vms);
+    std::thread::sleep(SETTLE);
     let (resources, root) = resources(args, &fleet)?;
     let mut sampler = Sampler::new(&mut fleet, args.vms, root)?;
     let begin = Instant::now();
@@ -132,6 +141,9 @@
             latency_ms: 0,
         });
     }
+    plan.settings = json!({
+        "platform": { "fleet_poll_interval_ms": FLEET_POLL_INTERVAL_MS },
+    });
     plan.agent_settings = json!({
         "links": {
             "vm_rate_bytes_per_s": rates.vm_bytes_per_s,
--- a/crates/masticdock-bench/src/spread/naive.rs
+++ b/crates/masticdock-bench/src/spread/naive.rs
@@ -10,7 +10,7 @@
 use super::rates::Rates;
 
 /// Time without a byte after which a read fails.
-const STALL_TIMEOUT: Duration = Duration::from_secs(60);
+const STALL_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Smallest number of VMs.
 const VMS_MIN: u64 = 2;
@@ -32,7 +32,8 @@
 fn measure(rates: &Rates) -> anyhow::Result<NaiveFigures> {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let origin = origin::spawn(addr, rates.origin_bytes_per_s)?;
-    let in_time = 2 * rates.allowed_s * rates.origin_bytes_per_s / rates.copy_bytes;
+    let in_time_bytes = rates.allowed_s * rates.origin_bytes_per_s;
+    let in_time = in_time_bytes.div_ceil(rates.copy_bytes);
     let vms = in_time.max(VMS_MIN);
     let begin = Instant::now();
     let mut readers = Vec::new();
--- a/crates/masticdock-bench/src/spread/report.rs
+++ b/crates/masticdock-bench/src/spread/report.rs
@@ -36,10 +36,7 @@
 }
 
 impl Report {
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "byte counts are far below 2^52"
-    )]
+    #[expect(clippy::cast_precision_loss, reason = "byte counts are far below 2^52")]
     pub(super) fn new(
         args: &SpreadArgs,
         rates: &Rates,
--- a/crates/masticdock-bench/src/spread/sample.rs
+++ b/crates/masticdock-bench/src/spread/sample.rs
@@ -75,7 +75,12 @@
             if status.state != EngineState::Ready {
                 continue;
             }
-            if status.version.as_ref().map(|it| it.as_str()) != Some(VERSION) {
+            if status
+                .version
+                .as_ref()
+                .map(masticdock_core::ids::VersionId::as_str)
+                != Some(VERSION)
+            {
                 self.mixed_or_partial.insert(vm.id.clone());
                 continue;
             }
