Add the traffic measurement

Cause: the promises of the request path had no measurement with processes. Change: masticdock-bench traffic runs entries, agents and stand-ins, sends mixed requests, makes changes, stops and kills processes and draws its verdict from the ledgers of the stand-ins; the naive baseline runs in the same call.

--- a/crates/masticdock-bench/src/lib.rs
+++ b/crates/masticdock-bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Process launcher for the demo, the measurements and process tests.
 
 pub mod fleet;
+pub mod traffic;
--- a/crates/masticdock-bench/src/main.rs
+++ b/crates/masticdock-bench/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use masticdock_bench::traffic;
 
 /// Runs masticdock on this machine, with stand-ins for the platform.
 #[derive(Debug, Parser)]
@@ -18,12 +19,15 @@
 enum Command {
     /// Rolls a second version out over four VMs while requests flow
     Demo,
+    /// Measures the request path, with faults or without
+    Traffic(traffic::TrafficArgs),
 }
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let result = match Cli::parse().command {
         Command::Demo => demo::run(),
+        Command::Traffic(args) => traffic::run(&args).map(|()| true),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
