--- a/crates/masticdock-bench/src/lib.rs
+++ b/crates/masticdock-bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod fleet;
 pub mod spread;
+pub mod traffic;
--- a/crates/masticdock-bench/src/main.rs
+++ b/crates/masticdock-bench/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use masticdock_bench::spread;
+use masticdock_bench::{spread, traffic};
 
 /// Runs masticdock on this machine, with stand-ins for the platform.
 #[derive(Debug, Parser)]
@@ -20,6 +20,8 @@
     /// Rolls a second version out over four VMs while requests flow
     Demo,
     Spread(spread::SpreadArgs),
+    /// Measures the request path, with faults or without
+    Traffic(traffic::TrafficArgs),
 }
 
 fn main() -> ExitCode {
@@ -30,6 +32,7 @@
     let result = match Cli::parse().command {
         Command::Demo => demo::run(),
         Command::Spread(args) => spread::run(&args).map(|()| true),
+        Command::Traffic(args) => traffic::run(&args).map(|()| true),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
