Test shared state over real processes and add its benchmark

Configuration, membership and the operators' calls had tests with fakes only. On 2 entries and 6 agents in 3 zones: ten changes through either entry are in force on every process, a process killed and restarted in a table outage adopts the held revision from its peers, racing operators get distinct revisions or conflicts that agree with the audit trail, a killed agent is seen dead and alive again, a terminated one ends with status 0. The benchmark's figures follow once it has run.

--- a/crates/masticdock-bench/tests/shared_state.rs
+++ b/crates/masticdock-bench/tests/shared_state.rs
@@ -146,7 +146,13 @@
         let mut threads = Vec::new();
         for number in 0..8_usize {
             let change = request(&format!("c-{number}"), &format!("by {number}"));
-            threads.push(scope.spawn(move || shared.propose(number % 2, &change).unwrap()));
+            let propose = move || {
+                shared
+                    .propose(number % 2, &change)
+                    .unwrap()
+                    .map_err(Box::new)
+            };
+            threads.push(scope.spawn(propose));
         }
         threads
             .into_iter()
--- /dev/null
+++ b/crates/masticdock-wire/benches/shared_state.rs
@@ -0,0 +1,310 @@
+//! Measures the cost of shared state at several fleet sizes.
+//!
+//! `cargo bench -p masticdock-wire --bench shared_state` prints the tables of
+//! docs/MEASUREMENTS.md.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use compact_str::format_compact;
+use masticdock_core::config_log::{AcceptedChange, ConfigState, Stored};
+use masticdock_core::ids::{BootEpoch, Revision};
+use masticdock_core::membership::{
+    FleetEntry, Member, MemberStatus, Notice, Outgoing, Phase, Role, Swim, SwimConfig,
+};
+use masticdock_core::resource::{Labels, Resource, ResourceChange, VmLabels};
+use masticdock_core::units::{MonoMs, UnixMs};
+use masticdock_wire::{decode_gossip, encode_gossip};
+
+/// Bytes of the MAC, the UDP and the IPv4 header of each datagram.
+const OVERHEAD_BYTES: usize = 32 + 28;
+const STEP_MS: u64 = 50;
+
+fn addr(index: usize) -> SocketAddr {
+    let port = u16::try_from(10_000 + index).expect("the sizes are small");
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn entry(index: usize) -> FleetEntry {
+    FleetEntry {
+        id: format_compact!("vm-itagui-{index:04}"),
+        role: Role::Agent,
+        leaving: false,
+        region: format!("region-{}", index % 2).parse().expect("valid"),
+        zone: format!("region-{}-{}", index % 2, index % 7)
+            .parse()
+            .expect("valid"),
+        peer_addr: addr(index),
+        traffic_addr: Some(addr(index)),
+    }
+}
+
+fn status(phase: Phase) -> MemberStatus {
+    MemberStatus {
+        phase,
+        serving_version: Some("grind-assistant-v12".parse().expect("valid")),
+        services: vec!["assistant".parse().expect("valid")],
+        ..MemberStatus::default()
+    }
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        boot_epoch: BootEpoch(1_796_000_000_000 + index as u64),
+        status: status(Phase::Serving),
+        ..entry(index).to_member()
+    }
+}
+
+struct Network {
+    now: u64,
+    swims: BTreeMap<SocketAddr, Swim>,
+    bytes: u64,
+    datagrams: u64,
+}
+
+impl Network {
+    fn new(count: usize) -> Self {
+        let members: Vec<Member> = (0..count).map(member).collect();
+        let entries: Vec<FleetEntry> = (0..count).map(entry).collect();
+        let mut swims = BTreeMap::new();
+        for own in &members {
+            let seed = u64::from(own.peer_addr.port());
+            let mut swim = Swim::new(SwimConfig::default(), own.clone(), seed);
+            swim.set_fleet(&entries);
+            for other in &members {
+                swim.merge_update(other, MonoMs(0));
+            }
+            swims.insert(own.peer_addr, swim);
+        }
+        let mut network = Self {
+            now: 0,
+            swims,
+            bytes: 0,
+            datagrams: 0,
+        };
+        // Lets the fresh records of the start die out.
+        network.run(60);
+        while network.run(5).1 > count as u64 * 5 * 2 + 10 {}
+        network
+    }
+
+    fn deliver(&mut self, from: SocketAddr, outgoing: Vec<Outgoing>) {
+        let mut queue: Vec<(SocketAddr, Outgoing)> =
+            outgoing.into_iter().map(|out| (from, out)).collect();
+        while let Some((from, out)) = queue.pop() {
+            self.bytes += (encode_gossip(&out.message).len() + OVERHEAD_BYTES) as u64;
+            self.datagrams += 1;
+            let Some(swim) = self.swims.get_mut(&out.to) else {
+                continue;
+            };
+            for answer in swim.receive(from, out.message, MonoMs(self.now)) {
+                queue.push((out.to, answer));
+            }
+            // The pull of the change itself goes over RPC and is not counted here.
+            for notice in swim.take_notices() {
+                if let Notice::HigherRevision { revision, .. } = notice {
+                    swim.set_revision(revision);
+                }
+            }
+        }
+    }
+
+    /// Runs for some seconds; returns the bytes and datagrams sent by all together.
+    fn run(&mut self, seconds: u64) -> (u64, u64) {
+        let before = (self.bytes, self.datagrams);
+        for _ in 0..seconds * 1_000 / STEP_MS {
+            self.now += STEP_MS;
+            for address in self.swims.keys().copied().collect::<Vec<_>>() {
+                let Some(swim) = self.swims.get_mut(&address) else {
+                    continue;
+                };
+                let outgoing = swim.tick(MonoMs(self.now));
+                self.deliver(address, outgoing);
+            }
+        }
+        (self.bytes - before.0, self.datagrams - before.1)
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn per_node(bytes: u64, nodes: usize) -> f64 {
+    bytes as f64 / nodes as f64
+}
+
+fn gossip_bytes(count: usize) {
+    const SECONDS: u64 = 20;
+    const CHANGES: u64 = 5;
+    let mut network = Network::new(count);
+    let idle = network.run(SECONDS).0;
+    let mut revisions = 0;
+    for revision in 1..=CHANGES {
+        let first = network.swims.values_mut().next().expect("not empty");
+        first.set_revision(Revision(revision));
+        revisions += network.run(SECONDS).0 - idle;
+    }
+    let informed = network.swims.values().count();
+    let mut statuses = 0;
+    for number in 0..CHANGES {
+        let first = network.swims.values_mut().next().expect("not empty");
+        let phase = if number % 2 == 0 {
+            Phase::Fetching
+        } else {
+            Phase::Serving
+        };
+        first.set_own_status(status(phase));
+        statuses += network.run(SECONDS).0.saturating_sub(idle);
+    }
+    // A rollout: a tenth of the members change at the same time.
+    for swim in network.swims.values_mut().take(count / 10) {
+        swim.set_own_status(status(Phase::Draining));
+    }
+    let burst = network.run(2 * SECONDS).0.saturating_sub(2 * idle);
+    #[allow(clippy::cast_precision_loss)]
+    let changes = CHANGES as f64;
+    #[allow(clippy::cast_precision_loss)]
+    let together = (count / 10) as f64;
+    #[allow(clippy::cast_precision_loss)]
+    let seconds = SECONDS as f64;
+    println!(
+        "| {informed} | {:.0} | {:.0} | {:.0} | {:.0} |",
+        per_node(idle, count) / seconds,
+        per_node(revisions, count) / changes,
+        per_node(statuses, count) / changes,
+        per_node(burst, count) / together,
+    );
+}
+
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0_u64) * 4_096
+}
+
+fn micros(rounds: u32, mut work: impl FnMut(u32)) -> f64 {
+    let begin = Instant::now();
+    for round in 0..rounds {
+        work(round);
+    }
+    begin.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn one_node(count: usize) {
+    const COPIES: usize = 8;
+    let entries: Vec<FleetEntry> = (0..count).map(entry).collect();
+    let members: Vec<Member> = (0..count).map(member).collect();
+    let before = resident_bytes();
+    let mut swims: Vec<Swim> = Vec::new();
+    for copy in 0..COPIES {
+        let mut swim = Swim::new(SwimConfig::default(), member(0), copy as u64);
+        swim.set_fleet(&entries);
+        for other in &members {
+            swim.merge_update(other, MonoMs(0));
+        }
+        swims.push(swim);
+    }
+    let per_member = (resident_bytes() - before) / (COPIES * count) as u64;
+    let swim = &mut swims[0];
+    let mut now = 0;
+    // Empties the queue of fresh records.
+    for _ in 0..20_000 {
+        now += STEP_MS;
+        black_box(swim.tick(MonoMs(now)));
+    }
+    let tick = micros(2_000, |_| {
+        now += STEP_MS;
+        black_box(swim.tick(MonoMs(now)));
+    });
+    let mut update = members[count / 2].clone();
+    let push = micros(500, |round| {
+        update.status.seq += u64::from(round) + 1;
+        swim.merge_update(&update, MonoMs(now));
+        now += 200;
+        black_box(swim.tick(MonoMs(now)));
+    });
+    let datagram = encode_gossip(&masticdock_core::membership::GossipMessage {
+        from: members[1].id.clone(),
+        seq: 1,
+        kind: masticdock_core::membership::GossipKind::Ping,
+        revision: Revision(1),
+        updates: members[1..4].to_vec(),
+        crashes: Vec::new(),
+        demands: Vec::new(),
+    });
+    let receive = micros(2_000, |_| {
+        let message = decode_gossip(&datagram).expect("just encoded");
+        black_box(swim.receive(addr(1), message, MonoMs(now)));
+    });
+    let copy = micros(100, |_| {
+        let list: Vec<Member> = swim.members().cloned().collect();
+        black_box(list);
+    });
+    println!("| {count} | {per_member} | {tick:.1} | {push:.0} | {receive:.1} | {copy:.0} |");
+}
+
+fn change(revision: u64, index: usize) -> AcceptedChange {
+    let labels: Labels = [("fleet".into(), "assistant".into())].into();
+    AcceptedChange {
+        revision: Revision(revision),
+        change_id: format!("change-{revision}").parse().expect("valid"),
+        operator: "ana".parse().expect("valid"),
+        accepted_at_unix_ms: UnixMs(revision),
+        changes: vec![ResourceChange::Put(Resource::VmLabels(VmLabels {
+            name: format!("vm-itagui-{index:05}").parse().expect("valid"),
+            labels,
+        }))],
+    }
+}
+
+fn apply(count: usize) {
+    let mut resources = Vec::new();
+    for index in 0..count {
+        let ResourceChange::Put(resource) = change(1, index).changes.remove(0) else {
+            continue;
+        };
+        resources.push(Stored {
+            revision: Revision(1),
+            resource,
+        });
+    }
+    let mut state = ConfigState::from_resources(Revision(1), resources);
+    let mut revision = 1;
+    let in_place = micros(1_000, |round| {
+        revision += 1;
+        let change = change(revision, round as usize % count);
+        black_box(state.apply(&change));
+    });
+    let copied = micros(50, |round| {
+        revision += 1;
+        let mut next = state.clone();
+        black_box(next.apply(&change(revision, round as usize % count)));
+        state = next;
+    });
+    println!("| {count} | {in_place:.1} | {copied:.0} |");
+}
+
+fn main() {
+    // Cargo passes `--bench`; as a test target nothing is measured.
+    if !std::env::args().any(|argument| argument == "--bench") {
+        return;
+    }
+    println!("| members | idle B/s | B per revision | B per update | B per update in a burst |");
+    println!("|---|---|---|---|---|");
+    for count in [25, 50, 100, 200, 400] {
+        gossip_bytes(count);
+    }
+    println!(
+        "\n| members | B per member | tick µs | tick with a push µs | receive µs | copy of the list µs |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for count in [100, 400, 1_000, 3_100] {
+        one_node(count);
+    }
+    println!("\n| resources | apply µs | copy and apply µs |");
+    println!("|---|---|---|");
+    for count in [100, 1_000, 10_000] {
+        apply(count);
+    }
+}
