--- a/crates/masticdock-bench/src/demo/operator.rs
+++ b/crates/masticdock-bench/src/demo/operator.rs
@@ -17,6 +17,12 @@
 const APPLY_INTERVAL: Duration = Duration::from_millis(500);
 /// Exit status of `masticdock` when the service is unavailable.
 const EXIT_UNAVAILABLE: i32 = 5;
+/// Exit status of `masticdock` when a resource does not exist.
+const EXIT_NOT_FOUND: i32 = 4;
+/// Attempts to read the status of a rollout that was just accepted.
+const STATUS_ATTEMPTS: u32 = 50;
+/// Time between two attempts to read the status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(100);
 /// Log lines shown of each process when the verdict does not hold.
 const LOG_LINES: usize = 25;
 
@@ -93,6 +99,7 @@
 
     /// Follows the rollout to its end; returns the VMs on its version.
     pub(super) fn watch(&self, timeout: Duration) -> anyhow::Result<u32> {
+        self.wait_known()?;
         let args = "rollout status assistant --watch --interval-ms 100";
         self.say(&format!("$ masticdock {args}"));
         let args: Vec<&str> = args.split(' ').collect();
@@ -102,12 +109,33 @@
         let _unused = child.kill();
         let _unused = child.wait();
         ended?;
+        let status = self.status()?;
+        Ok(status.context("the rollout is unknown")?.serving)
+    }
+
+    /// Waits until the entry knows the rollout: it answers a change as accepted
+    /// shortly before its own copy of the configuration has it.
+    fn wait_known(&self) -> anyhow::Result<()> {
+        for _ in 0..STATUS_ATTEMPTS {
+            if self.status()?.is_some() {
+                return Ok(());
+            }
+            std::thread::sleep(STATUS_INTERVAL);
+        }
+        bail!("the entry does not know the rollout that it accepted")
+    }
+
+    /// Returns the status of the rollout, or `None` when the entry does not know it.
+    fn status(&self) -> anyhow::Result<Option<RolloutStatus>> {
         let output = self
             .command(&["rollout", "status", "assistant", "--output", "json"])
             .output()?;
-        let status: RolloutStatus = serde_json::from_slice(&output.stdout)
+        if output.status.code() == Some(EXIT_NOT_FOUND) {
+            return Ok(None);
+        }
+        let status = serde_json::from_slice(&output.stdout)
             .context("masticdock rollout status printed no JSON")?;
-        Ok(status.serving)
+        Ok(Some(status))
     }
 
     fn print_lines(&self, child: &mut Child, timeout: Duration) -> anyhow::Result<()> {
