Check settings against one list of fields and document every field

Cause: ranges stood in the code of each section, no page listed the fields, and errors named the line of the first field of the same name in the file.

Change: settings/fields.rs lists all 54 fields with range and meaning; ranges are checked from it and docs/SETTINGS.md is made from it, both kept equal to the structs by tests. Errors name the line within the section.

--- a/crates/masticdock-daemon/src/settings/agent.rs
+++ b/crates/masticdock-daemon/src/settings/agent.rs
@@ -4,13 +4,15 @@
 
 use masticdock_core::ids::ServiceId;
 use masticdock_core::units::{BytesPerSecond, Share};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
-use super::load::{Finding, in_range};
-use super::{GossipSettings, HttpLimits, NodeSettings, PlatformSettings, SecuritySettings};
+use super::check::{Finding, check_distinct, check_url};
+use super::{
+    GossipSettings, HttpLimits, NodeSettings, PlatformSettings, SecuritySettings, SettingsErrorKind,
+};
 
 /// Settings of `masticdockd agent`.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct AgentSettings {
     /// Always `agent`; read by the loader.
@@ -58,27 +60,30 @@
 
 impl AgentSettings {
     pub(super) fn check(&self) -> Result<(), Finding> {
+        self.node.check()?;
         self.platform.check()?;
         self.gossip.check()?;
-        self.transfer.check()?;
-        self.http.check()?;
-        in_range("slot_lease_ms", self.slot_lease_ms, 500..=600_000)?;
-        in_range("load_timeout_ms", self.load_timeout_ms, 500..=3_600_000)?;
+        self.upstream.check()?;
         if !self.weights_addr.ip().is_loopback() {
             return Err(Finding {
-                kind: super::SettingsErrorKind::OutOfRange,
+                kind: SettingsErrorKind::OutOfRange,
                 field: "weights_addr",
                 message: "it is not a loopback address, so others could read the weights"
                     .to_owned(),
                 tip: "use an address such as 127.0.0.1:7403",
             });
         }
-        Ok(())
+        check_distinct(&[
+            ("node.peer_addr", self.node.peer_addr),
+            ("node.status_addr", self.node.status_addr),
+            ("traffic_addr", self.traffic_addr),
+            ("weights_addr", self.weights_addr),
+        ])
     }
 }
 
 /// Whether the upstream's engine checks fencing numbers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Fencing {
     /// The engine refuses an order with an old number.
@@ -88,7 +93,7 @@
 }
 
 /// The upstream beside an agent.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct UpstreamSettings {
     /// True for a model engine, false for a plain service.
@@ -106,8 +111,32 @@
     Fencing::Ignored
 }
 
+impl UpstreamSettings {
+    fn check(&self) -> Result<(), Finding> {
+        check_url("upstream.url", &self.url)?;
+        if self.services.is_empty() {
+            return Err(Finding {
+                kind: SettingsErrorKind::OutOfRange,
+                field: "upstream.services",
+                message: "it names no service, so no request would reach the upstream".to_owned(),
+                tip: "name the services as operators write them, for example [assistant]",
+            });
+        }
+        if !self.engine && self.fencing == Fencing::Checked {
+            return Err(Finding {
+                kind: SettingsErrorKind::Contradiction,
+                field: "upstream.fencing",
+                message: "`upstream.engine` is false, and a plain service takes no orders"
+                    .to_owned(),
+                tip: "remove `fencing` or set `engine: true`",
+            });
+        }
+        Ok(())
+    }
+}
+
 /// Rates of the links of a VM; a rate of 0 means no limit.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct LinkSettings {
     /// Rate of the VM's own link in each direction.
@@ -132,7 +161,7 @@
 }
 
 /// Transfer of weights between agents.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct TransferSettings {
     /// Neighbours whose have-bitmaps an agent follows.
@@ -161,22 +190,3 @@
         }
     }
 }
-
-impl TransferSettings {
-    fn check(&self) -> Result<(), Finding> {
-        in_range("transfer.neighbours", self.neighbours, 1..=64)?;
-        in_range("transfer.upload_slots", self.upload_slots, 1..=64)?;
-        in_range("transfer.download_slots", self.download_slots, 1..=64)?;
-        in_range(
-            "transfer.announce_interval_ms",
-            self.announce_interval_ms,
-            20..=10_000,
-        )?;
-        in_range(
-            "transfer.stall_timeout_ms",
-            self.stall_timeout_ms,
-            50..=600_000,
-        )?;
-        in_range("transfer.seeding_ms", self.seeding_ms, 0..=86_400_000)
-    }
-}
--- a/crates/masticdock-daemon/src/settings/common.rs
+++ b/crates/masticdock-daemon/src/settings/common.rs
@@ -4,13 +4,14 @@
 use std::path::PathBuf;
 
 use compact_str::CompactString;
-use masticdock_core::ids::{RegionId, ZoneId};
-use serde::Deserialize;
+use masticdock_core::ids::{RegionId, VmId, ZoneId};
+use serde::{Deserialize, Serialize};
 
-use super::load::{Finding, in_range};
+use super::SettingsErrorKind;
+use super::check::{Finding, check_url};
 
 /// Who and where this process is.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct NodeSettings {
     /// VM id of an agent, entry id of an entry.
@@ -28,8 +29,30 @@
     pub(crate) seed_addrs: Vec<SocketAddr>,
 }
 
+impl NodeSettings {
+    pub(super) fn check(&self) -> Result<(), Finding> {
+        if let Err(error) = self.id.parse::<VmId>() {
+            return Err(Finding {
+                kind: SettingsErrorKind::OutOfRange,
+                field: "node.id",
+                message: error.reason.to_owned(),
+                tip: error.tip,
+            });
+        }
+        if self.peer_addr.ip().is_unspecified() || self.peer_addr.port() == 0 {
+            return Err(Finding {
+                kind: SettingsErrorKind::OutOfRange,
+                field: "node.peer_addr",
+                message: format!("others cannot reach {}", self.peer_addr),
+                tip: "use the address of the VM and a fixed port, for example 10.0.3.17:7401",
+            });
+        }
+        Ok(())
+    }
+}
+
 /// Where the platform's services are.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct PlatformSettings {
     /// Base URL of the table service.
@@ -72,22 +95,15 @@
 
 impl PlatformSettings {
     pub(super) fn check(&self) -> Result<(), Finding> {
-        in_range("platform.timeout_ms", self.timeout_ms, 10..=60_000)?;
-        in_range(
-            "platform.head_poll_interval_ms",
-            self.head_poll_interval_ms,
-            50..=2_000,
-        )?;
-        in_range(
-            "platform.fleet_poll_interval_ms",
-            self.fleet_poll_interval_ms,
-            50..=60_000,
-        )
+        check_url("platform.table_url", &self.table_url)?;
+        check_url("platform.object_store_url", &self.object_store_url)?;
+        check_url("platform.origin_url", &self.origin_url)?;
+        check_url("platform.fleet_view_url", &self.fleet_view_url)
     }
 }
 
 /// Files that hold secrets; their contents are never printed.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct SecuritySettings {
     /// File with the key that all masticdock processes share.
@@ -95,7 +111,7 @@
 }
 
 /// Timing of gossip and probes.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct GossipSettings {
     /// Time between two pushes of fresh updates, in milliseconds.
@@ -127,28 +143,23 @@
 
 impl GossipSettings {
     pub(super) fn check(&self) -> Result<(), Finding> {
-        in_range("gossip.push_interval_ms", self.push_interval_ms, 20..=2_000)?;
-        in_range("gossip.push_fanout", self.push_fanout, 1..=10)?;
-        in_range(
-            "gossip.probe_interval_ms",
-            self.probe_interval_ms,
-            50..=10_000,
-        )?;
-        in_range(
-            "gossip.probe_timeout_ms",
-            self.probe_timeout_ms,
-            10..=10_000,
-        )?;
-        in_range("gossip.indirect_probes", self.indirect_probes, 0..=10)?;
-        in_range("gossip.suspicion_ms", self.suspicion_ms, 100..=60_000)?;
         if self.probe_timeout_ms >= self.probe_interval_ms {
             return Err(Finding {
-                kind: super::SettingsErrorKind::Contradiction,
+                kind: SettingsErrorKind::Contradiction,
                 field: "gossip.probe_timeout_ms",
                 message: "it is not below `gossip.probe_interval_ms`".to_owned(),
                 tip: "use about 400 for an interval of 1000",
             });
         }
+        if self.suspicion_ms < self.probe_interval_ms {
+            return Err(Finding {
+                kind: SettingsErrorKind::Contradiction,
+                field: "gossip.suspicion_ms",
+                message: "it is below `gossip.probe_interval_ms`, so a suspect could not refute"
+                    .to_owned(),
+                tip: "use about three probe intervals",
+            });
+        }
         Ok(())
     }
 }
--- a/crates/masticdock-daemon/src/settings/entry.rs
+++ b/crates/masticdock-daemon/src/settings/entry.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
-use super::load::{Finding, in_range};
+use super::SettingsErrorKind;
+use super::check::{Finding, check_distinct};
 use super::{GossipSettings, NodeSettings, PlatformSettings, SecuritySettings};
 
 /// Settings of `masticdockd entry`.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct EntrySettings {
     /// Always `entry`; read by the loader.
@@ -40,15 +41,28 @@
 
 impl EntrySettings {
     pub(super) fn check(&self) -> Result<(), Finding> {
+        self.node.check()?;
         self.platform.check()?;
         self.gossip.check()?;
-        self.requests.check()?;
-        self.http.check()
+        if self.operator_tokens_file == self.security.peer_key_file {
+            return Err(Finding {
+                kind: SettingsErrorKind::Contradiction,
+                field: "operator_tokens_file",
+                message: "it is the same file as `security.peer_key_file`".to_owned(),
+                tip: "keep the key and the tokens in two files",
+            });
+        }
+        check_distinct(&[
+            ("node.peer_addr", self.node.peer_addr),
+            ("node.status_addr", self.node.status_addr),
+            ("callers_addr", self.callers_addr),
+            ("operators_addr", self.operators_addr),
+        ])
     }
 }
 
 /// Handling of requests by an entry.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RequestSettings {
     /// Upstreams that one entry sends to, per service.
@@ -84,41 +98,8 @@
     }
 }
 
-impl RequestSettings {
-    fn check(&self) -> Result<(), Finding> {
-        in_range("requests.subset_size", self.subset_size, 2..=200)?;
-        in_range(
-            "requests.retry_budget_percent",
-            self.retry_budget_percent,
-            0..=100,
-        )?;
-        in_range("requests.attempts_max", self.attempts_max, 1..=10)?;
-        in_range(
-            "requests.load_bound_percent",
-            self.load_bound_percent,
-            101..=1_000,
-        )?;
-        in_range(
-            "requests.per_upstream_in_progress_max",
-            self.per_upstream_in_progress_max,
-            1..=10_000,
-        )?;
-        in_range("requests.crash_limit", self.crash_limit, 1..=10)?;
-        in_range(
-            "requests.crash_memory_ms",
-            self.crash_memory_ms,
-            1_000..=86_400_000,
-        )?;
-        in_range(
-            "requests.stall_timeout_ms",
-            self.stall_timeout_ms,
-            50..=600_000,
-        )
-    }
-}
-
 /// Limits of an HTTP listener.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct HttpLimits {
     /// Largest request body, in bytes.
@@ -138,19 +119,3 @@
         }
     }
 }
-
-impl HttpLimits {
-    pub(super) fn check(&self) -> Result<(), Finding> {
-        in_range(
-            "http.body_bytes_max",
-            self.body_bytes_max,
-            1_024..=(64 << 20),
-        )?;
-        in_range(
-            "http.header_bytes_max",
-            self.header_bytes_max,
-            1_024..=(1 << 20),
-        )?;
-        in_range("http.connections_max", self.connections_max, 1..=4_096)
-    }
-}
--- a/crates/masticdock-daemon/src/settings/load.rs
+++ b/crates/masticdock-daemon/src/settings/load.rs
@@ -2,6 +2,9 @@
 
 use std::path::Path;
 
+use super::check::check_ranges;
+use super::fields::{FIELDS, unit_of};
+use super::locate::{key_with_value, line_of};
 use super::{Settings, SettingsError, SettingsErrorKind};
 
 /// Smallest similarity at which a known field is suggested for an unknown one.
@@ -33,7 +36,7 @@
     struct RoleOnly {
         role: String,
     }
-    let malformed = |error: &serde_yaml_ng::Error| malformed(path, error);
+    let malformed = |error: &serde_yaml_ng::Error| malformed(path, text, error);
     let role: RoleOnly = serde_yaml_ng::from_str(text).map_err(|e| malformed(&e))?;
     match role.role.as_str() {
         "entry" => serde_yaml_ng::from_str(text)
@@ -53,22 +56,65 @@
     }
 }
 
-fn malformed(path: &Path, error: &serde_yaml_ng::Error) -> SettingsError {
-    let message = error.to_string();
+fn malformed(path: &Path, text: &str, error: &serde_yaml_ng::Error) -> SettingsError {
+    let full = error.to_string();
+    // The line is a part of its own, and the column points behind the value.
+    let message = full
+        .rsplit_once(" at line ")
+        .map_or(&*full, |(start, _)| start);
+    let (mut field, message) = split_field(message);
+    // For a value that serde accepts and the type refuses, serde names the section alone.
+    if let Some(value) = refused_value(message)
+        && let Some(key) = key_with_value(text, &field, value)
+    {
+        field = format!("{field}.{key}");
+    }
+    let tip = suggestion(message)
+        .or_else(|| unit_tip(&field, message))
+        .or_else(|| field_tip(&field, message));
     SettingsError {
         kind: SettingsErrorKind::Malformed,
         path: path.to_owned(),
-        line: error.location().map(|location| location.line()),
-        field: String::new(),
-        tip: suggestion(&message).unwrap_or_default(),
-        message,
+        line: line_of(text, &field).or_else(|| error.location().map(|location| location.line())),
+        message: message.to_owned(),
+        tip: tip.unwrap_or_default(),
+        field,
+    }
+}
+
+/// Splits serde's "gossip.push_fanout: invalid type" into field and message.
+fn split_field(message: &str) -> (String, &str) {
+    let is_field = |text: &str| {
+        text.chars()
+            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '_' | '.' | '[' | ']'))
+    };
+    let Some((field, rest)) = message.split_once(": ") else {
+        return (unknown_field(message).unwrap_or_default(), message);
+    };
+    if !is_field(field) {
+        return (unknown_field(message).unwrap_or_default(), message);
+    }
+    match unknown_field(rest) {
+        Some(unknown) => (format!("{field}.{unknown}"), rest),
+        None => (field.to_owned(), rest),
     }
 }
 
-/// Finds the known field that is most like the unknown one in serde's message
-/// "unknown field `x`, expected one of `a`, `b`".
+/// Returns the field of serde's message "unknown field `x`, expected one of `a`, `b`".
+fn unknown_field(message: &str) -> Option<String> {
+    let rest = message.strip_prefix("unknown field `")?;
+    rest.split('`').next().map(str::to_owned)
+}
+
+/// Returns the value of the message "invalid share `80`; write a fraction".
+fn refused_value(message: &str) -> Option<&str> {
+    let rest = message.strip_prefix("invalid ")?;
+    rest.split('`').nth(1)
+}
+
+/// Finds the known field that is most like the unknown one.
 fn suggestion(message: &str) -> Option<String> {
-    let rest = message.split_once("unknown field ")?.1;
+    let rest = message.strip_prefix("unknown field ")?;
     let mut quoted = rest.split('`').skip(1).step_by(2);
     let unknown = quoted.next()?;
     let mut best: Option<(f64, &str)> = None;
@@ -84,34 +130,39 @@
     best.map(|(_, known)| format!("did you mean `{known}`?"))
 }
 
-/// Returns the line on which the last part of a dotted field stands.
-pub(super) fn line_of(text: &str, field: &str) -> Option<usize> {
-    let key = field.rsplit('.').next()?;
-    for (index, line) in text.lines().enumerate() {
-        let trimmed = line.trim_start().trim_start_matches("- ");
-        let Some(rest) = trimmed.strip_prefix(key) else {
-            continue;
-        };
-        if rest.starts_with(':') {
-            return Some(index + 1);
-        }
+/// Tells how the value of a field with this suffix is written.
+fn unit_tip(field: &str, message: &str) -> Option<String> {
+    if !message.starts_with("invalid type") && !message.starts_with("invalid value") {
+        return None;
     }
-    None
+    if field.ends_with("_share") {
+        return Some("write a fraction from 0 to 1, for example 0.8".to_owned());
+    }
+    let unit = unit_of(field)?;
+    Some(format!("write the number of {unit} without a unit"))
 }
 
-/// One value outside its range or in contradiction to another.
-pub(super) struct Finding {
-    pub(super) kind: SettingsErrorKind,
-    pub(super) field: &'static str,
-    pub(super) message: String,
-    pub(super) tip: &'static str,
+/// Tells what to do about a missing field and about one of the other role.
+fn field_tip(field: &str, message: &str) -> Option<String> {
+    if message == "missing field `role`" {
+        return Some("begin with `role: entry` or `role: agent`".to_owned());
+    }
+    if message.starts_with("missing field") {
+        return Some("add it; docs/SETTINGS.md says what it holds".to_owned());
+    }
+    let section = format!("{field}.");
+    let is_known = |path: &str| path == field || path.starts_with(&section);
+    if message.starts_with("unknown field") && FIELDS.iter().any(|known| is_known(known.path)) {
+        return Some("remove it, it belongs to the other role".to_owned());
+    }
+    None
 }
 
 fn check(path: &Path, text: &str, settings: &Settings) -> Result<(), SettingsError> {
-    let finding = match settings {
+    let finding = check_ranges(settings).and_then(|()| match settings {
         Settings::Entry(entry) => entry.check(),
         Settings::Agent(agent) => agent.check(),
-    };
+    });
     let Err(finding) = finding else {
         return Ok(());
     };
@@ -124,20 +175,3 @@
         tip: finding.tip.to_owned(),
     })
 }
-
-/// Checks that `value` lies in `range`.
-pub(super) fn in_range(
-    field: &'static str,
-    value: u64,
-    range: std::ops::RangeInclusive<u64>,
-) -> Result<(), Finding> {
-    if range.contains(&value) {
-        return Ok(());
-    }
-    Err(Finding {
-        kind: SettingsErrorKind::OutOfRange,
-        field,
-        message: format!("{value} is outside {} to {}", range.start(), range.end()),
-        tip: "use a value in the range; docs/SETTINGS.md lists the defaults",
-    })
-}
--- a/crates/masticdock-daemon/src/settings/mod.rs
+++ b/crates/masticdock-daemon/src/settings/mod.rs
@@ -1,10 +1,15 @@
 //! Settings of the daemon, read from YAML and checked before anything starts.
 
 mod agent;
+mod check;
 mod common;
 mod entry;
 mod error;
+mod fields;
 mod load;
+mod locate;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use agent::{AgentSettings, Fencing, LinkSettings, TransferSettings, UpstreamSettings};
 pub(crate) use common::{GossipSettings, NodeSettings, PlatformSettings, SecuritySettings};
