--- a/crates/masticdock-daemon/src/settings/load.rs
+++ b/crates/masticdock-daemon/src/settings/load.rs
@@ -2,14 +2,13 @@
 
 use std::path::Path;
 
+use masticdock_core::suggest;
+
 use super::check::check_ranges;
 use super::fields::{FIELDS, unit_of};
 use super::locate::{key_with_value, line_of};
 use super::{Settings, SettingsError, SettingsErrorKind};
 
-/// Smallest similarity at which a known field is suggested for an unknown one.
-const SUGGESTION_SIMILARITY_MIN: f64 = 0.7;
-
 /// Reads and checks the settings in `path`.
 ///
 /// # Errors
@@ -69,7 +68,7 @@
     {
         field = format!("{field}.{key}");
     }
-    let tip = suggestion(message)
+    let tip = suggest::for_serde_message(message)
         .or_else(|| unit_tip(&field, message))
         .or_else(|| field_tip(&field, message));
     SettingsError {
@@ -82,7 +81,7 @@
     }
 }
 
-/// Splits serde's "gossip.push_fanout: invalid type" into field and message.
+/// Splits the message "`gossip.push_fanout`: invalid type" of serde into field and message.
 fn split_field(message: &str) -> (String, &str) {
     let is_field = |text: &str| {
         text.chars()
@@ -112,24 +111,6 @@
     rest.split('`').nth(1)
 }
 
-/// Finds the known field that is most like the unknown one.
-fn suggestion(message: &str) -> Option<String> {
-    let rest = message.strip_prefix("unknown field ")?;
-    let mut quoted = rest.split('`').skip(1).step_by(2);
-    let unknown = quoted.next()?;
-    let mut best: Option<(f64, &str)> = None;
-    for known in quoted {
-        let similarity = strsim::jaro_winkler(unknown, known);
-        if similarity < SUGGESTION_SIMILARITY_MIN {
-            continue;
-        }
-        if best.is_none_or(|(other, _)| similarity > other) {
-            best = Some((similarity, known));
-        }
-    }
-    best.map(|(_, known)| format!("did you mean `{known}`?"))
-}
-
 /// Tells how the value of a field with this suffix is written.
 fn unit_tip(field: &str, message: &str) -> Option<String> {
     if !message.starts_with("invalid type") && !message.starts_with("invalid value") {
