--- a/crates/masticdock-bench/src/spread/mod.rs
+++ b/crates/masticdock-bench/src/spread/mod.rs
@@ -115,7 +115,8 @@
         faults.apply(&mut fleet, begin.elapsed())?;
         sampler.sample(&mut fleet, faults.killed())?;
         if sampler.all_serve(faults.killed()) && faults.is_over() {
-            report = Some(Report::new(args, &rates, &sampler, &fleet)?);
+            let idle = sampler.idle_control_bytes_per_s_max(&mut fleet, faults.killed())?;
+            report = Some(Report::new(args, &rates, &sampler, &fleet, idle)?);
             break;
         }
         std::thread::sleep(SAMPLE_INTERVAL);
--- a/crates/masticdock-bench/src/spread/report.rs
+++ b/crates/masticdock-bench/src/spread/report.rs
@@ -33,6 +33,8 @@
     agent_cpu_core_share_max: f64,
     /// Sent and received, from the start of the transfer until the VM served.
     agent_control_bytes_per_s_max: f64,
+    /// The same after the transfer, when nothing changes.
+    agent_control_bytes_per_s_idle_max: f64,
 }
 
 impl Report {
@@ -42,6 +44,7 @@
         rates: &Rates,
         sampler: &Sampler,
         fleet: &Fleet,
+        idle_control_bytes_per_s: f64,
     ) -> anyhow::Result<Self> {
         let bound_s = rates.bound_s(args.vms);
         let time_to_n_s = sampler.time_to_n_s();
@@ -70,6 +73,7 @@
             agent_rss_mib_max: beside >> 20,
             agent_cpu_core_share_max: sampler.cpu_share_max(),
             agent_control_bytes_per_s_max: sampler.control_bytes_per_s_max(),
+            agent_control_bytes_per_s_idle_max: idle_control_bytes_per_s,
         })
     }
 
--- a/crates/masticdock-bench/src/spread/sample.rs
+++ b/crates/masticdock-bench/src/spread/sample.rs
@@ -1,7 +1,7 @@
 //! Repeated look at all VMs.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use masticdock_core::ids::Digest;
 use masticdock_platform::{EngineState, EngineStatus};
@@ -12,6 +12,9 @@
 /// Counter of the agents' control messages.
 const CONTROL_BYTES: &str = "masticdock_control_bytes_total";
 
+/// Time over which idle agents are measured.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
 #[derive(Debug, Clone, Default)]
 struct Vm {
     id: String,
@@ -146,6 +149,27 @@
         self.max(|vm| vm.control_bytes_per_s)
     }
 
+    /// Returns the largest rate of control messages while nothing is transferred.
+    pub(super) fn idle_control_bytes_per_s_max(
+        &self,
+        fleet: &mut Fleet,
+        killed: &BTreeSet<String>,
+    ) -> anyhow::Result<f64> {
+        let mut before = Vec::new();
+        for vm in &self.vms {
+            if !killed.contains(&vm.id) {
+                before.push((&vm.id, Instant::now(), fleet.metric(&vm.id, CONTROL_BYTES)?));
+            }
+        }
+        std::thread::sleep(IDLE_TIME);
+        let mut highest = 0.0_f64;
+        for (id, at, bytes_before) in before {
+            let bytes = fleet.metric(id, CONTROL_BYTES)? - bytes_before;
+            highest = highest.max(bytes / at.elapsed().as_secs_f64());
+        }
+        Ok(highest)
+    }
+
     fn max(&self, figure: impl Fn(&Vm) -> f64) -> f64 {
         self.vms.iter().map(figure).fold(0.0, f64::max)
     }
