Measure idempotent calls of plain services in the traffic run

Cause: entries pass no key on for idempotent calls, so the check of the echo failed. Change: lookups are a kind of their own.

--- a/crates/masticdock-bench/src/traffic/caller.rs
+++ b/crates/masticdock-bench/src/traffic/caller.rs
@@ -219,7 +219,7 @@
 }
 
 fn is_right(answer: &Json, request: &Logical, key: Option<&str>, version: Option<&str>) -> bool {
-    if request.kind == Kind::Order {
+    if matches!(request.kind, Kind::Order | Kind::Lookup) {
         // A stored answer was made for an earlier attempt, so the request id may differ.
         return answer["key"].as_str() == key
             && answer["echo"].as_str() == Some(request.body().to_string().as_str());
--- a/crates/masticdock-bench/src/traffic/latency.rs
+++ b/crates/masticdock-bench/src/traffic/latency.rs
@@ -89,20 +89,16 @@
         |number| completion(number, Kind::Stream, TOKENS),
         "added-engine",
     )?;
-    let order = |number| Logical {
-        kind: Kind::Order,
-        ..completion(number, Kind::Order, 0)
-    };
     let (keyed_with, keyed_without) = pairs(
         |number| format!("http://{}/v1/orders", entry(number)),
         |number| format!("http://{}/orders", plain(number)),
-        order,
+        |number| completion(number, Kind::Order, 0),
         "added-keyed",
     )?;
     let (plain_with, plain_without) = pairs(
         |number| format!("http://{}/v1/lookup", entry(number)),
         |number| format!("http://{}/lookup", plain(number)),
-        order,
+        |number| completion(number, Kind::Lookup, 0),
         "added-plain",
     )?;
     let added = |with: &[f64], without: &[f64], quantile| {
@@ -143,10 +139,9 @@
     let url = format!("http://{entry}/v1/lookup");
     let mut count = 0;
     while begin.elapsed() < THROUGHPUT_TIME {
-        let request = completion(count, Kind::Order, 0);
+        let request = completion(count, Kind::Lookup, 0);
         let id = format!("throughput-{caller}-{count}");
-        let key = request.key("throughput");
-        if let Told::Complete(_) = caller::attempt(&url, &request, &id, key.as_deref()) {
+        if let Told::Complete(_) = caller::attempt(&url, &request, &id, None) {
             count += 1;
         }
     }
--- a/crates/masticdock-bench/src/traffic/mod.rs
+++ b/crates/masticdock-bench/src/traffic/mod.rs
@@ -85,6 +85,7 @@
 ///
 /// Fails when a process does not start or a control call fails.
 pub fn run(args: &TrafficArgs) -> anyhow::Result<()> {
+    log::info!("starting the processes");
     let mut fleet = Fleet::start(setup::plan())?;
     setup::prepare(&mut fleet)?;
     let sites = setup::sites(&fleet)?;
--- a/crates/masticdock-bench/src/traffic/naive.rs
+++ b/crates/masticdock-bench/src/traffic/naive.rs
@@ -126,11 +126,15 @@
     let mut told = Told::NoConnection;
     for number in 0..ATTEMPTS_MAX {
         let next = turn.fetch_add(1, Ordering::Relaxed);
-        let url = if request.kind == Kind::Order {
-            format!("http://{}/orders", sites.plains[next % sites.plains.len()])
-        } else {
-            let engine = sites.engines[next % sites.engines.len()];
-            format!("http://{engine}/v1/completions")
+        let url = match request.kind {
+            Kind::Stream | Kind::Whole => {
+                let engine = sites.engines[next % sites.engines.len()];
+                format!("http://{engine}/v1/completions")
+            }
+            Kind::Order | Kind::Lookup => {
+                let plain = sites.plains[next % sites.plains.len()];
+                format!("http://{plain}/{}", request.service())
+            }
         };
         let request_id = format!("naive-{}-{number}", request.number);
         told = caller::attempt(&url, request, &request_id, key.as_deref());
--- a/crates/masticdock-bench/src/traffic/setup.rs
+++ b/crates/masticdock-bench/src/traffic/setup.rs
@@ -66,6 +66,7 @@
 /// Puts the configuration and waits until every engine serves.
 pub(super) fn prepare(fleet: &mut Fleet) -> anyhow::Result<()> {
     fleet.wait_all_ready()?;
+    log::info!("all processes are ready");
     let version = fleet.publish_generated("assistant", VERSION, 256 << 10, 64 << 10)?;
     fleet.put(vec![
         workspace("alpenruh", TOKEN)?,
@@ -92,6 +93,7 @@
     for index in 0..ENGINES {
         wait_serving(fleet, &engine_vm(index))?;
     }
+    log::info!("all engines serve");
     wait_routed(fleet)
 }
 
--- a/crates/masticdock-bench/src/traffic/workload.rs
+++ b/crates/masticdock-bench/src/traffic/workload.rs
@@ -20,6 +20,8 @@
     Whole,
     /// A call that must not be repeated.
     Order,
+    /// A call of a plain service that may be repeated.
+    Lookup,
 }
 
 /// One request of a caller; it may be sent more than once.
@@ -40,13 +42,14 @@
         match self.kind {
             Kind::Stream | Kind::Whole => "assistant",
             Kind::Order => "orders",
+            Kind::Lookup => "lookup",
         }
     }
 
     /// Returns the body.
     pub(super) fn body(&self) -> Json {
         match self.kind {
-            Kind::Order => json!({ "order": self.number }),
+            Kind::Order | Kind::Lookup => json!({ "order": self.number }),
             Kind::Stream | Kind::Whole => json!({
                 "prompt": self.prompt,
                 "max_tokens": self.max_tokens,
