Give fencing settings to engine VMs only in the launcher

Cause: the settings check now refuses fencing checked for a plain service, and the launcher wrote it for every agent, so a fleet with a plain service did not start. Change: the launcher writes ignored for plain services.

--- a/crates/masticdock-bench/src/fleet/launch.rs
+++ b/crates/masticdock-bench/src/fleet/launch.rs
@@ -248,7 +248,9 @@
         for (agent, upstream) in agents.iter().zip(upstreams) {
             let ip = next_ip();
             let traffic_addr = free_addr(ip)?;
-            let fencing = if self.fleet.plan.engine.fence_checked {
+            let engine = agent.upstream == Upstream::Engine;
+            // A plain service takes no orders, so nothing checks their fencing numbers.
+            let fencing = if engine && self.fleet.plan.engine.fence_checked {
                 "checked"
             } else {
                 "ignored"
@@ -257,7 +259,7 @@
                 "traffic_addr": traffic_addr,
                 "weights_addr": free_addr(ip)?,
                 "upstream": {
-                    "engine": agent.upstream == Upstream::Engine,
+                    "engine": engine,
                     "url": format!("http://{upstream}"),
                     "fencing": fencing,
                     "services": agent.services,
