--- a/crates/masticdock-bench/src/fleet/binaries.rs
+++ b/crates/masticdock-bench/src/fleet/binaries.rs
@@ -29,7 +29,8 @@
         .parent()
         .context("the executable has no folder")?;
     // Tests lie in `deps` below the folder of the binaries.
-    if directory.ends_with("deps") {
+    let in_test = directory.ends_with("deps");
+    if in_test {
         directory = directory.parent().context("`deps` has no parent folder")?;
     }
     let target = directory
@@ -44,6 +45,11 @@
         .arg(manifest)
         .arg("--target-dir")
         .arg(target);
+    if in_test {
+        // Naming a test makes cargo use the features of `cargo test --workspace`,
+        // which has built the same binaries already.
+        command.args(["--test", "launcher"]);
+    }
     if directory.ends_with("release") {
         command.arg("--release");
     }
