--- a/crates/masticdock-daemon/src/net/rpc/counters.rs
+++ b/crates/masticdock-daemon/src/net/rpc/counters.rs
@@ -1,4 +1,4 @@
-//! Byte counters of RPC connections.
+//! Counters of RPC connections.
 
 use std::cell::Cell;
 use std::io;
@@ -19,7 +19,7 @@
     Chunks,
 }
 
-/// Bytes on RPC connections by lane and direction; cheap to clone.
+/// Bytes on RPC connections by lane and direction, and refusals; cheap to clone.
 #[derive(Debug, Clone)]
 pub(crate) struct TrafficCounters {
     control: IntCounterVec,
@@ -28,6 +28,7 @@
     control_received: IntCounter,
     chunks_sent: IntCounter,
     pub(super) chunks_received: IntCounter,
+    pub(super) refused: IntCounter,
 }
 
 const SENT: &str = "sent";
@@ -48,7 +49,13 @@
             "masticdock_chunk_bytes_total",
             "Bytes on connections that carry chunks between agents.",
         );
+        let refused = IntCounter::new(
+            "masticdock_rpc_refused_total",
+            "RPC callers refused because they do not hold the shared key.",
+        )
+        .expect("names of metrics are constants");
         Self {
+            refused,
             control_sent: control.with_label_values(&[SENT]),
             control_received: control.with_label_values(&[RECEIVED]),
             chunks_sent: chunks.with_label_values(&[SENT]),
@@ -65,7 +72,8 @@
     /// Fails when they are registered twice.
     pub(crate) fn register(&self, registry: &Registry) -> prometheus::Result<()> {
         registry.register(Box::new(self.control.clone()))?;
-        registry.register(Box::new(self.chunks.clone()))
+        registry.register(Box::new(self.chunks.clone()))?;
+        registry.register(Box::new(self.refused.clone()))
     }
 
     /// Returns the counter of control bytes sent; gossip adds its datagrams here.
--- a/crates/masticdock-daemon/src/net/rpc/server.rs
+++ b/crates/masticdock-daemon/src/net/rpc/server.rs
@@ -123,10 +123,10 @@
         let params = params.get()?;
         let id = params.get_id()?.to_str()?;
         let Some(nonce) = self.nonce.take() else {
-            return Err(refused());
+            return Err(self.server.refuse());
         };
         if !auth::verify(&self.server.key, &nonce, id, params.get_mac()?) {
-            return Err(refused());
+            return Err(self.server.refuse());
         }
         results.get().set_peer(new_client(PeerServer {
             caller: CompactString::new(id),
@@ -137,8 +137,11 @@
     }
 }
 
-fn refused() -> capnp::Error {
-    capnp::Error::failed(super::UNAUTHENTICATED.to_owned())
+impl Server {
+    fn refuse(&self) -> capnp::Error {
+        self.counters.refused.inc();
+        capnp::Error::failed(super::UNAUTHENTICATED.to_owned())
+    }
 }
 
 struct PeerServer {
--- a/crates/masticdock-daemon/src/net/rpc/tests.rs
+++ b/crates/masticdock-daemon/src/net/rpc/tests.rs
@@ -69,7 +69,8 @@
     assert!(rpc.counters().chunks_received.get() > 9 << 20);
 }
 
-/// Guards against a server that answers callers without the shared key.
+/// Guards against a server that answers callers without the shared key or does
+/// not count them.
 #[test]
 fn wrong_key_is_refused() {
     let (socket, addr) = listener();
@@ -79,13 +80,14 @@
         counted.fetch_add(1, Ordering::SeqCst);
         respond(PeerReply::ChunkAbsent);
     });
-    let _server = spawn_on(socket, "b".into(), KEY, handler).unwrap();
+    let server = spawn_on(socket, "b".into(), KEY, handler).unwrap();
     let rpc = spawn("127.0.0.1:0".parse().unwrap(), "a".into(), [8; 32], echo()).unwrap();
 
     let error = call(&rpc, addr, announce(b"")).unwrap_err();
 
     assert_eq!(error.kind, RpcErrorKind::Unauthenticated);
     assert_eq!(calls.load(Ordering::SeqCst), 0);
+    assert_eq!(server.counters().refused.get(), 1);
 }
 
 /// Guards against a cache that keeps a broken connection: the first connection
