Take requests on a pool of threads and drop the second thread of an agent

Cause: each hop woke three threads for a request and the agent two for a token, which costs milliseconds on a busy machine. Change: the threads of a listener take requests from the server themselves; the agent's handler writes events itself, and one thread writes the signs of life of all waiting streams. An entry without a configuration answers not-ready.

--- a/crates/masticdock-bench/src/traffic/caller.rs
+++ b/crates/masticdock-bench/src/traffic/caller.rs
@@ -154,7 +154,10 @@
     match &last.told {
         Told::NoConnection | Told::Broken(_) => true,
         Told::Complete(_) => false,
-        Told::Failed(..) => matches!(last.kind(), "stopping" | "request-in-progress"),
+        Told::Failed(..) => matches!(
+            last.kind(),
+            "stopping" | "not-ready" | "request-in-progress"
+        ),
     }
 }
 
--- a/crates/masticdock-core/src/problem/kind.rs
+++ b/crates/masticdock-core/src/problem/kind.rs
@@ -68,6 +68,8 @@
     TooManyConnections, "too-many-connections", 503, "The listener is at its limit";
     /// The process stops.
     Stopping, "stopping", 503, "The process takes no new requests";
+    /// The entry holds no configuration yet.
+    NotReady, "not-ready", 503, "The entry is not ready";
     /// No upstream can take the request.
     NoUpstream, "no-upstream", 503, "No upstream can take the request";
     /// No upstream serves the wanted version.
--- a/crates/masticdock-daemon/src/agent/proxy/engine.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/engine.rs
@@ -1,11 +1,9 @@
 //! Calls to a model engine.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
 use compact_str::format_compact;
-use crossbeam::channel::Sender;
 use masticdock_core::ids::VersionId;
 use masticdock_core::limiter::Priority;
 use masticdock_core::problem::{Problem, ProblemKind};
@@ -20,6 +18,9 @@
 /// Longest error text kept from an upstream.
 const ERROR_TEXT_LEN: usize = 300;
 
+/// Takes the events of a call; returns false once the entry went away.
+pub(super) type Sink<'a> = dyn FnMut(StreamEvent) -> bool + 'a;
+
 /// How a call to the upstream ended.
 pub(super) enum CallEnd {
     /// The answer is complete.
@@ -94,8 +95,7 @@
     base_url: &str,
     request: &RunRequest,
     version: Option<&VersionId>,
-    cancelled: &AtomicBool,
-    events: &Sender<StreamEvent>,
+    sink: &mut Sink<'_>,
 ) -> CallEnd {
     let body = match completion_body(request) {
         Ok(body) => body,
@@ -112,14 +112,14 @@
     };
     let status = response.status().as_u16();
     if status != 200 {
-        return refused(status, response.text_utf8().unwrap_or_default(), events);
+        return refused(status, response.text_utf8().unwrap_or_default(), sink);
     }
     let (_, _, body) = response.split();
-    pass_on(EventReader::new(body), request, version, cancelled, events)
+    pass_on(EventReader::new(body), request, version, sink)
 }
 
 /// Handles an engine's answer other than a stream.
-fn refused(status: u16, text: String, events: &Sender<StreamEvent>) -> CallEnd {
+fn refused(status: u16, text: String, sink: &mut Sink<'_>) -> CallEnd {
     let start: String = text.chars().take(ERROR_TEXT_LEN).collect();
     let detail = format_compact!("the engine answered {status}: {start}");
     match status {
@@ -131,7 +131,7 @@
                 content_type: "application/json".to_owned(),
                 body: text,
             });
-            let _ = events.send(answer);
+            sink(answer);
             CallEnd::Complete
         }
         _ => CallEnd::Failed(Problem::unknown(ProblemKind::UpstreamError, detail)),
@@ -142,15 +142,10 @@
     mut reader: EventReader<R>,
     request: &RunRequest,
     version: Option<&VersionId>,
-    cancelled: &AtomicBool,
-    events: &Sender<StreamEvent>,
+    sink: &mut Sink<'_>,
 ) -> CallEnd {
     let mut expected = request.resume_from;
     loop {
-        // Returning drops the connection, which cancels the work in the engine.
-        if cancelled.load(Ordering::Relaxed) {
-            return CallEnd::Cancelled;
-        }
         if request.remaining().is_zero() {
             return CallEnd::Failed(Problem::unknown(
                 ProblemKind::DeadlineExceeded,
@@ -178,7 +173,8 @@
                     ));
                 }
                 expected += 1;
-                if events.send(StreamEvent::Token(token)).is_err() {
+                // Returning drops the connection, which cancels the work in the engine.
+                if !sink(StreamEvent::Token(token)) {
                     return CallEnd::Cancelled;
                 }
             }
--- a/crates/masticdock-daemon/src/agent/proxy/mod.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/mod.rs
@@ -19,7 +19,7 @@
 use super::ServingGate;
 use crate::control::ControlHandle;
 use crate::metrics::Metrics;
-use crate::request_http::{HandlerLimits, Listener, PeerKey, respond};
+use crate::request_http::{HandlerLimits, Heartbeats, Listener, PeerKey, respond};
 use crate::settings::AgentSettings;
 
 pub(crate) use running::LoadReport;
@@ -51,6 +51,7 @@
     limits: HandlerLimits,
     claims: Claims,
     running: Arc<Running>,
+    heartbeats: Arc<Heartbeats>,
     metrics: ProxyMetrics,
 }
 
@@ -100,6 +101,7 @@
         metrics: ProxyMetrics::register(context.metrics.registry())?,
         vm,
         running,
+        heartbeats: Heartbeats::spawn()?,
         settings: context.settings,
         peer_key: context.peer_key,
         gate: context.gate,
--- a/crates/masticdock-daemon/src/agent/proxy/run.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/run.rs
@@ -1,12 +1,6 @@
 //! Handling of one request from an entry.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
-use std::time::Duration;
-
 use compact_str::{CompactString, format_compact};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use masticdock_core::ids::VmId;
 use masticdock_core::ledger::StoredResponse;
 use masticdock_core::membership::{Liveness, Role};
@@ -16,19 +10,16 @@
 use super::Shared;
 use super::admit::{self, RunRequest};
 use super::claims::{Claim, ClaimOutcome};
-use super::engine::{self, CallEnd};
+use super::engine::{self, CallEnd, Sink};
 use super::plain;
 use super::running::RunningGuard;
 use crate::agent::InProgress;
 use crate::request_http::{
-    EventWriter, ReadError, StreamEvent, WholeAnswer, name, read_body, respond_problem,
+    EventWriter, LiveStream, ReadError, StreamEvent, WholeAnswer, name, read_body, respond_problem,
 };
 
-/// Time between two signs of life to an entry that waits.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Handles a request from its arrival to its last byte.
-pub(super) fn handle(shared: &Arc<Shared>, mut request: Request) {
+pub(super) fn handle(shared: &Shared, mut request: Request) {
     let body = match read_body(&mut request, shared.limits) {
         Ok(body) => body,
         Err(ReadError::TooLarge(problem)) => return refuse(shared, request, &problem),
@@ -45,7 +36,7 @@
         Ok(admitted) => admitted,
         Err(problem) => return refuse(shared, request, &problem),
     };
-    stream(shared, request, admitted);
+    stream(shared, request, &admitted);
 }
 
 fn refuse(shared: &Shared, request: Request, problem: &Problem) {
@@ -96,89 +87,35 @@
     })
 }
 
-/// Runs an admitted request on a second thread and writes its events, with signs
-/// of life in between: a failed write is how a departed entry is noticed.
-fn stream(shared: &Arc<Shared>, request: Request, admitted: Admitted) {
+/// Runs an admitted request; signs of life are written while it waits, and a
+/// failed write is how a departed entry is noticed.
+fn stream(shared: &Shared, request: Request, admitted: &Admitted) {
     let mut headers = vec![(name::LOAD, shared.running.load(&shared.gate).to_json())];
     if let Some(version) = admitted.in_progress.version() {
         headers.push((name::VERSION, version.to_string()));
     }
-    let Ok(mut writer) = EventWriter::begin(request, &headers) else {
+    let Ok(writer) = EventWriter::begin(request, &headers) else {
         return;
     };
+    let stream = shared.heartbeats.register(writer);
     shared.metrics.in_progress.inc();
-    let cancelled = Arc::new(AtomicBool::new(false));
-    let (sender, events) = unbounded();
-    let worker = {
-        let shared = Arc::clone(shared);
-        let cancelled = Arc::clone(&cancelled);
-        thread::Builder::new()
-            .name("upstream".to_owned())
-            .spawn(move || work(&shared, &admitted, &cancelled, &sender))
-    };
-    let end = match worker {
-        Ok(_) => write_events(&mut writer, &events),
-        Err(error) => Some(StreamEvent::Problem(Box::new(Problem::not_run(
-            ProblemKind::Overloaded,
-            format_compact!("no thread could be started: {error}"),
-        )))),
-    };
-    match end {
-        Some(end) => {
-            if let Err(error) = writer.finish(&end) {
-                log::debug!("an entry went away before the last event: {error}");
-            }
-        }
-        None => cancelled.store(true, Ordering::Relaxed),
-    }
-    shared.metrics.in_progress.dec();
-}
-
-/// Writes events up to the last one, which it returns; `None` when the entry went away.
-fn write_events(writer: &mut EventWriter, events: &Receiver<StreamEvent>) -> Option<StreamEvent> {
-    loop {
-        let event = match events.recv_timeout(HEARTBEAT_INTERVAL) {
-            Ok(event @ (StreamEvent::Done | StreamEvent::Problem(_))) => return Some(event),
-            Ok(event) => event,
-            Err(RecvTimeoutError::Timeout) => StreamEvent::Heartbeat,
-            Err(RecvTimeoutError::Disconnected) => {
-                return Some(StreamEvent::Problem(Box::new(Problem::unknown(
-                    ProblemKind::UpstreamError,
-                    "the agent failed while it ran the request",
-                ))));
-            }
-        };
-        if let Err(error) = writer.write(&event) {
-            log::debug!("an entry went away: {error}");
-            return None;
-        }
-    }
-}
-
-fn work(
-    shared: &Arc<Shared>,
-    admitted: &Admitted,
-    cancelled: &AtomicBool,
-    events: &Sender<StreamEvent>,
-) {
     let problem = match &admitted.request.key {
-        None => run_once(shared, admitted, cancelled, events).err(),
-        Some(key) => run_claimed(shared, admitted, key.as_str(), cancelled, events),
+        None => run_idempotent(shared, admitted, &stream).err(),
+        Some(key) => run_claimed(shared, admitted, key.as_str(), &stream),
     };
     count(shared, problem.as_ref());
-    let last = match problem {
+    stream.finish(&match problem {
         None => StreamEvent::Done,
         Some(problem) => StreamEvent::Problem(Box::new(problem)),
-    };
-    let _ = events.send(last);
+    });
+    shared.metrics.in_progress.dec();
 }
 
 fn run_claimed(
-    shared: &Arc<Shared>,
+    shared: &Shared,
     admitted: &Admitted,
     key: &str,
-    cancelled: &AtomicBool,
-    events: &Sender<StreamEvent>,
+    stream: &LiveStream,
 ) -> Option<Problem> {
     let alive = |vm: &VmId| is_alive(shared, vm);
     let timer = shared.metrics.claim_seconds.start_timer();
@@ -187,9 +124,9 @@
     let claim = match outcome {
         ClaimOutcome::Held(claim) => claim,
         ClaimOutcome::Refused(problem) => return Some(problem),
-        ClaimOutcome::Answer(response) => return replay(response, events),
+        ClaimOutcome::Answer(response) => return replay(response, stream),
     };
-    if cancelled.load(Ordering::Relaxed) || admitted.request.remaining().is_zero() {
+    if stream.is_gone() || admitted.request.remaining().is_zero() {
         shared.claims.release(claim);
         return Some(Problem::not_run(
             ProblemKind::DeadlineExceeded,
@@ -197,18 +134,18 @@
         ));
     }
     // From here on the request runs to its end, whoever still listens.
-    let run = run_buffered(shared, admitted, events);
-    settle(shared, claim, run, events)
+    let run = run_buffered(shared, admitted);
+    settle(shared, claim, run, stream)
 }
 
 /// Sends the answer of an earlier attempt; a stored failure is a problem again.
-fn replay(response: StoredResponse, events: &Sender<StreamEvent>) -> Option<Problem> {
+fn replay(response: StoredResponse, stream: &LiveStream) -> Option<Problem> {
     if response.content_type == PROBLEM_MEDIA_TYPE
         && let Ok(problem) = serde_json::from_str::<Problem>(&response.body)
     {
         return Some(problem);
     }
-    let _ = events.send(StreamEvent::Answer(WholeAnswer {
+    stream.write(&StreamEvent::Answer(WholeAnswer {
         status: response.status,
         content_type: response.content_type.to_string(),
         body: response.body,
@@ -220,13 +157,13 @@
     shared: &Shared,
     claim: Claim,
     run: Result<StoredResponse, Problem>,
-    events: &Sender<StreamEvent>,
+    stream: &LiveStream,
 ) -> Option<Problem> {
     match run {
         Ok(response) => {
             // Recorded before it is sent: a caller that resends finds the answer.
             shared.claims.done(claim, response.clone());
-            replay(response, events)
+            replay(response, stream)
         }
         Err(problem) if problem.run_state == RunState::NotRun => {
             shared.claims.release(claim);
@@ -254,21 +191,27 @@
 }
 
 /// Runs an idempotent request and passes its events on as they come.
-fn run_once(
-    shared: &Arc<Shared>,
+fn run_idempotent(
+    shared: &Shared,
     admitted: &Admitted,
-    cancelled: &AtomicBool,
-    events: &Sender<StreamEvent>,
+    stream: &LiveStream,
 ) -> Result<(), Problem> {
+    run_once(shared, admitted, &mut |event| {
+        stream.write(&event);
+        !stream.is_gone()
+    })
+}
+
+fn run_once(shared: &Shared, admitted: &Admitted, sink: &mut Sink<'_>) -> Result<(), Problem> {
     let upstream = &shared.settings.upstream;
     let request = &admitted.request;
     let end = if upstream.engine {
         let version = admitted.in_progress.version();
-        engine::call(&upstream.url, request, version, cancelled, events)
+        engine::call(&upstream.url, request, version, sink)
     } else {
         match plain::call(&upstream.url, request) {
             Ok(answer) => {
-                let _ = events.send(StreamEvent::Answer(answer));
+                sink(StreamEvent::Answer(answer));
                 CallEnd::Complete
             }
             Err(end) => end,
@@ -278,19 +221,16 @@
 }
 
 /// Runs a non-idempotent request to its end and returns the whole answer.
-fn run_buffered(
-    shared: &Arc<Shared>,
-    admitted: &Admitted,
-    _events: &Sender<StreamEvent>,
-) -> Result<StoredResponse, Problem> {
-    let (sender, answer) = unbounded();
-    let never = AtomicBool::new(false);
-    run_once(shared, admitted, &never, &sender)?;
-    drop(sender);
+fn run_buffered(shared: &Shared, admitted: &Admitted) -> Result<StoredResponse, Problem> {
+    let mut events = Vec::new();
+    run_once(shared, admitted, &mut |event| {
+        events.push(event);
+        true
+    })?;
     let version = admitted.in_progress.version();
     let mut text = String::new();
     let mut tokens: u64 = 0;
-    for event in answer {
+    for event in events {
         match event {
             StreamEvent::Answer(answer) => {
                 return Ok(StoredResponse {
--- a/crates/masticdock-daemon/src/entry/callers/admit.rs
+++ b/crates/masticdock-daemon/src/entry/callers/admit.rs
@@ -85,7 +85,7 @@
 ) -> Result<Call, Problem> {
     if config.revision().0 == 0 {
         return Err(
-            Problem::not_run(ProblemKind::NotServing, "no configuration was adopted yet")
+            Problem::not_run(ProblemKind::NotReady, "no configuration was adopted yet")
                 .with_retry_after_s(1),
         );
     }
--- a/crates/masticdock-daemon/src/request_http/listener.rs
+++ b/crates/masticdock-daemon/src/request_http/listener.rs
@@ -1,4 +1,4 @@
-//! Listener that handles each request on its own thread, within limits.
+//! Listener that handles requests on a pool of threads, within limits.
 
 use std::io::{self, Read};
 use std::net::SocketAddr;
@@ -17,6 +17,12 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Threads that wait for requests, at least.
+const WAITING_MIN: usize = 4;
+
+/// Threads that wait for requests, at most; those beyond end.
+const WAITING_MAX: usize = 32;
+
 /// Limits of one listener.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct HandlerLimits {
@@ -115,7 +121,7 @@
         let running = listener.clone();
         thread::Builder::new()
             .name(name.to_owned())
-            .spawn(move || accept(&server, &running, limits, &Arc::new(handle)))?;
+            .spawn(move || Pool::run(server, running, limits, handle))?;
         Ok(listener)
     }
 
@@ -159,37 +165,74 @@
     Ok(listener)
 }
 
-fn accept<H>(server: &Server, listener: &Listener, limits: HandlerLimits, handle: &Arc<H>)
-where
-    H: Fn(Request) + Send + Sync + 'static,
-{
-    for request in server.incoming_requests() {
-        // Counted before the flag is read, so a drain that saw no request misses none.
-        let guard = listener.active.enter();
-        if listener.stopping.load(Ordering::SeqCst) {
-            let detail = "this process stops; send the request to another one";
-            refuse(request, &Problem::not_run(ProblemKind::Stopping, detail));
-            continue;
-        }
-        if listener.in_progress() > limits.requests_max {
-            let problem = Problem::not_run(
-                ProblemKind::TooManyConnections,
-                "send fewer requests at once or use another entry",
-            );
-            refuse(request, &problem.with_retry_after_s(1));
-            continue;
+/// Threads that take requests from the server and handle them themselves: a
+/// request waits for one thread to wake, not for two.
+struct Pool<H> {
+    server: Server,
+    listener: Listener,
+    limits: HandlerLimits,
+    handle: H,
+    waiting: AtomicUsize,
+}
+
+impl<H: Fn(Request) + Send + Sync + 'static> Pool<H> {
+    fn run(server: Server, listener: Listener, limits: HandlerLimits, handle: H) {
+        let pool = Arc::new(Self {
+            server,
+            listener,
+            limits,
+            handle,
+            waiting: AtomicUsize::new(0),
+        });
+        for _ in 1..WAITING_MIN {
+            pool.add_thread();
         }
-        let handle = Arc::clone(handle);
+        pool.take_requests(false);
+    }
+
+    fn add_thread(self: &Arc<Self>) {
+        let pool = Arc::clone(self);
         let spawned = thread::Builder::new()
             .name("request".to_owned())
-            .spawn(move || {
-                handle(request);
-                drop(guard);
-            });
+            .spawn(move || pool.take_requests(true));
         if let Err(error) = spawned {
-            // The request is dropped with its closure, which answers it with status 500.
-            log::error!("cannot start a thread for a request: {error}");
+            log::error!("cannot start a thread for requests: {error}");
+        }
+    }
+
+    fn take_requests(self: &Arc<Self>, may_end: bool) {
+        loop {
+            if self.waiting.fetch_add(1, Ordering::SeqCst) >= WAITING_MAX && may_end {
+                self.waiting.fetch_sub(1, Ordering::SeqCst);
+                return;
+            }
+            let received = self.server.recv();
+            let left = self.waiting.fetch_sub(1, Ordering::SeqCst) - 1;
+            let Ok(request) = received else {
+                log::error!("the listener {} ended", self.listener.addr);
+                return;
+            };
+            // Handling blocks this thread, so others must be there to take requests.
+            if left < WAITING_MIN {
+                self.add_thread();
+            }
+            self.take(request);
+        }
+    }
+
+    fn take(&self, request: Request) {
+        // Counted before the flag is read, so a drain that saw no request misses none.
+        let _guard = self.listener.active.enter();
+        if self.listener.stopping.load(Ordering::SeqCst) {
+            let detail = "this process stops; send the request to another one";
+            return refuse(request, &Problem::not_run(ProblemKind::Stopping, detail));
+        }
+        if self.listener.in_progress() > self.limits.requests_max {
+            let detail = "send fewer requests at once or use another entry";
+            let problem = Problem::not_run(ProblemKind::TooManyConnections, detail);
+            return refuse(request, &problem.with_retry_after_s(1));
         }
+        (self.handle)(request);
     }
 }
 
--- a/crates/masticdock-daemon/src/request_http/mod.rs
+++ b/crates/masticdock-daemon/src/request_http/mod.rs
@@ -3,12 +3,14 @@
 mod auth;
 mod event_stream;
 mod headers;
+mod heartbeat;
 mod listener;
 mod respond;
 
 pub(crate) use auth::{MacInput, PeerKey};
 pub(crate) use event_stream::{EventReader, StreamEvent, TokenEvent, WholeAnswer};
 pub(crate) use headers::{name, value, value_as};
+pub(crate) use heartbeat::{Heartbeats, LiveStream};
 pub(crate) use listener::{
     ActiveCount, ActiveGuard, HandlerLimits, Listener, ReadError, read_body,
 };
