Test the control thread and stop reading the table once caught up

A gap in the changes made a process read the table every 500 ms for good, because only a pull from a peer ended that duty; a read of the head ends it now. Tests of the control state and of pulls with a fake of RPC: no way back to an older revision, marks of operators and of the fleet view, fall-back to the whole configuration, failing peers, adoption from several zones.

--- a/crates/masticdock-daemon/src/control/mod.rs
+++ b/crates/masticdock-daemon/src/control/mod.rs
@@ -12,6 +12,8 @@
 mod snapshot;
 mod state;
 mod table_reader;
+#[cfg(test)]
+mod tests;
 mod thread;
 mod views;
 
--- a/crates/masticdock-daemon/src/control/table_reader.rs
+++ b/crates/masticdock-daemon/src/control/table_reader.rs
@@ -89,6 +89,8 @@
         }
         let own = snapshot.config.revision();
         let head = self.table.head()?;
+        // Set again by the next tick while gossip still shows a higher revision.
+        self.behind.store(false, Ordering::Relaxed);
         if head <= own {
             // A head below the held revision is a lagging read.
             return Ok(());
