--- a/crates/masticdock-bench/src/fleet/mod.rs
+++ b/crates/masticdock-bench/src/fleet/mod.rs
@@ -157,6 +157,24 @@
         self.process(name)?.restart().map(|_| ())
     }
 
+    /// Returns the names of the entries and agents of a region, for example to
+    /// freeze all of them.
+    #[must_use]
+    pub fn names_in_region(&self, region: &str) -> Vec<String> {
+        let mut names = Vec::new();
+        for (index, place) in self.plan.entries.iter().enumerate() {
+            if place.region == region {
+                names.push(format!("entry-{index}"));
+            }
+        }
+        for agent in &self.plan.agents {
+            if agent.place.region == region {
+                names.push(agent.id.clone());
+            }
+        }
+        names
+    }
+
     /// Ends an agent with SIGKILL and its engine for `down_ms`, as a dying VM does.
     ///
     /// # Errors
--- a/crates/masticdock-bench/tests/launcher.rs
+++ b/crates/masticdock-bench/tests/launcher.rs
@@ -42,8 +42,11 @@
     assert!(fleet.resident_bytes("entry-0").unwrap() > 0);
     fleet.cpu_ms("vm-0").unwrap();
     fleet.metrics("desk").unwrap();
-    fleet.stop("desk").unwrap();
-    fleet.go_on("desk").unwrap();
+    assert_eq!(fleet.names_in_region("r1"), ["entry-0", "vm-0"]);
+    for name in fleet.names_in_region("r2") {
+        fleet.stop(&name).unwrap();
+        fleet.go_on(&name).unwrap();
+    }
     let before = fleet.pid("vm-0").unwrap();
     fleet.kill("vm-0").unwrap();
     assert!(!runs(before));
--- a/crates/masticdock-standins/tests/engine.rs
+++ b/crates/masticdock-standins/tests/engine.rs
@@ -253,6 +253,20 @@
     });
 }
 
+/// Guards against a load report without lag, which would hide routing on stale figures.
+#[test]
+fn load_report_lags() {
+    let engine = start(EngineOptions {
+        report_lag_ms: 3_600_000,
+        ..quick()
+    });
+    engine.load("v1");
+    let long = json!({"prompt": "p", "max_tokens": 1_000_000, "stream": true});
+    let mut reader = BufReader::new(engine.post("long", &long).unwrap());
+    reader.read_line(&mut String::new()).unwrap();
+    assert_eq!(engine.client.status().unwrap().in_progress, 0);
+}
+
 /// Guards against a lost answer whose run is missing in the ledger, and against
 /// a second run that is not counted.
 #[test]
