Refuse operators' tokens in files that other users can read

Cause: entry/operators had a reader of its own that accepted a token file with mode 0644 and showed the rejected name of a malformed line, which may hold a token.

Change: the operators' listener uses secrets::OperatorTokens; the other reader is gone. Digests are compared as blake3::Hash, in constant time.

Tests: the operators' fixture writes its file with mode 0600; an entry and an agent with a readable key file end with status 1 and do not print the key.

--- a/crates/masticdock-daemon/src/entry/operators/mod.rs
+++ b/crates/masticdock-daemon/src/entry/operators/mod.rs
@@ -6,7 +6,6 @@
 mod queries;
 #[cfg(test)]
 mod tests;
-mod tokens;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,15 +20,15 @@
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
 use crate::request_http::{HandlerLimits, Listener, name, value};
+use crate::secrets::OperatorTokens;
 use crate::settings::EntrySettings;
 use answer::{Answer, send};
-use tokens::Tokens;
 
 /// What the handlers of requests share.
 struct Shared {
     control: ControlHandle,
     table: ConfigTable,
-    tokens: Tokens,
+    tokens: OperatorTokens,
     limits: HandlerLimits,
     requests: IntCounterVec,
     refused: IntCounter,
@@ -62,7 +61,7 @@
     control: &ControlHandle,
     metrics: &Metrics,
 ) -> anyhow::Result<Handle> {
-    let tokens = Tokens::read(&settings.operator_tokens_file)?;
+    let tokens = OperatorTokens::read(&settings.operator_tokens_file)?;
     let (requests, refused) = register(metrics.registry())?;
     let shared = Arc::new(Shared {
         control: control.clone(),
--- a/crates/masticdock-daemon/src/entry/operators/tests.rs
+++ b/crates/masticdock-daemon/src/entry/operators/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the operators' listener against a stand-in of the table.
 
+use std::fs::Permissions;
+use std::os::unix::fs::PermissionsExt as _;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -45,6 +47,7 @@
     let name = format!("masticdock-tokens-{}-{number}", std::process::id());
     let tokens = std::env::temp_dir().join(name);
     std::fs::write(&tokens, format!("# operators\nana:{TOKEN}\n")).unwrap();
+    std::fs::set_permissions(&tokens, Permissions::from_mode(0o600)).unwrap();
     let table = table::spawn("127.0.0.1:0".parse().unwrap()).unwrap();
     let settings = settings(&table, &tokens);
     let (control, _receiver) = ControlHandle::channel();
--- a/crates/masticdock-daemon/src/secrets/mod.rs
+++ b/crates/masticdock-daemon/src/secrets/mod.rs
@@ -10,7 +10,7 @@
 use std::path::Path;
 
 use anyhow::{Context, bail, ensure};
-use masticdock_core::ids::{Digest, OperatorId};
+use masticdock_core::ids::OperatorId;
 
 /// Context string of the key derivation; changing it locks out all other processes.
 const PEER_KEY_CONTEXT: &str = "masticdock 2026-12-04 peer key v1";
@@ -64,7 +64,7 @@
 
 /// Operators and the digests of their tokens.
 #[derive(Clone)]
-pub(crate) struct OperatorTokens(Vec<(Digest, OperatorId)>);
+pub(crate) struct OperatorTokens(Vec<(blake3::Hash, OperatorId)>);
 
 impl fmt::Debug for OperatorTokens {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -106,7 +106,7 @@
                     "{shown}:{number}: the token has fewer than {TOKEN_LEN_MIN} bytes; tip: use a long random text"
                 );
             }
-            tokens.push((Digest::of(token.as_bytes()), operator));
+            tokens.push((blake3::hash(token.as_bytes()), operator));
         }
         ensure!(
             !tokens.is_empty(),
@@ -117,10 +117,10 @@
 
     /// Returns the operator who presents `token`.
     ///
-    /// Compares digests, so the time tells nothing about the tokens.
-    pub(crate) fn operator_of(&self, token: &str) -> Option<&OperatorId> {
-        let digest = Digest::of(token.as_bytes());
+    /// Digests are compared, in constant time, so the time tells nothing about the tokens.
+    pub(crate) fn operator_of(&self, token: &str) -> Option<OperatorId> {
+        let digest = blake3::hash(token.as_bytes());
         let found = self.0.iter().find(|(known, _)| *known == digest)?;
-        Some(&found.1)
+        Some(found.1.clone())
     }
 }
--- a/crates/masticdock-daemon/src/secrets/tests.rs
+++ b/crates/masticdock-daemon/src/secrets/tests.rs
@@ -56,7 +56,7 @@
     let text = format!("# on loan until March\n\nana:{TOKEN}\nteam:berta:{TOKEN}-b\n");
     let path = file("tokens", &text, 0o600);
     let tokens = OperatorTokens::read(&path).unwrap();
-    let name = |token: &str| tokens.operator_of(token).map(ToString::to_string);
+    let name = |token: &str| tokens.operator_of(token).map(|id| id.to_string());
     assert_eq!(name(TOKEN).as_deref(), Some("ana"));
     assert_eq!(name(&format!("{TOKEN}-b")).as_deref(), Some("team:berta"));
     assert_eq!(name(""), None);
--- a/crates/masticdock-daemon/tests/check.rs
+++ b/crates/masticdock-daemon/tests/check.rs
@@ -1,5 +1,7 @@
 //! `masticdockd check FILE` and start with wrong settings, as snapshots.
 
+use std::fs::Permissions;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -208,3 +210,24 @@
         check("broken_yaml", ENTRY, "node:\n", "node: [\n")
     );
 }
+
+/// Guards against a start with a key that other users can read, and against the
+/// key in the log.
+#[test]
+fn open_key_file_stops_the_start() {
+    const KEY: &str = "a-key-that-no-log-may-show";
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let key = folder.join("open.key");
+    std::fs::write(&key, KEY).unwrap();
+    std::fs::set_permissions(&key, Permissions::from_mode(0o644)).unwrap();
+    let key = key.display().to_string();
+    for (role, text) in [("entry", ENTRY), ("agent", AGENT)] {
+        let text = text.replace("/etc/masticdock/peer.key", &key);
+        let (_, path) = write(&format!("open_key_{role}"), &text);
+        let text = text_of(&masticdockd(&[role, &path]), &folder);
+        assert!(text.starts_with("status 1\n"), "{text}");
+        assert!(text.contains("open.key is open to other users"), "{text}");
+        assert!(text.contains("tip: run `chmod o= open.key`"), "{text}");
+        assert!(!text.contains(KEY));
+    }
+}
