--- a/crates/masticdock-daemon/src/agent/proxy/mod.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/mod.rs
@@ -18,6 +18,7 @@
 
 use super::ServingGate;
 use crate::control::ControlHandle;
+use crate::event_log::Throttle;
 use crate::metrics::Metrics;
 use crate::request_http::{HandlerLimits, Heartbeats, Listener, PeerKey, respond};
 use crate::settings::AgentSettings;
@@ -50,6 +51,7 @@
     control: ControlHandle,
     limits: HandlerLimits,
     claims: Claims,
+    keys_unavailable: Throttle,
     running: Arc<Running>,
     heartbeats: Arc<Heartbeats>,
     metrics: ProxyMetrics,
@@ -96,6 +98,7 @@
     let vm: VmId = context.settings.node.id.parse()?;
     let running = Running::spawn(&context.settings.upstream, vm.clone(), &context.control)?;
     let shared = Arc::new(Shared {
+        keys_unavailable: Throttle::default(),
         claims: Claims::spawn(&context.settings.platform, vm.clone())?,
         limits: HandlerLimits::from(&context.settings.http),
         metrics: ProxyMetrics::register(context.metrics.registry())?,
--- a/crates/masticdock-daemon/src/agent/proxy/run.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/run.rs
@@ -11,9 +11,11 @@
 use super::admit::{self, RunRequest};
 use super::claims::{Claim, ClaimOutcome};
 use super::engine::{self, CallEnd, Sink};
+use super::now_unix_ms;
 use super::plain;
 use super::running::RunningGuard;
 use crate::agent::InProgress;
+use crate::event_log::log_event;
 use crate::request_http::{
     EventWriter, LiveStream, ReadError, StreamEvent, WholeAnswer, name, read_body, respond_problem,
 };
@@ -123,7 +125,17 @@
     timer.observe_duration();
     let claim = match outcome {
         ClaimOutcome::Held(claim) => claim,
-        ClaimOutcome::Refused(problem) => return Some(problem),
+        ClaimOutcome::Refused(problem) => {
+            let unavailable = problem.kind == ProblemKind::TableUnavailable;
+            if unavailable && shared.keys_unavailable.allows(now_unix_ms()) {
+                log_event!(
+                    masticdock_core::event::KEYS_UNAVAILABLE,
+                    "{}",
+                    problem.detail
+                );
+            }
+            return Some(problem);
+        }
         ClaimOutcome::Answer(response) => return replay(response, stream),
     };
     if stream.is_gone() || admitted.request.remaining().is_zero() {
--- a/crates/masticdock-daemon/src/entry/callers/mod.rs
+++ b/crates/masticdock-daemon/src/entry/callers/mod.rs
@@ -18,6 +18,7 @@
 use masticdock_core::units::MonoMs;
 
 use crate::control::ControlHandle;
+use crate::event_log::Throttle;
 use crate::metrics::Metrics;
 use crate::request_http::{HandlerLimits, Listener, PeerKey};
 use crate::settings::EntrySettings;
@@ -49,6 +50,7 @@
     limits: Arc<Limits>,
     crashes: Crashes,
     budget: Mutex<RetryBudget>,
+    shed: Throttle,
     metrics: CallerMetrics,
 }
 
@@ -119,6 +121,7 @@
         limits: Limits::spawn(&settings, &context.control, clock)?,
         crashes: Crashes::new(&settings.requests),
         budget: Mutex::new(RetryBudget::new(settings.requests.retry_budget_percent)),
+        shed: Throttle::default(),
         metrics: CallerMetrics::register(context.metrics.registry())?,
         peer_key: context.peer_key,
         control: context.control,
--- a/crates/masticdock-daemon/src/entry/callers/serve.rs
+++ b/crates/masticdock-daemon/src/entry/callers/serve.rs
@@ -55,7 +55,20 @@
     let guard = match shared.limits.enter(&call, load) {
         Ok(guard) => guard,
         Err(problem) => {
-            count(shared, call.service.name.as_str(), Some(&problem));
+            let service = call.service.name.as_str();
+            let shed = matches!(
+                problem.kind,
+                ProblemKind::Overloaded | ProblemKind::DeadlineUnreachable
+            );
+            if shed && shared.shed.allows(shared.clock.now().0) {
+                log_event!(
+                    masticdock_core::event::REQUESTS_SHED,
+                    "{service}: a request of {}: {}",
+                    call.workspace.name,
+                    problem.detail
+                );
+            }
+            count(shared, service, Some(&problem));
             respond_problem(request, &problem, &[]);
             return;
         }
