End an agent whose VM is marked as stopping

The mark made the VM refuse new work, but the process stayed up, although the mark promises that the VM ends its work and stops. The agent now drains and ends with status 0. A supervisor should not start it again on status 0 while the mark stands. A process test marks a VM and waits for its end.

--- a/crates/masticdock-bench/tests/shared_state.rs
+++ b/crates/masticdock-bench/tests/shared_state.rs
@@ -5,7 +5,7 @@
 
 use masticdock_bench::fleet::{Fleet, FleetPlan, Place};
 use masticdock_core::operator_api::{AuditPage, ChangeRequest, VmList};
-use masticdock_core::resource::{Model, Resource, ResourceChange};
+use masticdock_core::resource::{Mark, Model, Resource, ResourceChange, VmMark};
 use masticdock_standins::Faults;
 
 /// Time within which a change is in force everywhere.
@@ -215,3 +215,15 @@
     let vm = list.vms.iter().find(|vm| vm.id.as_str() == "vm-2").unwrap();
     assert!(vm.leaving);
 }
+
+// Guards against a VM that an operator stops and that stays up for ever.
+#[test]
+fn a_vm_marked_as_stopping_ends_with_status_0() {
+    let mut fleet = fleet();
+    let mark = Resource::VmMark(VmMark {
+        name: "vm-3".parse().unwrap(),
+        mark: Mark::Stopping,
+    });
+    fleet.put(vec![mark]).unwrap();
+    assert!(fleet.wait_ended("vm-3", START).unwrap());
+}
--- a/crates/masticdock-daemon/src/agent/run.rs
+++ b/crates/masticdock-daemon/src/agent/run.rs
@@ -76,7 +76,7 @@
     let ready = move || control::readiness(&snapshots.load());
     status::spawn(settings.node.status_addr, metrics.clone(), Arc::new(ready))?;
 
-    stop.wait();
+    stop.wait_or(|| drain::is_marked_stopping(&control, &settings.node.id));
     gate.stop();
     drain::leave_when_idle(&control, || proxy.in_progress());
     Ok(())
--- a/crates/masticdock-daemon/src/drain/mod.rs
+++ b/crates/masticdock-daemon/src/drain/mod.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use masticdock_core::event;
+use masticdock_core::ids::VmId;
+use masticdock_core::resource::Mark;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::flag;
 
@@ -22,6 +24,13 @@
 /// Time in which the control thread sends its last datagrams.
 const FAREWELL_TIME: Duration = Duration::from_millis(150);
 
+/// Returns true when an operator marked this VM as stopping.
+pub(crate) fn is_marked_stopping(control: &ControlHandle, own_id: &str) -> bool {
+    let own_id: Result<VmId, _> = own_id.parse();
+    let config = &control.snapshot().config;
+    own_id.is_ok_and(|own_id| config.vm_mark(&own_id) == Some(Mark::Stopping))
+}
+
 /// Tells the others that this process leaves and waits until it is idle.
 pub(crate) fn leave_when_idle(control: &ControlHandle, in_progress: impl Fn() -> usize) {
     log_event!(
@@ -65,8 +74,13 @@
 
     /// Blocks until the process is asked to stop.
     pub(crate) fn wait(&self) {
-        while !self.is_set() {
-            std::thread::sleep(POLL_INTERVAL);
+        self.wait_or(|| false);
+    }
+
+    /// Blocks until the process is asked to stop by a signal or by `asked`.
+    pub(crate) fn wait_or(&self, asked: impl Fn() -> bool) {
+        while !self.is_set() && !asked() {
+            thread::sleep(POLL_INTERVAL);
         }
     }
 }
