--- a/crates/masticdock-core/src/membership/fresh.rs
+++ b/crates/masticdock-core/src/membership/fresh.rs
@@ -50,6 +50,11 @@
         self.sent.insert(key, entry);
     }
 
+    /// Returns true when the record still has to be spread.
+    pub fn contains(&self, key: &K) -> bool {
+        self.sent.contains_key(key)
+    }
+
     /// Returns true when nothing has to be spread.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/masticdock-core/src/membership/merge.rs
+++ b/crates/masticdock-core/src/membership/merge.rs
@@ -3,7 +3,7 @@
 //! Liveness and status are joined separately, each by a total order, so merging
 //! gives the same result in whatever order updates arrive and however often.
 
-use super::{Liveness, Member, MemberStatus};
+use super::{Liveness, Member, MemberStatus, StatusUpdate};
 
 const fn severity(liveness: Liveness) -> u8 {
     match liveness {
@@ -39,6 +39,19 @@
     None
 }
 
+/// Merges the status that `update` carries into `held`; returns true when `held` changed.
+pub(super) fn merge_status_update(held: &mut Member, update: &StatusUpdate) -> bool {
+    if update.boot_epoch != held.boot_epoch {
+        return false;
+    }
+    let Some(status) = merge_status(&held.status, &update.status) else {
+        return false;
+    };
+    let services = std::mem::take(&mut held.status.services);
+    held.status = MemberStatus { services, ..status };
+    true
+}
+
 /// Merges `update` into `held`; returns true when `held` changed.
 pub fn merge(held: &mut Member, update: &Member) -> bool {
     if update.boot_epoch < held.boot_epoch {
--- a/crates/masticdock-core/src/membership/message.rs
+++ b/crates/masticdock-core/src/membership/message.rs
@@ -4,8 +4,8 @@
 
 use compact_str::CompactString;
 
-use super::Member;
-use crate::ids::Revision;
+use super::{Member, MemberStatus};
+use crate::ids::{BootEpoch, Revision};
 use crate::limiter::DemandRecord;
 use crate::poison::CrashRecord;
 
@@ -22,6 +22,20 @@
     Push,
 }
 
+/// New status of a member whose other fields the receiver knows.
+///
+/// A version that changes on 1,800 VMs causes thousands of these, and they take
+/// a third of the bytes of a whole [`Member`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StatusUpdate {
+    /// The member.
+    pub id: CompactString,
+    /// Boot that the status belongs to.
+    pub boot_epoch: BootEpoch,
+    /// The status; its `services` are left out and keep the value held.
+    pub status: MemberStatus,
+}
+
 /// One gossip datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GossipMessage {
@@ -35,6 +49,8 @@
     pub revision: Revision,
     /// Fresh members.
     pub updates: Vec<Member>,
+    /// Fresh statuses.
+    pub statuses: Vec<StatusUpdate>,
     /// Fresh crashes.
     pub crashes: Vec<CrashRecord>,
     /// Fresh demands of entries.
--- a/crates/masticdock-core/src/membership/mod.rs
+++ b/crates/masticdock-core/src/membership/mod.rs
@@ -16,7 +16,7 @@
 pub use fresh::{FreshQueue, send_limit};
 pub use member::{Liveness, Member, MemberStatus, Phase, Role};
 pub use merge::merge;
-pub use message::{GossipKind, GossipMessage, Outgoing};
+pub use message::{GossipKind, GossipMessage, Outgoing, StatusUpdate};
 pub use readers::is_reader;
 pub use region::{RegionContacts, RegionCount, count_region};
 pub use swim::{Notice, Swim, SwimConfig};
--- a/crates/masticdock-core/src/membership/swim/mod.rs
+++ b/crates/masticdock-core/src/membership/swim/mod.rs
@@ -79,6 +79,7 @@
 enum FreshKey {
     Revision,
     Member(CompactString),
+    Status(CompactString),
     Crash(crate::poison::CrashRecord),
 }
 
@@ -205,7 +206,7 @@
             seq: seq + 1,
             ..status
         };
-        self.spread_member(self.own_id.clone());
+        self.spread_status(self.own_id.clone());
     }
 
     /// Declares that this process leaves for good and returns the datagrams that say so.
@@ -263,6 +264,17 @@
         }
     }
 
+    /// Spreads the status alone, unless the whole member is on its way anyhow.
+    fn spread_status(&mut self, id: CompactString) {
+        let whole = FreshKey::Member(id.clone());
+        if self.fresh.contains(&whole) {
+            self.spread_member(id);
+            return;
+        }
+        self.changes += 1;
+        self.fresh.refresh(FreshKey::Status(id));
+    }
+
     fn spread_member(&mut self, id: CompactString) {
         self.changes += 1;
         self.fresh.refresh(FreshKey::Member(id));
--- a/crates/masticdock-core/src/membership/swim/receive.rs
+++ b/crates/masticdock-core/src/membership/swim/receive.rs
@@ -4,9 +4,9 @@
 
 use compact_str::CompactString;
 
-use super::super::merge::merge;
+use super::super::merge::{merge, merge_status_update};
 use super::super::probe::Relay;
-use super::super::{GossipKind, GossipMessage, Liveness, Member, Outgoing};
+use super::super::{GossipKind, GossipMessage, Liveness, Member, Outgoing, StatusUpdate};
 use super::{Notice, Swim};
 use crate::ids::Incarnation;
 use crate::units::MonoMs;
@@ -25,6 +25,9 @@
         for update in &message.updates {
             self.merge_update(update, now);
         }
+        for status in &message.statuses {
+            self.merge_status_update(status);
+        }
         for crash in message.crashes {
             self.add_crash(crash);
         }
@@ -119,6 +122,7 @@
             return;
         };
         let was = held.liveness;
+        let statement = (held.boot_epoch, held.incarnation, was);
         let changed = if update.liveness == Liveness::Dead && self.regions.is_cut(&update.region) {
             // The other process did not notice the cut; its verdict is kept as a suspicion.
             let softened = Member {
@@ -133,10 +137,32 @@
             return;
         }
         let is = held.liveness;
-        self.spread_member(update.id.clone());
+        if statement == (held.boot_epoch, held.incarnation, is) {
+            self.spread_status(update.id.clone());
+        } else {
+            self.spread_member(update.id.clone());
+        }
         self.note_liveness(&update.id, was, is, now);
     }
 
+    /// Takes a status; one of an unknown member or another boot is left to the
+    /// whole member, which is spread at each start.
+    fn merge_status_update(&mut self, update: &StatusUpdate) {
+        let Some(held) = self.members.get_mut(&update.id) else {
+            return;
+        };
+        if update.id == self.own_id {
+            let same_boot = update.boot_epoch == held.boot_epoch;
+            if same_boot && update.status.leaving && !held.status.leaving {
+                self.notices.push(Notice::OwnLeaving);
+            }
+            return;
+        }
+        if merge_status_update(held, update) {
+            self.spread_status(update.id.clone());
+        }
+    }
+
     fn insert_unknown(&mut self, update: &Member, now: MonoMs) {
         // A member that is gone is of no interest to a process that never knew it.
         if matches!(update.liveness, Liveness::Dead | Liveness::Left) {
--- a/crates/masticdock-core/src/membership/swim/send.rs
+++ b/crates/masticdock-core/src/membership/swim/send.rs
@@ -6,7 +6,9 @@
 use rand::seq::IteratorRandom;
 
 use super::super::fresh::send_limit;
-use super::super::{GossipKind, GossipMessage, Liveness, Member, Outgoing, Role};
+use super::super::{
+    GossipKind, GossipMessage, Liveness, Member, MemberStatus, Outgoing, Role, StatusUpdate,
+};
 use super::{FreshKey, Swim};
 
 /// Bytes of one datagram left for records; the whole is at most 1,200.
@@ -17,6 +19,8 @@
 const DEMAND_BYTES: usize = 32;
 /// Bytes of a member without its texts.
 const MEMBER_BYTES: usize = 88;
+/// Bytes of a status without its texts.
+const STATUS_BYTES: usize = 40;
 /// Bytes of one text beyond its characters.
 const TEXT_BYTES: usize = 4;
 
@@ -36,6 +40,29 @@
     size
 }
 
+/// Estimates the encoded size of a status.
+fn status_size(member: &Member) -> usize {
+    let mut size = STATUS_BYTES + member.id.len();
+    if let Some(version) = &member.status.serving_version {
+        size += version.as_str().len() + TEXT_BYTES;
+    }
+    if let Some((rollout, version)) = &member.status.failed {
+        size += rollout.as_str().len() + version.as_str().len() + 2 * TEXT_BYTES;
+    }
+    size
+}
+
+fn status_of(member: &Member) -> StatusUpdate {
+    StatusUpdate {
+        id: member.id.clone(),
+        boot_epoch: member.boot_epoch,
+        status: MemberStatus {
+            services: Vec::new(),
+            ..member.status.clone()
+        },
+    }
+}
+
 impl Swim {
     pub(super) fn take_seq(&mut self) -> u64 {
         self.next_seq += 1;
@@ -68,12 +95,15 @@
             FreshKey::Revision => 0,
             FreshKey::Crash(_) => CRASH_BYTES,
             FreshKey::Member(id) => members.get(id).map_or(0, member_size),
+            FreshKey::Status(id) => members.get(id).map_or(0, status_size),
         };
         let mut crashes = Vec::new();
+        let mut statuses = Vec::new();
         for key in self.fresh.take(room, limit, size) {
             match key {
                 FreshKey::Revision => {}
                 FreshKey::Crash(crash) => crashes.push(crash),
+                FreshKey::Status(id) => statuses.extend(self.members.get(&id).map(status_of)),
                 FreshKey::Member(id) => {
                     if forced == Some(id.as_str()) {
                         continue;
@@ -88,6 +118,7 @@
             kind,
             revision: self.revision,
             updates,
+            statuses,
             crashes,
             demands: Vec::new(),
         }
@@ -155,6 +186,7 @@
                 kind: GossipKind::Push,
                 revision: self.revision,
                 updates: Vec::new(),
+                statuses: Vec::new(),
                 crashes: Vec::new(),
                 demands,
             };
--- a/crates/masticdock-core/tests/membership_swim.rs
+++ b/crates/masticdock-core/tests/membership_swim.rs
@@ -6,7 +6,8 @@
 use compact_str::{CompactString, format_compact};
 use masticdock_core::ids::{BootEpoch, Incarnation, Revision};
 use masticdock_core::membership::{
-    FleetEntry, Liveness, Member, MemberStatus, Notice, Outgoing, Role, Swim, SwimConfig,
+    FleetEntry, GossipKind, GossipMessage, Liveness, Member, MemberStatus, Notice, Outgoing, Phase,
+    Role, StatusUpdate, Swim, SwimConfig,
 };
 use masticdock_core::units::MonoMs;
 
@@ -273,6 +274,63 @@
     );
 }
 
+// Guards against a status without its member that loses the services of the
+// member, or that some process never hears of.
+#[test]
+fn a_status_reaches_every_process_and_keeps_the_services() {
+    let mut network = Network::new(30, 3, SwimConfig::default());
+    network.run(5);
+    let before = network.members[&addr(0)]
+        .member("vm-3")
+        .unwrap()
+        .status
+        .services
+        .clone();
+    let own = network.members.get_mut(&addr(3)).unwrap();
+    let serving_version = Some("v2".parse().unwrap());
+    own.set_own_status(MemberStatus {
+        phase: Phase::Serving,
+        serving_version: serving_version.clone(),
+        ..own.own().status.clone()
+    });
+    network.run(4);
+    for swim in network.members.values() {
+        let status = &swim.member("vm-3").unwrap().status;
+        assert_eq!(status.serving_version, serving_version);
+        assert_eq!(status.services, before);
+    }
+}
+
+// Guards against a status of a former boot that overwrites the present one.
+#[test]
+fn a_status_of_another_boot_is_ignored() {
+    let mut network = Network::new(3, 1, SwimConfig::default());
+    network.run(3);
+    let swim = network.members.get_mut(&addr(0)).unwrap();
+    let held = swim.member("vm-1").unwrap().clone();
+    let update = StatusUpdate {
+        id: held.id.clone(),
+        boot_epoch: BootEpoch(held.boot_epoch.0 + 1),
+        status: MemberStatus {
+            seq: held.status.seq + 5,
+            leaving: true,
+            ..held.status.clone()
+        },
+    };
+    let message = GossipMessage {
+        from: CompactString::const_new("vm-2"),
+        seq: 1,
+        kind: GossipKind::Push,
+        revision: Revision(0),
+        updates: Vec::new(),
+        statuses: vec![update],
+        crashes: Vec::new(),
+        demands: Vec::new(),
+    };
+    swim.receive(addr(2), message, MonoMs(60_000));
+    assert_eq!(swim.member("vm-1"), Some(&held));
+}
+
 // Guards against a configuration revision that some process never hears of.
 #[test]
 fn a_higher_revision_reaches_every_process() {
--- a/crates/masticdock-daemon/src/net/gossip/tests.rs
+++ b/crates/masticdock-daemon/src/net/gossip/tests.rs
@@ -29,6 +29,7 @@
         kind: GossipKind::Ping,
         revision: Revision(4),
         updates: (0..updates).map(member).collect(),
+        statuses: Vec::new(),
         crashes: Vec::new(),
         demands: Vec::new(),
     }
--- a/crates/masticdock-wire/benches/shared_state.rs
+++ b/crates/masticdock-wire/benches/shared_state.rs
@@ -264,6 +264,7 @@
         kind: GossipKind::Ping,
         revision: Revision(1),
         updates: (1..4).map(member).collect(),
+        statuses: Vec::new(),
         crashes: Vec::new(),
         demands: Vec::new(),
     });
--- a/crates/masticdock-wire/schema/peer.capnp
+++ b/crates/masticdock-wire/schema/peer.capnp
@@ -55,6 +55,20 @@
   failedVersion @15 :Text;
 }
 
+struct StatusUpdate {
+  # Status of a member whose other fields the receiver knows; a third of the
+  # size of a MemberUpdate.
+  id @0 :Text;
+  bootEpoch @1 :UInt64;
+  seq @2 :UInt64;
+  phase @3 :VmPhase;
+  leaving @4 :Bool;
+  # Texts are empty when there is none.
+  servingVersion @5 :Text;
+  failedRollout @6 :Text;
+  failedVersion @7 :Text;
+}
+
 struct CrashRecord {
   # Request fingerprint, 16 bytes.
   fingerprint @0 :Data;
@@ -86,6 +100,7 @@
   updates @7 :List(MemberUpdate);
   crashes @8 :List(CrashRecord);
   demands @9 :List(DemandRecord);
+  statuses @10 :List(StatusUpdate);
 }
 
 struct Change {
--- a/crates/masticdock-wire/src/gossip.rs
+++ b/crates/masticdock-wire/src/gossip.rs
@@ -1,13 +1,14 @@
 //! Conversion of gossip datagrams.
 
 use compact_str::{CompactString, ToCompactString};
-use masticdock_core::ids::Revision;
+use masticdock_core::ids::{BootEpoch, Revision};
 use masticdock_core::limiter::DemandRecord;
-use masticdock_core::membership::{GossipKind, GossipMessage, Member};
+use masticdock_core::membership::{GossipKind, GossipMessage, Member, MemberStatus, StatusUpdate};
 use masticdock_core::poison::{CrashRecord, Fingerprint};
 use masticdock_core::units::UnixMs;
 
-use crate::peer_capnp::{crash_record, demand_record, gossip};
+use crate::member::{phase_from_wire, phase_to_wire};
+use crate::peer_capnp::{crash_record, demand_record, gossip, status_update};
 use crate::{WireError, read_member, text, write_member};
 
 /// Most words that a datagram may unpack to; bounds the work for a malicious one.
@@ -35,6 +36,7 @@
         GossipKind::Push => root.reborrow().init_kind().set_push(()),
     }
     write_updates(&message.updates, root.reborrow());
+    write_statuses(&message.statuses, root.reborrow());
     write_crashes(&message.crashes, root.reborrow());
     write_demands(&message.demands, root);
     let mut bytes = Vec::new();
@@ -54,6 +56,50 @@
     }
 }
 
+fn write_statuses(statuses: &[StatusUpdate], root: gossip::Builder<'_>) {
+    if statuses.is_empty() {
+        return;
+    }
+    let len = count(statuses.len());
+    let mut list = root.init_statuses(len);
+    for (index, update) in (0..len).zip(statuses) {
+        write_status(update, list.reborrow().get(index));
+    }
+}
+
+fn write_status(update: &StatusUpdate, mut record: status_update::Builder<'_>) {
+    let status = &update.status;
+    record.set_id(update.id.as_str());
+    record.set_boot_epoch(update.boot_epoch.0);
+    record.set_seq(status.seq);
+    record.set_phase(phase_to_wire(status.phase));
+    record.set_leaving(status.leaving);
+    if let Some(version) = &status.serving_version {
+        record.set_serving_version(version.as_str());
+    }
+    if let Some((rollout, version)) = &status.failed {
+        record.set_failed_rollout(rollout.as_str());
+        record.set_failed_version(version.as_str());
+    }
+}
+
+fn read_status(record: status_update::Reader<'_>) -> Result<StatusUpdate, WireError> {
+    let rollout = text::parse_optional("failedRollout", record.get_failed_rollout())?;
+    let version = text::parse_optional("failedVersion", record.get_failed_version())?;
+    Ok(StatusUpdate {
+        id: CompactString::new(text::read("id", record.get_id())?),
+        boot_epoch: BootEpoch(record.get_boot_epoch()),
+        status: MemberStatus {
+            seq: record.get_seq(),
+            phase: phase_from_wire(record.get_phase()?),
+            serving_version: text::parse_optional("servingVersion", record.get_serving_version())?,
+            leaving: record.get_leaving(),
+            services: Vec::new(),
+            failed: rollout.zip(version),
+        },
+    })
+}
+
 fn write_crashes(crashes: &[CrashRecord], root: gossip::Builder<'_>) {
     if crashes.is_empty() {
         return;
@@ -98,6 +144,10 @@
     for update in root.get_updates()? {
         updates.push(read_member(update)?);
     }
+    let mut statuses = Vec::new();
+    for status in root.get_statuses()? {
+        statuses.push(read_status(status)?);
+    }
     let mut crashes = Vec::new();
     for crash in root.get_crashes()? {
         crashes.push(read_crash(crash)?);
@@ -112,6 +162,7 @@
         kind: read_kind(root)?,
         revision: Revision(root.get_revision()),
         updates,
+        statuses,
         crashes,
         demands,
     })
--- a/crates/masticdock-wire/src/member.rs
+++ b/crates/masticdock-wire/src/member.rs
@@ -114,7 +114,7 @@
     }
 }
 
-const fn phase_to_wire(phase: Phase) -> VmPhase {
+pub(crate) const fn phase_to_wire(phase: Phase) -> VmPhase {
     match phase {
         Phase::Idle => VmPhase::Idle,
         Phase::Fetching => VmPhase::Fetching,
@@ -126,7 +126,7 @@
     }
 }
 
-const fn phase_from_wire(phase: VmPhase) -> Phase {
+pub(crate) const fn phase_from_wire(phase: VmPhase) -> Phase {
     match phase {
         VmPhase::Idle => Phase::Idle,
         VmPhase::Fetching => Phase::Fetching,
--- a/crates/masticdock-wire/src/peer_capnp.rs
+++ b/crates/masticdock-wire/src/peer_capnp.rs
@@ -1277,6 +1277,593 @@
     }
 }
 
+pub mod status_update {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_boot_epoch(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_seq(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_phase(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::VmPhase, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.reader.get_bool_field(144)
+        }
+        #[inline]
+        pub fn get_serving_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_serving_version(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_failed_rollout(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_failed_rollout(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_failed_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_failed_version(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 4,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_boot_epoch(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_boot_epoch(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_seq(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_seq(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_phase(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::VmPhase, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn set_phase(&mut self, value: crate::peer_capnp::VmPhase) {
+            self.builder.set_data_field::<u16>(8, value as u16);
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.builder.get_bool_field(144)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: bool) {
+            self.builder.set_bool_field(144, value);
+        }
+        #[inline]
+        pub fn get_serving_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_serving_version(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_serving_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_serving_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_failed_rollout(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_failed_rollout(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_failed_rollout(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_failed_rollout(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_failed_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_failed_version(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_failed_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_failed_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(63, 159, 32, 36, 94, 8, 128, 146),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(83, 104, 233, 242, 164, 208, 193, 183),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 116, 97, 116, 117),
+            ::capnp::word(115, 85, 112, 100, 97, 116, 101, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 144, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 116, 69, 112, 111, 99),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 149, 129, 162, 247, 163, 225, 245),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 110, 103, 86),
+            ::capnp::word(101, 114, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 101, 100, 82, 111),
+            ::capnp::word(108, 108, 111, 117, 116, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 101, 100, 86, 101),
+            ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::peer_capnp::VmPhase as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 6, 7, 0, 4, 3, 2, 5];
+        pub(crate) const TYPE_ID: u64 = 0x9280_085e_2420_9f3f;
+    }
+}
+
 pub mod crash_record {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2277,6 +2864,21 @@
         pub fn has_demands(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_statuses(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::status_update::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_statuses(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -2286,7 +2888,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 5,
+                pointers: 6,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2527,6 +3129,42 @@
         pub fn has_demands(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_statuses(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::status_update::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_statuses(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::status_update::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_statuses(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::status_update::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(5),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_statuses(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline {
@@ -2545,73 +3183,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 148] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 134, 20, 176, 171, 110, 30, 222),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(83, 104, 233, 242, 164, 208, 193, 183),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(42, 43, 103, 161, 243, 39, 245, 173),
-            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2674,6 +3319,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 116, 117, 115, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(63, 159, 32, 36, 94, 8, 128, 146),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2684,6 +3342,7 @@
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::member_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::demand_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peer_capnp::status_update::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2702,9 +3361,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 0, 2, 3, 1, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 0, 2, 3, 1, 7, 4];
         pub(crate) const TYPE_ID: u64 = 0xde1e_6eab_b014_86f4;
     }
 
@@ -2848,7 +3507,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 4,
-                    pointers: 5,
+                    pointers: 6,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -3007,7 +3666,7 @@
                 ::capnp::word(42, 43, 103, 161, 243, 39, 245, 173),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(244, 134, 20, 176, 171, 110, 30, 222),
-                ::capnp::word(5, 0, 7, 0, 1, 0, 4, 0),
+                ::capnp::word(6, 0, 7, 0, 1, 0, 4, 0),
                 ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/masticdock-wire/tests/gossip.rs
+++ b/crates/masticdock-wire/tests/gossip.rs
@@ -4,7 +4,7 @@
 use masticdock_core::ids::{BootEpoch, Incarnation, Revision};
 use masticdock_core::limiter::DemandRecord;
 use masticdock_core::membership::{
-    GossipKind, GossipMessage, Liveness, Member, MemberStatus, Phase, Role,
+    GossipKind, GossipMessage, Liveness, Member, MemberStatus, Phase, Role, StatusUpdate,
 };
 use masticdock_core::poison::{CrashRecord, Fingerprint};
 use masticdock_core::units::UnixMs;
@@ -35,6 +35,14 @@
         seq: 77,
         kind,
         revision: Revision(13_000),
+        statuses: vec![StatusUpdate {
+            id: member.id.clone(),
+            boot_epoch: member.boot_epoch,
+            status: MemberStatus {
+                services: Vec::new(),
+                ..member.status.clone()
+            },
+        }],
         updates: vec![member],
         crashes: vec![CrashRecord {
             fingerprint: Fingerprint([7; 16]),
