--- a/crates/masticdock-bench/src/spread/sample.rs
+++ b/crates/masticdock-bench/src/spread/sample.rs
@@ -12,6 +12,9 @@
 /// Counter of the agents' control messages.
 const CONTROL_BYTES: &str = "masticdock_control_bytes_total";
 
+/// Time after the transfer until gossip has spread the last changes of status.
+const GOSSIP_SETTLE: Duration = Duration::from_secs(20);
+
 /// Time over which idle agents are measured.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -155,6 +158,7 @@
         fleet: &mut Fleet,
         killed: &BTreeSet<String>,
     ) -> anyhow::Result<f64> {
+        std::thread::sleep(GOSSIP_SETTLE);
         let mut before = Vec::new();
         for vm in &self.vms {
             if !killed.contains(&vm.id) {
