--- a/crates/masticdock-cli/src/command/apply.rs
+++ b/crates/masticdock-cli/src/command/apply.rs
@@ -6,20 +6,17 @@
 
 use masticdock_core::ids::Revision;
 use masticdock_core::operator_api::ChangeAnswer;
-use masticdock_core::resource::{Resource, ResourceChange, ResourceKind, Rollout};
+use masticdock_core::resource::{Resource, ResourceChange};
 
 use crate::cli::ApplyArgs;
 use crate::client::Client;
-use crate::error::{CliError, CliErrorKind};
+use crate::error::CliError;
 use crate::yaml;
 
 pub(super) fn run(client: &Client, args: &ApplyArgs) -> Result<ExitCode, CliError> {
     let resources = read_resources(&args.file)?;
     let mut changes = Vec::with_capacity(resources.len());
-    for mut resource in resources {
-        if let Resource::Rollout(rollout) = &mut resource {
-            remember_previous_version(client, rollout)?;
-        }
+    for resource in resources {
         changes.push(ResourceChange::Put(resource));
     }
     let keys: Vec<String> = changes
@@ -34,29 +31,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Keeps the version that a rollout replaces, for `rollout undo`.
-fn remember_previous_version(client: &Client, rollout: &mut Rollout) -> Result<(), CliError> {
-    if rollout.previous_version.is_some() {
-        return Ok(());
-    }
-    let current = match client.resources(ResourceKind::Rollout, Some(rollout.name.as_str())) {
-        Ok(list) => list,
-        Err(error) if error.kind == CliErrorKind::NotFound => return Ok(()),
-        Err(error) => return Err(error),
-    };
-    for entry in current.resources {
-        let Resource::Rollout(old) = entry.resource else {
-            continue;
-        };
-        rollout.previous_version = if old.version == rollout.version {
-            old.previous_version
-        } else {
-            Some(old.version)
-        };
-    }
-    Ok(())
-}
-
 pub(super) fn print_outcome(key: &str, verb: &str, answer: &ChangeAnswer, dry_run: bool) {
     if dry_run {
         println!(
--- a/crates/masticdock-cli/src/command/rollout.rs
+++ b/crates/masticdock-cli/src/command/rollout.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use indicatif::{ProgressBar, ProgressStyle};
+use masticdock_core::config_log::{ConfigState, Stored};
 use masticdock_core::ids::{Revision, RolloutId};
 use masticdock_core::operator_api::{RolloutState, RolloutStatus};
 use masticdock_core::resource::{Resource, ResourceChange, ResourceKind, Rollout};
+use masticdock_core::rollout;
 
 use super::apply;
 use crate::cli::{OutputFormat, RolloutCommand, StatusArgs};
@@ -38,22 +40,31 @@
             rollout.paused = false;
             Ok(())
         }),
-        RolloutCommand::Undo { name } => {
-            edit(client, name, "returned to its previous version", undo)
-        }
+        RolloutCommand::Undo { name } => edit(
+            client,
+            name,
+            "returned to its previous version",
+            |rollout| undo(client, rollout),
+        ),
     }
 }
 
-fn undo(rollout: &mut Rollout) -> Result<(), CliError> {
-    let Some(previous) = rollout.previous_version.take() else {
-        return Err(CliError::new(
-            CliErrorKind::Failed,
-            format!("rollout {} has no previous version", rollout.name),
-        )
-        .with_tip("apply the rollout with the version that you want"));
-    };
-    rollout.previous_version = Some(std::mem::replace(&mut rollout.version, previous));
-    rollout.paused = false;
+/// Returns to the previous version and drops adapters that belong to the other one.
+fn undo(client: &Client, rollout: &mut Rollout) -> Result<(), CliError> {
+    let mut resources = Vec::new();
+    for kind in [ResourceKind::Version, ResourceKind::Adapter] {
+        for entry in client.resources(kind, None)?.resources {
+            resources.push(Stored {
+                revision: entry.revision,
+                resource: entry.resource,
+            });
+        }
+    }
+    let config = ConfigState::from_resources(Revision::default(), resources);
+    *rollout = rollout::undo(&config, rollout).map_err(|error| {
+        let message = format!("rollout {} cannot be undone: {error}", rollout.name);
+        CliError::new(CliErrorKind::Failed, message)
+    })?;
     Ok(())
 }
 
