Remove code that nothing uses and the temporary lint exceptions

Cause: the daemon's root allowed unused code while its parts were written. Change: unused waits, reads and re-exports are gone; accessors for tests are compiled for tests alone. The transfer's reload is gone: a copy is had again by wanting it anew, as switching does, and its test now does the same.

--- a/crates/masticdock-bench/src/traffic/mod.rs
+++ b/crates/masticdock-bench/src/traffic/mod.rs
@@ -41,6 +41,9 @@
     /// Mixed requests per second.
     #[arg(long, default_value_t = 80)]
     pub rate: u64,
+    /// Requests that an engine runs at once in the overload.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=256))]
+    pub batch: u32,
 }
 
 /// Last line of the output.
@@ -131,7 +134,7 @@
     report.naive_wrong_answer = naive.wrong_answer;
 
     log::info!("overloading the engines");
-    let overload = overload::run(&mut fleet, &sites)?;
+    let overload = overload::run(&mut fleet, &sites, args.batch)?;
     report.overload_high_p95_ms = overload.loaded_p95_ms;
     report.overload_high_unloaded_p95_ms = overload.unloaded_p95_ms;
     report.overload_high_ratio = overload.loaded_p95_ms / overload.unloaded_p95_ms;
--- a/crates/masticdock-bench/src/traffic/overload.rs
+++ b/crates/masticdock-bench/src/traffic/overload.rs
@@ -11,9 +11,6 @@
 use super::workload::{Kind, Logical, completion};
 use crate::fleet::Fleet;
 
-/// Requests that an engine runs at once.
-const BATCH: u64 = 4;
-
 /// Tokens of a request.
 const TOKENS: u32 = 40;
 
@@ -63,9 +60,9 @@
 
 /// Measures requests of high priority without and with the overload.
 #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-pub(super) fn run(fleet: &mut Fleet, sites: &Sites) -> anyhow::Result<Overload> {
+pub(super) fn run(fleet: &mut Fleet, sites: &Sites, batch: u32) -> anyhow::Result<Overload> {
     let options = EngineOptions {
-        batch: u32::try_from(BATCH)?,
+        batch,
         token_interval_ms: TOKEN_MS,
         ..setup::engine_options()
     };
@@ -82,7 +79,7 @@
         }
     }
     let service_ms = u64::from(TOKENS) * TOKEN_MS;
-    let capacity_per_s = ENGINES as u64 * BATCH * 1_000 / service_ms;
+    let capacity_per_s = ENGINES as u64 * u64::from(batch) * 1_000 / service_ms;
     let rate = 2 * capacity_per_s;
     let priorities = [
         "high", "normal", "low", "normal", "low", "normal", "low", "normal", "low", "low",
--- a/crates/masticdock-daemon/src/agent/gate.rs
+++ b/crates/masticdock-daemon/src/agent/gate.rs
@@ -4,8 +4,7 @@
 //! new work is taken, and how many requests are in progress. Entering and
 //! closing are atomic, so once a close returned no request can start.
 
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use masticdock_core::ids::VersionId;
 
@@ -48,7 +47,6 @@
 #[derive(Debug)]
 pub(crate) struct ServingGate {
     inner: Mutex<Inner>,
-    idle: Condvar,
 }
 
 impl ServingGate {
@@ -61,7 +59,6 @@
                 stopped: false,
                 in_progress: 0,
             }),
-            idle: Condvar::new(),
         })
     }
 
@@ -124,16 +121,6 @@
     pub(crate) fn in_progress(&self) -> u32 {
         self.lock().in_progress
     }
-
-    /// Waits until no request is in progress; returns false when `timeout` passed first.
-    pub(crate) fn wait_idle(&self, timeout: Duration) -> bool {
-        let inner = self.lock();
-        let (inner, _) = self
-            .idle
-            .wait_timeout_while(inner, timeout, |inner| inner.in_progress > 0)
-            .unwrap_or_else(PoisonError::into_inner);
-        inner.in_progress == 0
-    }
 }
 
 /// One admitted request; ends when dropped.
@@ -154,8 +141,5 @@
     fn drop(&mut self) {
         let mut inner = self.gate.lock();
         inner.in_progress -= 1;
-        if inner.in_progress == 0 {
-            self.gate.idle.notify_all();
-        }
     }
 }
--- a/crates/masticdock-daemon/src/agent/proxy/claims.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of request keys in the table.
 
 use std::collections::HashSet;
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -60,7 +60,6 @@
 #[derive(Default)]
 struct Open {
     claims: Mutex<HashSet<ClaimId>>,
-    settled: Condvar,
 }
 
 /// Claims request keys and settles them in the background when the table is down.
@@ -100,17 +99,6 @@
         self.open.lock().len()
     }
 
-    /// Waits until every claim is settled; returns false when `timeout` passed first.
-    pub(super) fn wait_settled(&self, timeout: Duration) -> bool {
-        let claims = self.open.lock();
-        let (claims, _) = self
-            .open
-            .settled
-            .wait_timeout_while(claims, timeout, |claims| !claims.is_empty())
-            .unwrap_or_else(PoisonError::into_inner);
-        claims.is_empty()
-    }
-
     /// Claims the key of `request`; nothing runs unless the claim is held.
     pub(super) fn claim(
         &self,
@@ -223,11 +211,7 @@
     }
 
     fn forget(&self, claim: &ClaimId) {
-        let mut claims = self.lock();
-        claims.remove(claim);
-        if claims.is_empty() {
-            self.settled.notify_all();
-        }
+        self.lock().remove(claim);
     }
 }
 
--- a/crates/masticdock-daemon/src/agent/proxy/mod.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/mod.rs
@@ -9,9 +9,8 @@
 mod run;
 mod running;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use masticdock_core::ids::VmId;
 use tiny_http::{Method, Request};
@@ -45,7 +44,6 @@
 
 struct Shared {
     settings: Arc<AgentSettings>,
-    vm: VmId,
     peer_key: PeerKey,
     gate: Arc<ServingGate>,
     control: ControlHandle,
@@ -64,8 +62,9 @@
 }
 
 impl Handle {
+    #[cfg(test)]
     /// Returns the bound address.
-    pub(crate) const fn addr(&self) -> SocketAddr {
+    pub(crate) const fn addr(&self) -> std::net::SocketAddr {
         self.listener.addr()
     }
 
@@ -73,20 +72,6 @@
     pub(crate) fn in_progress(&self) -> usize {
         self.listener.in_progress() + self.shared.claims.unsettled()
     }
-
-    /// Waits until no request is in progress and every claim is settled; returns
-    /// false when `timeout` passed first.
-    ///
-    /// The gate refuses new work of a leaving agent, so the listener keeps
-    /// answering refusals until the process ends.
-    pub(crate) fn wait_idle(&self, timeout: Duration) -> bool {
-        let started = std::time::Instant::now();
-        if !self.listener.wait_idle(timeout) {
-            return false;
-        }
-        let rest = timeout.saturating_sub(started.elapsed());
-        self.shared.claims.wait_settled(rest)
-    }
 }
 
 /// Opens the listener and serves requests.
@@ -99,10 +84,9 @@
     let running = Running::spawn(&context.settings.upstream, vm.clone(), &context.control)?;
     let shared = Arc::new(Shared {
         keys_unavailable: Throttle::default(),
-        claims: Claims::spawn(&context.settings.platform, vm.clone())?,
+        claims: Claims::spawn(&context.settings.platform, vm)?,
         limits: HandlerLimits::from(&context.settings.http),
         metrics: ProxyMetrics::register(context.metrics.registry())?,
-        vm,
         running,
         heartbeats: Heartbeats::spawn()?,
         settings: context.settings,
--- a/crates/masticdock-daemon/src/agent/transfer/handle.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/handle.rs
@@ -117,12 +117,6 @@
         self.send(Message::Release(*digest));
     }
 
-    /// Takes back a release, for example after the engine crashed; chunks that
-    /// were dropped are fetched again.
-    pub(crate) fn reload(&self, digest: &Digest) {
-        self.send(Message::Reload(*digest));
-    }
-
     /// Answers `Chunk` and `Announce` calls of other agents; drops any other
     /// call, which the caller sees as a failure.
     pub(crate) fn handle(&self, caller: CompactString, request: PeerRequest, respond: Responder) {
--- a/crates/masticdock-daemon/src/agent/transfer/message.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/message.rs
@@ -15,7 +15,6 @@
 pub(super) enum Message {
     SetWanted(Vec<WantedCopy>),
     Release(Digest),
-    Reload(Digest),
     /// Call of another agent.
     Call(CompactString, PeerRequest, Responder),
     ChunkReply {
--- a/crates/masticdock-daemon/src/agent/transfer/tests.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/tests.rs
@@ -438,8 +438,9 @@
     net.wait("the copy", |_| agent.copy(&wanted.digest).is_some());
     agent.release(&wanted.digest);
     net.wait("the drop", |_| agent.copy(&wanted.digest).is_none());
+    // The way switching asks again after a crash of its engine.
+    agent.set_wanted(Vec::new());
     agent.set_wanted(vec![wanted.clone()]);
-    agent.reload(&wanted.digest);
     net.wait("the copy again", |_| agent.copy(&wanted.digest).is_some());
 }
 
--- a/crates/masticdock-daemon/src/agent/transfer/worker.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/worker.rs
@@ -154,7 +154,6 @@
         match message {
             Message::SetWanted(wanted) => self.set_wanted(wanted, now),
             Message::Release(digest) => self.release(&digest, now),
-            Message::Reload(digest) => self.reload(&digest, now),
             Message::Call(caller, request, respond) => self.answer(caller, request, respond, now),
             Message::ChunkReply { request, result } => self.take_reply(request, result, now),
             Message::AnnounceReply {
@@ -281,23 +280,6 @@
         }
     }
 
-    fn reload(&mut self, digest: &Digest, now: MonoMs) {
-        let Some(copy) = self.copies.get_mut(digest) else {
-            return;
-        };
-        copy.seed_until = None;
-        if matches!(copy.stage, Stage::Dropped) {
-            copy.stage = Stage::Fetching;
-            copy.started_at = now;
-            for (index, chunk) in copy.wanted.manifest.chunks.iter().enumerate() {
-                if self.chunks.contains_key(chunk) {
-                    copy.held.insert(index);
-                }
-            }
-            self.check_when_complete(digest);
-        }
-    }
-
     /// Divides the weights' share of the link between regions among the VMs of
     /// the region, since each of them may be asked by another region.
     fn set_remote_rate(&mut self, now: MonoMs) {
--- a/crates/masticdock-daemon/src/cli.rs
+++ b/crates/masticdock-daemon/src/cli.rs
@@ -62,6 +62,7 @@
             ExitCode::SUCCESS
         }
         Err(error) => {
+            log::debug!("kind of the error: {:?}", error.kind);
             eprintln!("error: {error}");
             ExitCode::from(EXIT_SETTINGS)
         }
--- a/crates/masticdock-daemon/src/control/config_table.rs
+++ b/crates/masticdock-daemon/src/control/config_table.rs
@@ -5,7 +5,7 @@
 };
 use masticdock_core::ids::{ChangeId, Revision};
 use masticdock_core::table_row::{RowError, RowWrite};
-use masticdock_platform::{Item, ItemKey, PlatformError, PlatformErrorKind, TableClient, Write};
+use masticdock_platform::{Item, ItemKey, PlatformError, TableClient, Write};
 
 /// Log rows read by one call.
 const LOG_PAGE_LEN: usize = 200;
@@ -134,23 +134,6 @@
         number(&item, REVISION).map(|revision| Some(Revision(revision)))
     }
 
-    /// Returns the change that made `revision`.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the table service does not answer.
-    pub(crate) fn change_at(
-        &self,
-        revision: Revision,
-    ) -> Result<Option<AcceptedChange>, ConfigReadError> {
-        let sk = config_log::revision_sk(revision);
-        let Some(item) = self.table.get(&ItemKey::new(config_log::PK_LOG, sk))? else {
-            return Ok(None);
-        };
-        let body = text(&item, BODY)?;
-        Ok(Some(config_log::change_from_row(&item.key.sk, body)?))
-    }
-
     /// Writes the transaction of a proposed change.
     ///
     /// # Errors
@@ -171,16 +154,3 @@
     let missing = || RowError::new(&item.key.pk, &item.key.sk, format!("no text `{name}`"));
     Ok(item.text(name).ok_or_else(missing)?)
 }
-
-/// Returns true when the error means that the service cannot be reached or is overloaded.
-pub(crate) const fn is_outage(error: &ConfigReadError) -> bool {
-    match error {
-        ConfigReadError::Platform(error) => matches!(
-            error.kind,
-            PlatformErrorKind::NotSent
-                | PlatformErrorKind::OutcomeUnknown
-                | PlatformErrorKind::Throttled
-        ),
-        ConfigReadError::Row(_) | ConfigReadError::Adoption(_) => false,
-    }
-}
--- a/crates/masticdock-daemon/src/control/mod.rs
+++ b/crates/masticdock-daemon/src/control/mod.rs
@@ -18,7 +18,7 @@
 mod views;
 
 pub(crate) use clock::{mono_now, unix_now};
-pub(crate) use config_table::{ConfigReadError, ConfigTable, is_outage};
+pub(crate) use config_table::{ConfigReadError, ConfigTable};
 pub(crate) use handle::{ControlHandle, ControlMsg, TickContext, TickHook};
 pub(crate) use peer_calls::answer_peer;
 pub(crate) use snapshot::{Snapshot, SnapshotCell, readiness};
--- a/crates/masticdock-daemon/src/entry/callers/mod.rs
+++ b/crates/masticdock-daemon/src/entry/callers/mod.rs
@@ -10,7 +10,6 @@
 mod serve;
 mod upstreams;
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -86,8 +85,9 @@
 }
 
 impl Handle {
+    #[cfg(test)]
     /// Returns the bound address.
-    pub(crate) const fn addr(&self) -> SocketAddr {
+    pub(crate) const fn addr(&self) -> std::net::SocketAddr {
         self.listener.addr()
     }
 
@@ -101,6 +101,7 @@
         self.listener.begin_drain();
     }
 
+    #[cfg(test)]
     /// Waits until no request is in progress; returns false when `timeout` passed first.
     pub(crate) fn wait_idle(&self, timeout: Duration) -> bool {
         self.listener.wait_idle(timeout)
--- a/crates/masticdock-daemon/src/entry/mod.rs
+++ b/crates/masticdock-daemon/src/entry/mod.rs
@@ -4,6 +4,4 @@
 pub(crate) mod operators;
 mod run;
 
-use crate::settings::EntrySettings;
-
 pub(crate) use run::run;
--- a/crates/masticdock-daemon/src/entry/operators/mod.rs
+++ b/crates/masticdock-daemon/src/entry/operators/mod.rs
@@ -7,7 +7,6 @@
 #[cfg(test)]
 mod tests;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use masticdock_core::event;
@@ -40,8 +39,9 @@
 }
 
 impl Handle {
+    #[cfg(test)]
     /// Returns the bound address.
-    pub(crate) const fn addr(&self) -> SocketAddr {
+    pub(crate) const fn addr(&self) -> std::net::SocketAddr {
         self.listener.addr()
     }
 
--- a/crates/masticdock-daemon/src/main.rs
+++ b/crates/masticdock-daemon/src/main.rs
@@ -1,8 +1,5 @@
 //! The masticdock daemon: `entry` on entry VMs, `agent` beside each upstream.
 
-// Parts of the skeleton are not wired yet.
-#![allow(dead_code, unused_imports, clippy::unused_self)]
-
 mod agent;
 mod cli;
 mod control;
--- a/crates/masticdock-daemon/src/net/rpc/mod.rs
+++ b/crates/masticdock-daemon/src/net/rpc/mod.rs
@@ -23,7 +23,9 @@
 use masticdock_core::membership::Member;
 
 pub(crate) use counters::TrafficCounters;
-pub(crate) use thread::{spawn, spawn_on};
+pub(crate) use thread::spawn;
+#[cfg(test)]
+pub(crate) use thread::spawn_on;
 
 /// Largest message in words of 8 bytes: a chunk of 32 MiB and its envelope.
 const MESSAGE_WORDS_MAX: usize = (32 << 20) / 8 + 4_096;
@@ -152,6 +154,7 @@
 }
 
 impl RpcHandle {
+    #[cfg(test)]
     /// Makes a handle from a function that starts a call.
     pub(crate) fn new(
         call: impl Fn(SocketAddr, PeerRequest, Duration, OnReply) + Send + Sync + 'static,
--- a/crates/masticdock-daemon/src/request_http/listener.rs
+++ b/crates/masticdock-daemon/src/request_http/listener.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
 
 use anyhow::{Context as _, anyhow};
 use masticdock_core::problem::{Problem, ProblemKind};
@@ -65,8 +64,9 @@
         ActiveGuard(Arc::clone(self))
     }
 
+    #[cfg(test)]
     /// Waits until no request is handled; returns false when `timeout` passed first.
-    pub(crate) fn wait_idle(&self, timeout: Duration) -> bool {
+    pub(crate) fn wait_idle(&self, timeout: std::time::Duration) -> bool {
         let guard = self.lock.lock().unwrap_or_else(PoisonError::into_inner);
         let (_guard, result) = self
             .idle
@@ -125,6 +125,7 @@
         Ok(listener)
     }
 
+    #[cfg(test)]
     /// Returns the bound address.
     pub(crate) const fn addr(&self) -> SocketAddr {
         self.addr
@@ -140,8 +141,9 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    #[cfg(test)]
     /// Waits until no request is handled; returns false when `timeout` passed first.
-    pub(crate) fn wait_idle(&self, timeout: Duration) -> bool {
+    pub(crate) fn wait_idle(&self, timeout: std::time::Duration) -> bool {
         self.active.wait_idle(timeout)
     }
 }
--- a/crates/masticdock-daemon/src/settings/fields.rs
+++ b/crates/masticdock-daemon/src/settings/fields.rs
@@ -13,6 +13,10 @@
     /// First and last accepted value of a number.
     pub(super) range: Option<(u64, u64)>,
     /// What the field says.
+    #[cfg_attr(
+        not(test),
+        expect(dead_code, reason = "a test renders docs/SETTINGS.md from it")
+    )]
     pub(super) meaning: &'static str,
 }
 
--- a/crates/masticdock-daemon/src/settings/mod.rs
+++ b/crates/masticdock-daemon/src/settings/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use agent::{AgentSettings, Fencing, LinkSettings, TransferSettings, UpstreamSettings};
+pub(crate) use agent::{AgentSettings, LinkSettings, TransferSettings, UpstreamSettings};
 pub(crate) use common::{GossipSettings, NodeSettings, PlatformSettings, SecuritySettings};
 pub(crate) use entry::{EntrySettings, HttpLimits, RequestSettings};
 pub(crate) use error::{SettingsError, SettingsErrorKind};
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -1,7 +1,7 @@
 //! Fakes of an upstream and of the table.
 
 use std::collections::BTreeMap;
-use std::io::{Read as _, Write as _};
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
