--- a/crates/masticdock-daemon/src/agent/transfer/mod.rs
+++ b/crates/masticdock-daemon/src/agent/transfer/mod.rs
@@ -6,6 +6,7 @@
 mod handle;
 mod message;
 mod origin;
+mod origin_reads;
 mod uploads;
 mod worker;
 
--- a/crates/masticdock-daemon/src/entry/run.rs
+++ b/crates/masticdock-daemon/src/entry/run.rs
@@ -1,13 +1,14 @@
 //! Start and stop of an entry.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use masticdock_core::event;
 use masticdock_core::ids::{BootEpoch, Incarnation};
 use masticdock_core::membership::{Liveness, Member, MemberStatus, Role};
 
 use super::{callers, operators};
-use crate::control::{self, ControlHandle, ControlParts, TickHook};
+use crate::control::{self, ControlHandle, ControlParts, Snapshot, TickHook};
 use crate::drain::{self, StopSignal};
 use crate::event_log::log_event;
 use crate::metrics::Metrics;
@@ -17,6 +18,9 @@
 use crate::settings::EntrySettings;
 use crate::status;
 
+/// Time after which an entry is ready although no agent told its status; there may be none.
+const FIRST_STATUS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs an entry until it is told to stop.
 ///
 /// # Errors
@@ -56,7 +60,8 @@
     })?;
 
     let snapshots = Arc::clone(&control.snapshots);
-    let ready = move || control::readiness(&snapshots.load());
+    let started = Instant::now();
+    let ready = move || readiness(&snapshots.load(), started.elapsed());
     status::spawn(settings.node.status_addr, metrics.clone(), Arc::new(ready))?;
 
     stop.wait();
@@ -65,6 +70,19 @@
     Ok(())
 }
 
+/// Returns why this entry takes no requests yet or any more.
+///
+/// After a restart it waits for the status of a first agent: a request that came
+/// before it found no upstream in a process test.
+fn readiness(snapshot: &Snapshot, uptime: Duration) -> Result<(), String> {
+    control::readiness(snapshot)?;
+    let heard = |member: &Member| member.role == Role::Agent && member.boot_epoch.0 != 0;
+    if uptime < FIRST_STATUS_TIMEOUT && !snapshot.members.iter().any(heard) {
+        return Err("the status of no agent is known yet".to_owned());
+    }
+    Ok(())
+}
+
 fn spawn_rpc(
     settings: &EntrySettings,
     peer_key: [u8; 32],
