--- a/crates/masticdock-bench/src/traffic/mod.rs
+++ b/crates/masticdock-bench/src/traffic/mod.rs
@@ -44,6 +44,9 @@
     /// Requests that an engine runs at once in the overload.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=256))]
     pub batch: u32,
+    /// Time between two tokens in the overload, in milliseconds.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
+    pub token_ms: u64,
 }
 
 /// Last line of the output.
@@ -134,7 +137,7 @@
     report.naive_wrong_answer = naive.wrong_answer;
 
     log::info!("overloading the engines");
-    let overload = overload::run(&mut fleet, &sites, args.batch)?;
+    let overload = overload::run(&mut fleet, &sites, args.batch, args.token_ms)?;
     report.overload_high_p95_ms = overload.loaded_p95_ms;
     report.overload_high_unloaded_p95_ms = overload.unloaded_p95_ms;
     report.overload_high_ratio = overload.loaded_p95_ms / overload.unloaded_p95_ms;
--- a/crates/masticdock-bench/src/traffic/overload.rs
+++ b/crates/masticdock-bench/src/traffic/overload.rs
@@ -14,9 +14,6 @@
 /// Tokens of a request.
 const TOKENS: u32 = 40;
 
-/// Time of a token.
-const TOKEN_MS: u64 = 5;
-
 /// Time of the overload.
 const SECONDS: u64 = 8;
 
@@ -60,10 +57,15 @@
 
 /// Measures requests of high priority without and with the overload.
 #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-pub(super) fn run(fleet: &mut Fleet, sites: &Sites, batch: u32) -> anyhow::Result<Overload> {
+pub(super) fn run(
+    fleet: &mut Fleet,
+    sites: &Sites,
+    batch: u32,
+    token_ms: u64,
+) -> anyhow::Result<Overload> {
     let options = EngineOptions {
         batch,
-        token_interval_ms: TOKEN_MS,
+        token_interval_ms: token_ms,
         ..setup::engine_options()
     };
     for index in 0..ENGINES {
@@ -78,7 +80,7 @@
             unloaded.push(ended.latency_ms);
         }
     }
-    let service_ms = u64::from(TOKENS) * TOKEN_MS;
+    let service_ms = u64::from(TOKENS) * token_ms;
     let capacity_per_s = ENGINES as u64 * u64::from(batch) * 1_000 / service_ms;
     let rate = 2 * capacity_per_s;
     let priorities = [
