Read weights chunk by chunk for their manifest

Cause: 'masticdock manifest' read the whole file into memory, 14 GB in the README's own example, and wrote manifests that every agent refuses (no chunk, or more than 8,192). Change: the file is read one chunk at a time; both cases are refused with a tip.

--- a/crates/masticdock-cli/tests/output.rs
+++ b/crates/masticdock-cli/tests/output.rs
@@ -154,18 +154,35 @@
     /// Guards against a manifest that differs between two runs over the same weights.
     #[test]
     fn same_weights_give_the_same_digest() {
-        let weights = file("weights.bin", &"0123456789".repeat(1_000));
-        let to = file("manifest.json", "");
+        let weights = "0123456789".repeat(1_000);
+        insta::assert_snapshot!(manifest_of("weights", &weights, "1KiB"));
+    }
+
+    fn manifest_of(name: &str, weights: &str, chunk_size: &str) -> String {
+        let weights = file(&format!("{name}.bin"), weights);
+        let to = file(&format!("{name}.json"), "");
         let args = [
             "manifest",
             weights.to_str().expect("UTF-8"),
             "--object",
             "models/a",
             "--chunk-size",
-            "1KiB",
+            chunk_size,
             "--to",
             to.to_str().expect("UTF-8"),
         ];
-        insta::assert_snapshot!(transcript(&masticdock(&args), ""));
+        transcript(&masticdock(&args), env!("CARGO_TARGET_TMPDIR"))
+    }
+
+    /// Guards against a manifest without chunks, which agents refuse.
+    #[test]
+    fn empty_weights() {
+        insta::assert_snapshot!(manifest_of("empty", "", "1KiB"));
+    }
+
+    /// Guards against a manifest that is published and then refused by every agent.
+    #[test]
+    fn too_many_chunks() {
+        insta::assert_snapshot!(manifest_of("many", &"x".repeat(10_000), "1B"));
     }
 }
--- a/crates/masticdock-core/src/manifest/mod.rs
+++ b/crates/masticdock-core/src/manifest/mod.rs
@@ -59,16 +59,32 @@
     /// Panics when `chunk_bytes` is 0.
     #[must_use]
     pub fn build(object: &str, weights: &[u8], chunk_bytes: usize) -> Self {
-        let mut chunks = Vec::with_capacity(weights.len().div_ceil(chunk_bytes));
-        for chunk in weights.chunks(chunk_bytes) {
-            chunks.push(Digest::of(chunk));
+        Self::from_chunks(object, chunk_bytes, weights.chunks(chunk_bytes))
+    }
+
+    /// Builds the manifest of weights that are read chunk by chunk.
+    ///
+    /// Each chunk but the last must hold `chunk_bytes`.
+    pub fn from_chunks<C: AsRef<[u8]>>(
+        object: &str,
+        chunk_bytes: usize,
+        chunks: impl IntoIterator<Item = C>,
+    ) -> Self {
+        let mut digests = Vec::new();
+        let mut total_bytes = 0;
+        let mut whole = DigestHasher::default();
+        for chunk in chunks {
+            let chunk = chunk.as_ref();
+            digests.push(Digest::of(chunk));
+            whole.update(chunk);
+            total_bytes += chunk.len() as u64;
         }
         Self {
             object: CompactString::new(object),
-            total_bytes: ByteCount(weights.len() as u64),
+            total_bytes: ByteCount(total_bytes),
             chunk_bytes: ByteCount(chunk_bytes as u64),
-            chunks,
-            root: Digest::of(weights),
+            chunks: digests,
+            root: whole.finish(),
         }
     }
 
