Share gossip defaults, built-in labels and the set-up of two tests

Cause: reading the whole change again showed three rules that stood twice: the gossip timing in the settings and in SwimConfig, the labels vm, zone and region in the rollout and in the command line, and the set-up of two tests of apply.

--- a/crates/masticdock-cli/src/command/vm.rs
+++ b/crates/masticdock-cli/src/command/vm.rs
@@ -4,10 +4,11 @@
 
 use compact_str::CompactString;
 use masticdock_core::ids::{Revision, VmId};
-use masticdock_core::operator_api::{VmEntry, VmList};
+use masticdock_core::operator_api::VmList;
 use masticdock_core::resource::{
     Labels, Mark, Resource, ResourceChange, ResourceKey, ResourceKind, VmLabels, VmMark,
 };
+use masticdock_core::rollout::BuiltinLabels;
 use masticdock_core::selector::Selector;
 
 use super::apply;
@@ -47,24 +48,17 @@
     let selector: Selector = selector
         .parse()
         .map_err(|error| CliError::usage(format!("{error}")))?;
-    vms.vms
-        .retain(|vm| selector.matches_by(|key| label_of(vm, key)));
+    vms.vms.retain(|vm| {
+        let builtin = BuiltinLabels {
+            vm: vm.id.as_str(),
+            zone: vm.zone.as_str(),
+            region: vm.region.as_str(),
+        };
+        selector.matches_by(|key| builtin.value(Some(&vm.labels), key))
+    });
     Ok(())
 }
 
-/// Returns a label; each VM has `vm`, `zone` and `region` unless it is given others.
-fn label_of<'a>(vm: &'a VmEntry, key: &str) -> Option<&'a str> {
-    if let Some(value) = vm.labels.get(key) {
-        return Some(value.as_str());
-    }
-    match key {
-        "vm" => Some(vm.id.as_str()),
-        "zone" => Some(vm.zone.as_str()),
-        "region" => Some(vm.region.as_str()),
-        _ => None,
-    }
-}
-
 fn vm_table(list: &VmList) -> String {
     let mut rows = Vec::with_capacity(list.vms.len());
     for vm in &list.vms {
--- a/crates/masticdock-cli/tests/output.rs
+++ b/crates/masticdock-cli/tests/output.rs
@@ -86,49 +86,38 @@
         insta::assert_snapshot!(transcript(&output, ""));
     }
 
+    /// Applies a file to a server that does not answer.
+    fn apply(name: &str, text: &str) -> std::process::Output {
+        let path = file(&format!("{name}.yaml"), text);
+        let token = file(&format!("{name}.token"), "secret");
+        masticdock(&[
+            "apply",
+            "-f",
+            path.to_str().expect("UTF-8"),
+            "--server",
+            "http://127.0.0.1:9",
+            "--token-file",
+            token.to_str().expect("UTF-8"),
+        ])
+    }
+
     /// Guards against a typing error in a field name that is silently ignored.
     #[test]
     fn unknown_field() {
-        let path = file(
-            "unknown-field.yaml",
+        let output = apply(
+            "unknown-field",
             "kind: rollout\nname: a\nselecter: x=1\nversion: v1\n",
         );
-        let path = path.to_str().expect("UTF-8");
-        let token = file("unknown-field.token", "secret");
-        let token = token.to_str().expect("UTF-8");
-        let server = "http://127.0.0.1:9";
-        let output = masticdock(&[
-            "apply",
-            "-f",
-            path,
-            "--server",
-            server,
-            "--token-file",
-            token,
-        ]);
         insta::assert_snapshot!(transcript(&output, env!("CARGO_TARGET_TMPDIR")));
     }
 
     /// Guards against a value out of range that reaches the entry.
     #[test]
     fn out_of_range() {
-        let path = file(
-            "out-of-range.yaml",
+        let output = apply(
+            "out-of-range",
             "kind: rollout\nname: a\nselector: x=1\nversion: v1\nmax_load_failures: 0\n",
         );
-        let path = path.to_str().expect("UTF-8");
-        let token = file("out-of-range.token", "secret");
-        let token = token.to_str().expect("UTF-8");
-        let server = "http://127.0.0.1:9";
-        let output = masticdock(&[
-            "apply",
-            "-f",
-            path,
-            "--server",
-            server,
-            "--token-file",
-            token,
-        ]);
         insta::assert_snapshot!(transcript(&output, env!("CARGO_TARGET_TMPDIR")));
     }
 
--- a/crates/masticdock-core/src/rollout/targets.rs
+++ b/crates/masticdock-core/src/rollout/targets.rs
@@ -74,17 +74,39 @@
     /// Returns true when a selector matches the labels.
     #[must_use]
     pub fn match_selector(&self, selector: &Selector) -> bool {
-        selector.matches_by(|key| {
-            if let Some(value) = self.given.and_then(|labels| labels.get(key)) {
-                return Some(value.as_str());
-            }
-            match key {
-                "vm" => Some(self.member.id.as_str()),
-                "zone" => Some(self.member.zone.as_str()),
-                "region" => Some(self.member.region.as_str()),
-                _ => None,
-            }
-        })
+        let builtin = BuiltinLabels {
+            vm: self.member.id.as_str(),
+            zone: self.member.zone.as_str(),
+            region: self.member.region.as_str(),
+        };
+        selector.matches_by(|key| builtin.value(self.given, key))
+    }
+}
+
+/// Labels that each VM has unless it is given others of that name.
+#[derive(Debug, Clone, Copy)]
+pub struct BuiltinLabels<'a> {
+    /// Id of the VM.
+    pub vm: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Region.
+    pub region: &'a str,
+}
+
+impl<'a> BuiltinLabels<'a> {
+    /// Returns the value of a label, a `given` one first.
+    #[must_use]
+    pub fn value(self, given: Option<&'a Labels>, key: &str) -> Option<&'a str> {
+        if let Some(value) = given.and_then(|labels| labels.get(key)) {
+            return Some(value.as_str());
+        }
+        match key {
+            "vm" => Some(self.vm),
+            "zone" => Some(self.zone),
+            "region" => Some(self.region),
+            _ => None,
+        }
     }
 }
 
--- a/crates/masticdock-daemon/src/settings/common.rs
+++ b/crates/masticdock-daemon/src/settings/common.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use masticdock_core::ids::{RegionId, VmId, ZoneId};
+use masticdock_core::membership::SwimConfig;
 use serde::{Deserialize, Serialize};
 
 use super::SettingsErrorKind;
@@ -130,13 +131,15 @@
 
 impl Default for GossipSettings {
     fn default() -> Self {
+        let swim = SwimConfig::default();
+        let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
         Self {
-            push_interval_ms: 200,
-            push_fanout: 3,
-            probe_interval_ms: 1_000,
-            probe_timeout_ms: 400,
-            indirect_probes: 3,
-            suspicion_ms: 3_000,
+            push_interval_ms: swim.push_interval_ms,
+            push_fanout: count(swim.push_fanout),
+            probe_interval_ms: swim.probe_interval_ms,
+            probe_timeout_ms: swim.probe_timeout_ms,
+            indirect_probes: count(swim.indirect_probes),
+            suspicion_ms: swim.suspicion_ms,
         }
     }
 }
