Add the request path and the agent for the users' platform

Cause: masticdock ran only on its own stand-ins, with a thread and new connections for each request.

--- a/crates/masticdock-core/src/ids/mod.rs
+++ b/crates/masticdock-core/src/ids/mod.rs
@@ -7,7 +7,7 @@
 pub use digest::{Digest, DigestHasher};
 pub use name::{
     AdapterId, ChangeId, EntryId, ModelId, NAME_LEN_MAX, OperatorId, RegionId, RequestKey,
-    RolloutId, ServiceId, VersionId, VmId, WorkspaceId, ZoneId,
+    RolloutId, ServiceId, UpstreamId, VersionId, VmId, WorkspaceId, ZoneId,
 };
 pub use number::{BootEpoch, Fence, Incarnation, Revision};
 
--- a/crates/masticdock-core/src/ids/name.rs
+++ b/crates/masticdock-core/src/ids/name.rs
@@ -104,6 +104,10 @@
     /// Names a service that callers address.
     ServiceId, "service"
 );
+name_type!(
+    /// Names one incarnation of an upstream of a service.
+    UpstreamId, "upstream id"
+);
 name_type!(
     /// Names a model.
     ModelId, "model"
--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod rollout;
 pub mod router;
 pub mod selector;
+pub mod serving;
 pub mod suggest;
 pub mod switch;
 pub mod table_row;
--- /dev/null
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -0,0 +1,137 @@
+//! Load of one upstream as one entry believes it.
+
+use crate::units::MonoMs;
+
+use super::versions::VersionNumber;
+
+/// State of an engine as the agent on its VM read it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgentReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Version whose layers are all held, if any.
+    pub version: Option<VersionNumber>,
+    /// True while the engine loads weights and accepts no request.
+    pub switching: bool,
+    /// False when the engine did not answer its agent.
+    pub reachable: bool,
+}
+
+/// Shortest pause of an upstream after a failure, in milliseconds: a crashed
+/// process needs some hundred to start again.
+const PAUSE_MIN_MS: u64 = 250;
+/// Longest pause after failures in a row, in milliseconds; bounds how long an
+/// upstream that returned goes without requests.
+const PAUSE_MAX_MS: u64 = 2_000;
+/// Pause after a refusal of an upstream, in milliseconds: about one request
+/// ends in that time in a full batch.
+const REFUSAL_PAUSE_MS: u64 = 100;
+/// Age at which a load report no longer counts, in milliseconds.
+const REPORT_AGE_MAX_MS: u64 = 3_000;
+
+/// What one entry knows of the load and health of an upstream.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamLoad {
+    /// Own requests that have not ended.
+    pub in_flight: u32,
+    /// Prompt tokens of own requests that have not produced their first event.
+    pub unread_tokens: u64,
+    /// Total and own requests at the time of the newest report.
+    reported: Option<(u32, u32, MonoMs)>,
+    failures: u32,
+    paused_until: MonoMs,
+    last_heard_at: MonoMs,
+    /// Smoothed time of a request, in milliseconds; 0 before the first.
+    service_ms: f64,
+}
+
+impl UpstreamLoad {
+    /// Counts a request sent with `prompt_tokens`.
+    pub fn begin(&mut self, prompt_tokens: u64) {
+        self.in_flight += 1;
+        self.unread_tokens += prompt_tokens;
+    }
+
+    /// Notes the first event of a request.
+    pub fn first_event(&mut self, prompt_tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(prompt_tokens);
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes over a report of the upstream's whole load.
+    pub fn report(&mut self, total: u32, now: MonoMs) {
+        self.reported = Some((total, self.in_flight, now));
+    }
+
+    /// Notes that the upstream sent something.
+    pub fn heard(&mut self, now: MonoMs) {
+        self.last_heard_at = now;
+        self.failures = 0;
+    }
+
+    /// Returns when the upstream last sent something.
+    #[must_use]
+    pub const fn last_heard_at(&self) -> MonoMs {
+        self.last_heard_at
+    }
+
+    /// Notes the time that a request of a plain service took.
+    pub fn served(&mut self, took_ms: u64) {
+        // An eighth of each sample follows a change within some ten requests.
+        const WEIGHT: f64 = 0.125;
+        #[allow(clippy::cast_precision_loss)]
+        let took_ms = took_ms as f64;
+        if self.service_ms <= 0.0 {
+            self.service_ms = took_ms;
+        }
+        self.service_ms += WEIGHT * (took_ms - self.service_ms);
+    }
+
+    /// Returns the smoothed time of a request, in milliseconds; 0 when unknown.
+    #[must_use]
+    pub const fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    /// Pauses the upstream after a failed connection or a broken response.
+    pub fn failed(&mut self, now: MonoMs) {
+        let pause_ms = (PAUSE_MIN_MS << self.failures.min(4)).min(PAUSE_MAX_MS);
+        self.failures += 1;
+        self.paused_until = self.paused_until.max(now.plus_ms(pause_ms));
+    }
+
+    /// Pauses the upstream shortly after it refused a request unrun.
+    pub fn refused(&mut self, now: MonoMs) {
+        self.paused_until = self.paused_until.max(now.plus_ms(REFUSAL_PAUSE_MS));
+    }
+
+    /// Ends the pause, because the upstream is known to be well.
+    pub fn recovered(&mut self, now: MonoMs) {
+        self.failures = 0;
+        self.paused_until = self.paused_until.min(now);
+    }
+
+    /// Returns true while the upstream is not to be sent anything.
+    #[must_use]
+    pub fn is_paused(&self, now: MonoMs) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns the requests at the upstream, those of other entries included.
+    #[must_use]
+    pub fn total(&self, now: MonoMs) -> u32 {
+        let others = match self.reported {
+            Some((total, own, at)) if now.since_ms(at) < REPORT_AGE_MAX_MS => {
+                total.saturating_sub(own)
+            }
+            _ => 0,
+        };
+        self.in_flight + others
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -0,0 +1,119 @@
+//! Where an agent asks for a piece of a version.
+//!
+//! One copy leaves the origin for each piece, one crosses to each other region,
+//! and the agents of a region pass it on among themselves. Every agent ranks the
+//! same readers for a piece without asking anyone; a reader that fails is
+//! passed over, and the origin is the last resort.
+
+use crate::ids::{RegionId, UpstreamId};
+use crate::rendezvous;
+
+/// An agent that fetches or holds pieces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerPieces {
+    /// Upstream beside which the agent runs.
+    pub id: UpstreamId,
+    /// Region of its VM.
+    pub region: RegionId,
+    /// True when it holds every piece of the version.
+    pub complete: bool,
+}
+
+/// Where a piece is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PieceSource {
+    /// At the origin.
+    Origin,
+    /// At the peer with this index.
+    Peer(usize),
+}
+
+/// Readers of one version as one agent sees them.
+#[derive(Debug, Clone, Copy)]
+pub struct PieceSources<'a> {
+    /// Own upstream.
+    pub own: &'a UpstreamId,
+    /// Own region.
+    pub region: &'a RegionId,
+    /// Region of the origin, when known.
+    pub origin_region: Option<&'a RegionId>,
+    /// The other agents of the model.
+    pub peers: &'a [PeerPieces],
+}
+
+/// Attempts at peers after which a piece is read from the origin.
+const PEER_ATTEMPTS_MAX: u32 = 3;
+
+impl PieceSources<'_> {
+    /// Returns the source of a piece for the attempt with this number, from 0.
+    #[must_use]
+    pub fn source(&self, piece: usize, attempt: u32) -> PieceSource {
+        if attempt >= PEER_ATTEMPTS_MAX {
+            return PieceSource::Origin;
+        }
+        let key = (piece as u64).to_le_bytes();
+        let skip = attempt as usize;
+        let near = |peer: &PeerPieces| peer.region == *self.region;
+        if let Some(index) = self.ranked(&key, |peer| near(peer) && peer.complete, skip) {
+            return PieceSource::Peer(index);
+        }
+        // Without a complete peer nearby, one agent of the region reads the piece.
+        if let Some(index) = self.ahead_of_own(&key, near, skip) {
+            return PieceSource::Peer(index);
+        }
+        if let Some(index) = self.ranked(&key, |peer| peer.complete, skip) {
+            return PieceSource::Peer(index);
+        }
+        if self.origin_region.is_some_and(|region| region != self.region) {
+            let beside_origin = |peer: &PeerPieces| Some(&peer.region) == self.origin_region;
+            if let Some(index) = self.ranked(&key, beside_origin, skip) {
+                return PieceSource::Peer(index);
+            }
+        }
+        if self.origin_region.is_none()
+            && let Some(index) = self.ahead_of_own(&key, |_| true, skip)
+        {
+            return PieceSource::Peer(index);
+        }
+        PieceSource::Origin
+    }
+
+    /// Returns the accepted peer of rank `skip`, counted round.
+    fn ranked(
+        &self,
+        key: &[u8],
+        filter: impl Fn(&PeerPieces) -> bool,
+        skip: usize,
+    ) -> Option<usize> {
+        let ranked = self.weighted(key, filter);
+        if ranked.is_empty() {
+            return None;
+        }
+        Some(ranked[skip % ranked.len()].1)
+    }
+
+    /// Returns the accepted peer of rank `skip` when it ranks before this agent.
+    fn ahead_of_own(
+        &self,
+        key: &[u8],
+        filter: impl Fn(&PeerPieces) -> bool,
+        skip: usize,
+    ) -> Option<usize> {
+        let own_weight = rendezvous::weight(key, self.own.as_str());
+        let ranked = self.weighted(key, filter);
+        let (weight, index) = ranked.get(skip)?;
+        (*weight > own_weight).then_some(*index)
+    }
+
+    /// Returns the accepted peers with their weights, highest first.
+    fn weighted(&self, key: &[u8], filter: impl Fn(&PeerPieces) -> bool) -> Vec<(u64, usize)> {
+        let mut weighted = Vec::new();
+        for (index, peer) in self.peers.iter().enumerate() {
+            if filter(peer) {
+                weighted.push((rendezvous::weight(key, peer.id.as_str()), index));
+            }
+        }
+        weighted.sort_unstable_by(|a, b| b.cmp(a));
+        weighted
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/src/serving/retry_after.rs
@@ -0,0 +1,76 @@
+//! When a rejected caller is told to return.
+//!
+//! Callers that return together meet the same full queue. In a short burst a
+//! slot is free soon, so they return early enough for their objective; while
+//! rejections go on they are spread over a time in which the load can fall.
+
+use crate::units::MonoMs;
+
+/// Settings of the advice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryAfterSettings {
+    /// Delay while few requests are rejected, in milliseconds.
+    pub short_ms: u64,
+    /// Longest delay, in milliseconds.
+    pub long_ms: u64,
+    /// Time in which the share of rejected requests follows a change, in milliseconds.
+    pub memory_ms: u64,
+}
+
+impl Default for RetryAfterSettings {
+    /// A full batch frees a slot about every 100 ms; callers wait at most a
+    /// third of their remaining time, which is 2 s for generations.
+    fn default() -> Self {
+        Self {
+            short_ms: 150,
+            long_ms: 1_900,
+            memory_ms: 1_000,
+        }
+    }
+}
+
+/// Share of recently rejected requests, and the advice that follows from it.
+#[derive(Debug, Clone)]
+pub struct RetryAfter {
+    settings: RetryAfterSettings,
+    rejected_share: f64,
+    updated_at: MonoMs,
+}
+
+impl RetryAfter {
+    /// Makes a tracker without rejections.
+    #[must_use]
+    pub const fn new(settings: RetryAfterSettings) -> Self {
+        Self {
+            settings,
+            rejected_share: 0.0,
+            updated_at: MonoMs(0),
+        }
+    }
+
+    /// Counts a request and whether it was rejected.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn record(&mut self, rejected: bool, now: MonoMs) {
+        let elapsed_ms = now.since_ms(self.updated_at) as f64;
+        self.updated_at = now;
+        let keep = (-elapsed_ms / self.settings.memory_ms as f64).exp().min(0.97);
+        let sample = if rejected { 1.0 } else { 0.0 };
+        self.rejected_share = keep * self.rejected_share + (1.0 - keep) * sample;
+    }
+
+    /// Returns the share of recently rejected requests.
+    #[must_use]
+    pub const fn rejected_share(&self) -> f64 {
+        self.rejected_share
+    }
+
+    /// Returns the delay for one rejected caller, in milliseconds; `draw` is uniform in 0..1.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn delay_ms(&self, draw: f64) -> u64 {
+        let short_ms = self.settings.short_ms as f64;
+        let span_ms = self.settings.long_ms as f64 - short_ms;
+        let reach = (self.rejected_share * 2.0).min(1.0);
+        (short_ms + span_ms * reach * draw) as u64
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/src/serving/switch_plan.rs
@@ -0,0 +1,74 @@
+//! When each upstream of a model changes to a new version of its weights.
+//!
+//! An upstream accepts nothing while it finishes its requests and loads, so the
+//! upstreams take turns. All agents compute the same turns from the same list
+//! and the time at which they learnt the version; no agreement is needed.
+
+use crate::ids::UpstreamId;
+use crate::rendezvous;
+use crate::units::MonoMs;
+
+use super::versions::VersionNumber;
+
+/// Times of a change, counted from the moment at which a version was learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SwitchTiming {
+    /// Start of the first turn, in milliseconds; pieces arrive before.
+    pub first_ms: u64,
+    /// Start of the last turn, in milliseconds; no request begins on the older
+    /// version after it.
+    pub last_ms: u64,
+    /// Time to fetch and stage all pieces, in milliseconds.
+    pub staging_ms: u64,
+}
+
+impl Default for SwitchTiming {
+    /// A copy takes 2 s on an agent's link and all copies about 3 s; a version
+    /// has to be in force after 8 s.
+    fn default() -> Self {
+        Self {
+            first_ms: 2_500,
+            last_ms: 7_000,
+            staging_ms: 3_200,
+        }
+    }
+}
+
+/// Turns of the upstreams of one model.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SwitchPlan {
+    /// Times of a change.
+    pub timing: SwitchTiming,
+}
+
+impl SwitchPlan {
+    /// Returns when `own` changes to `version`.
+    #[must_use]
+    pub fn turn(
+        &self,
+        own: &UpstreamId,
+        upstreams: &[UpstreamId],
+        version: VersionNumber,
+        learnt_at: MonoMs,
+        deadline: Option<MonoMs>,
+    ) -> MonoMs {
+        let key = version.0.to_le_bytes();
+        let position = rendezvous::position(&key, upstreams, UpstreamId::as_str, own.as_str());
+        let count = upstreams.len().max(1) as u64;
+        let first = learnt_at.plus_ms(self.timing.first_ms);
+        let mut last = learnt_at.plus_ms(self.timing.last_ms);
+        if let Some(deadline) = deadline {
+            // An older version that is still due is skipped by this change.
+            last = last.min(MonoMs(deadline.0.saturating_sub(1_000)));
+        }
+        let span_ms = last.since_ms(first);
+        first.plus_ms(span_ms * position.unwrap_or(0) as u64 / count)
+    }
+
+    /// Returns true when a newer version can replace one that is not loaded
+    /// yet before the older one's deadline.
+    #[must_use]
+    pub const fn can_skip(&self, now: MonoMs, older_deadline: MonoMs) -> bool {
+        now.0 + self.timing.staging_ms + 1_000 <= older_deadline.0
+    }
+}
--- /dev/null
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -0,0 +1,93 @@
+//! Declared versions of a model's weights and the time each has to be in force.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use crate::units::MonoMs;
+
+/// Version of a model's weights; starts at 1 and increases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct VersionNumber(pub u64);
+
+impl fmt::Display for VersionNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for VersionNumber {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Versions of one model in the order in which this process learnt them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionTimeline {
+    learnt: Vec<(VersionNumber, MonoMs)>,
+    /// Time in which a version has to be in force, in milliseconds.
+    in_force_ms: u64,
+}
+
+/// Version that upstreams hold before any is declared.
+const FIRST_VERSION: VersionNumber = VersionNumber(1);
+
+impl VersionTimeline {
+    /// Makes a timeline without declared versions.
+    #[must_use]
+    pub const fn new(in_force_ms: u64) -> Self {
+        Self {
+            learnt: Vec::new(),
+            in_force_ms,
+        }
+    }
+
+    /// Records a declared version; returns false when a newer one is known.
+    pub fn declare(&mut self, version: VersionNumber, now: MonoMs) -> bool {
+        if version <= self.newest() && !self.learnt.is_empty() {
+            return false;
+        }
+        self.learnt.push((version, now));
+        true
+    }
+
+    /// Returns the newest declared version.
+    #[must_use]
+    pub fn newest(&self) -> VersionNumber {
+        self.learnt
+            .last()
+            .map_or(FIRST_VERSION, |(version, _)| *version)
+    }
+
+    /// Returns the oldest version on which a request may still begin `ahead_ms` from now.
+    #[must_use]
+    pub fn required(&self, now: MonoMs, ahead_ms: u64) -> VersionNumber {
+        let at = now.plus_ms(ahead_ms);
+        let mut required = FIRST_VERSION;
+        for (version, learnt_at) in &self.learnt {
+            if at.since_ms(*learnt_at) >= self.in_force_ms {
+                required = *version;
+            }
+        }
+        required
+    }
+
+    /// Returns when a declared version was learnt.
+    #[must_use]
+    pub fn learnt_at(&self, version: VersionNumber) -> Option<MonoMs> {
+        let (_, at) = self.learnt.iter().find(|(learnt, _)| *learnt == version)?;
+        Some(*at)
+    }
+
+    /// Returns when the oldest version that is not yet in force has to be, if any.
+    #[must_use]
+    pub fn next_deadline(&self, now: MonoMs) -> Option<MonoMs> {
+        self.learnt
+            .iter()
+            .map(|(_, at)| at.plus_ms(self.in_force_ms))
+            .find(|deadline| *deadline > now)
+    }
+}
--- a/crates/masticdock-daemon/src/cli.rs
+++ b/crates/masticdock-daemon/src/cli.rs
@@ -29,6 +29,12 @@
         /// Settings file in YAML.
         settings: PathBuf,
     },
+    /// Runs an entry or an agent on the users' platform, which writes its settings.
+    Node {
+        /// Role of the process.
+        #[arg(value_enum)]
+        role: NodeRole,
+    },
     /// Checks a settings file and prints the first error with its line.
     Check {
         /// Settings file in YAML.
@@ -36,11 +42,31 @@
     },
 }
 
+#[derive(Debug, Clone, Copy, clap::ValueEnum)]
+enum NodeRole {
+    /// Takes requests of callers.
+    Entry,
+    /// Keeps the weights of the upstream on its VM.
+    Agent,
+}
+
+impl From<NodeRole> for masticdock_node::Role {
+    fn from(role: NodeRole) -> Self {
+        match role {
+            NodeRole::Entry => Self::Entry,
+            NodeRole::Agent => Self::Agent,
+        }
+    }
+}
+
 /// Exit status for invalid settings.
 const EXIT_SETTINGS: u8 = 2;
 
 pub(crate) fn run() -> ExitCode {
     let cli = Cli::parse();
+    if let Command::Node { role } = cli.command {
+        return run_node(role.into());
+    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
@@ -48,6 +74,21 @@
         Command::Entry { settings } => start(&settings, "entry"),
         Command::Agent { settings } => start(&settings, "agent"),
         Command::Check { settings } => check(&settings),
+        Command::Node { role } => run_node(role.into()),
+    }
+}
+
+fn run_node(role: masticdock_node::Role) -> ExitCode {
+    match masticdock_node::run(role) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ masticdock_node::StartError::Settings(_)) => {
+            eprintln!("error: {error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
 
--- /dev/null
+++ b/crates/masticdock-node/src/agent/pieces.rs
@@ -0,0 +1,63 @@
+//! Pieces of one version in memory while they are fetched and passed on.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use masticdock_adapter::Manifest;
+use masticdock_core::ids::ModelId;
+use masticdock_core::serving::VersionNumber;
+use sha2::{Digest, Sha256};
+use tokio::sync::Notify;
+
+/// Pieces of one version.
+#[derive(Debug)]
+pub(crate) struct Pieces {
+    pub(crate) model: ModelId,
+    pub(crate) version: VersionNumber,
+    pub(crate) manifest: Manifest,
+    held: RefCell<Vec<Option<Bytes>>>,
+    /// Told after each piece that arrived.
+    pub(crate) arrived: Notify,
+}
+
+impl Pieces {
+    pub(crate) fn new(model: ModelId, version: VersionNumber, manifest: Manifest) -> Rc<Self> {
+        let count = manifest.digests.len();
+        Rc::new(Self {
+            model,
+            version,
+            manifest,
+            held: RefCell::new(vec![None; count]),
+            arrived: Notify::new(),
+        })
+    }
+
+    /// Returns a piece that is held.
+    pub(crate) fn get(&self, piece: usize) -> Option<Bytes> {
+        self.held.borrow().get(piece)?.clone()
+    }
+
+    /// Takes a piece when its digest is right.
+    pub(crate) fn insert(&self, piece: usize, bytes: Bytes) -> bool {
+        if !self.matches(piece, &bytes) {
+            return false;
+        }
+        if let Some(held) = self.held.borrow_mut().get_mut(piece) {
+            *held = Some(bytes);
+        }
+        self.arrived.notify_waiters();
+        true
+    }
+
+    /// Returns true when `bytes` are the piece with this number.
+    pub(crate) fn matches(&self, piece: usize, bytes: &[u8]) -> bool {
+        let digest: [u8; 32] = Sha256::digest(bytes).into();
+        self.manifest.digests.get(piece) == Some(&digest)
+    }
+
+    /// Returns the number of pieces of the version.
+    pub(crate) fn count(&self) -> usize {
+        self.manifest.digests.len()
+    }
+}
--- /dev/null
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -0,0 +1,88 @@
+//! Tells entries the state of the engine.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticdock_core::serving::AgentReport;
+use masticdock_core::units::MonoMs;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, timeout_at};
+
+use super::state::Agent;
+use crate::clock;
+use crate::peer::{Datagram, decode, encode};
+
+/// Time after its last hello in which an entry is told, in milliseconds.
+const SUBSCRIPTION_MS: u64 = 3_500;
+/// Shortest time between two reports of load alone.
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Tells entries for ever.
+pub(crate) async fn run(agent: Rc<Agent>) {
+    let address = SocketAddr::new(agent.settings.ip, agent.settings.peer_port);
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::error!(
+                event = "listener.failed",
+                address:% = address,
+                error:% = error;
+                "cannot tell entries the state of the engine"
+            );
+            return;
+        }
+    };
+    let mut entries: BTreeMap<SocketAddr, MonoMs> = BTreeMap::new();
+    let mut told: Option<AgentReport> = None;
+    let mut load_due = Instant::now();
+    let mut bytes = [0; 64];
+    loop {
+        let wake = tokio::select! {
+            received = socket.recv_from(&mut bytes) => Some(received),
+            () = agent.changed.notified() => None,
+            () = tokio::time::sleep_until(load_due), if load_due > Instant::now() => None,
+        };
+        let report = agent.report_for_entries();
+        if let Some(Ok((length, entry))) = wake
+            && decode(&bytes[..length]) == Some(Datagram::Hello)
+        {
+            let now = clock::now();
+            if entries.insert(entry, now).is_none() {
+                send(&socket, entry, report).await;
+            }
+            entries.retain(|_, hello_at| now.since_ms(*hello_at) < SUBSCRIPTION_MS);
+        }
+        let urgent = told.is_none_or(|told| {
+            told.version != report.version
+                || told.switching != report.switching
+                || told.reachable != report.reachable
+        });
+        let due = told != Some(report) && Instant::now() >= load_due;
+        if !urgent && !due {
+            continue;
+        }
+        for entry in entries.keys() {
+            send(&socket, *entry, report).await;
+        }
+        told = Some(report);
+        load_due = Instant::now() + LOAD_INTERVAL;
+    }
+}
+
+async fn send(socket: &UdpSocket, entry: SocketAddr, report: AgentReport) {
+    let bytes = encode(Datagram::Report(report));
+    let sent = timeout_at(
+        Instant::now() + Duration::from_millis(20),
+        socket.send_to(&bytes, entry),
+    );
+    if let Ok(Err(error)) = sent.await {
+        log::warn!(
+            event = "report.unsent",
+            entry:% = entry,
+            error:% = error;
+            "cannot send a report to an entry; the next one follows"
+        );
+    }
+}
--- /dev/null
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -0,0 +1,150 @@
+//! State that the tasks of an agent share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use masticdock_adapter::{Engine, EngineReport, NodeSettings};
+use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
+use masticdock_core::serving::{AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber};
+use tokio::sync::Notify;
+
+use super::pieces::Pieces;
+use crate::tables::Catalog;
+
+/// State of the agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) settings: Rc<NodeSettings>,
+    /// Address of the engine on this VM.
+    pub(crate) upstream: SocketAddr,
+    pub(crate) engine: Engine,
+    pub(crate) catalog: RefCell<Catalog>,
+    /// Newest report of the engine; `None` while it does not answer.
+    pub(crate) report: RefCell<Option<EngineReport>>,
+    /// Pieces of the version that is being fetched or was fetched last.
+    pub(crate) pieces: RefCell<Option<Rc<Pieces>>>,
+    /// Version of all staged pieces, once they were staged by this process or
+    /// found beside the same version at start.
+    pub(crate) staged: Cell<Option<VersionNumber>>,
+    /// Told after each change of the state above.
+    pub(crate) changed: Notify,
+}
+
+/// Model that the engine on this VM shall serve.
+#[derive(Debug, Clone)]
+pub(crate) struct ModelGoal {
+    pub(crate) model: ModelId,
+    pub(crate) engine: EngineProfile,
+    pub(crate) origin: Origin,
+}
+
+/// A peer and the address of its agent.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) pieces: PeerPieces,
+    pub(crate) agent: SocketAddr,
+}
+
+impl Agent {
+    pub(crate) fn new(settings: Rc<NodeSettings>, upstream: SocketAddr) -> Self {
+        let in_force_ms = settings.bounds.version_ms;
+        Self {
+            settings,
+            upstream,
+            engine: Engine::new(upstream),
+            catalog: RefCell::new(Catalog::new(in_force_ms)),
+            report: RefCell::new(None),
+            pieces: RefCell::new(None),
+            staged: Cell::new(None),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the model to serve once the configuration names it.
+    pub(crate) fn model_goal(&self) -> Option<ModelGoal> {
+        let catalog = self.catalog.borrow();
+        let configuration = catalog.configuration.as_ref()?;
+        let service = self.settings.service.as_ref()?;
+        let engine = configuration.services.get(service)?.engine.clone()?;
+        let origin = configuration.origin()?.clone();
+        let model = engine.models.first()?.clone();
+        Some(ModelGoal {
+            model,
+            engine,
+            origin,
+        })
+    }
+
+    /// Returns the id of the upstream on this VM, once it has registered.
+    pub(crate) fn own_id(&self) -> Option<UpstreamId> {
+        let catalog = self.catalog.borrow();
+        let own = catalog
+            .directory
+            .iter()
+            .find(|upstream| upstream.address == self.upstream)?;
+        Some(own.id.clone())
+    }
+
+    /// Returns the version of which the engine holds all layers.
+    pub(crate) fn held(&self, goal: &ModelGoal) -> Option<VersionNumber> {
+        let report = self.report.borrow();
+        let models = &report.as_ref()?.models;
+        let model = models.iter().find(|model| model.model == goal.model)?;
+        model.complete_version(goal.engine.layers)
+    }
+
+    /// Returns the region of an availability zone.
+    pub(crate) fn region(&self, zone: &masticdock_core::ids::ZoneId) -> RegionId {
+        let regions = &self.settings.regions;
+        regions.get(zone).unwrap_or(&self.settings.region).clone()
+    }
+
+    /// Returns the other agents of the service.
+    pub(crate) fn peers(&self, goal: &ModelGoal, version: VersionNumber) -> Vec<Peer> {
+        let catalog = self.catalog.borrow();
+        let mut peers = Vec::new();
+        for upstream in catalog.directory.iter() {
+            let same_service = Some(&upstream.service) == self.settings.service.as_ref();
+            if !same_service || upstream.leaving || upstream.address == self.upstream {
+                continue;
+            }
+            let held = upstream
+                .models
+                .iter()
+                .find(|model| model.model == goal.model)
+                .and_then(|model| model.complete_version(goal.engine.layers));
+            peers.push(Peer {
+                pieces: PeerPieces {
+                    id: upstream.id.clone(),
+                    region: self.region(&upstream.zone),
+                    complete: held == Some(version),
+                },
+                agent: SocketAddr::new(upstream.address.ip(), self.settings.peer_port),
+            });
+        }
+        peers
+    }
+
+    /// Returns what entries are told of the engine.
+    pub(crate) fn report_for_entries(&self) -> AgentReport {
+        let held = self.model_goal().and_then(|goal| self.held(&goal));
+        let report = self.report.borrow();
+        let Some(report) = report.as_ref() else {
+            return AgentReport {
+                running: 0,
+                queued: 0,
+                version: None,
+                switching: false,
+                reachable: false,
+            };
+        };
+        AgentReport {
+            running: report.running,
+            queued: report.queued,
+            version: held,
+            switching: report.busy,
+            reachable: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -0,0 +1,181 @@
+//! Upstreams that may take a request, as this entry knows them.
+
+use masticdock_core::ids::{RegionId, ServiceId, UpstreamId, ZoneId};
+use masticdock_core::serving::{
+    Candidate, EngineProfile, Placement, PlacementRules, RequestSize, Upstream, VersionNumber,
+    VersionTimeline, place,
+};
+use masticdock_core::units::MonoMs;
+
+use super::state::Entry;
+use crate::clock;
+
+/// Age up to which an agent's report goes before the upstream's row, in milliseconds.
+const REPORT_AGE_MAX_MS: u64 = 2_500;
+/// Time that a request may wait at an upstream before it begins, in milliseconds;
+/// an older version is not used that close to its end.
+const BEGIN_MARGIN_MS: u64 = 1_500;
+/// Delay that crossing to another availability zone is worth, in milliseconds.
+const OTHER_ZONE_MS: f64 = 40.0;
+/// Delay that crossing to another region is worth, in milliseconds.
+const OTHER_REGION_MS: f64 = 60.0;
+
+/// An upstream chosen for a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Chosen {
+    pub(crate) upstream: Upstream,
+    /// Version that the upstream has to hold, when one was declared.
+    pub(crate) version: Option<VersionNumber>,
+    /// Predicted time to the first event, in milliseconds.
+    pub(crate) predicted_ms: f64,
+    /// Requests at the upstream when it was chosen.
+    pub(crate) total: u32,
+    /// Number of upstreams that were candidates.
+    pub(crate) candidates: usize,
+}
+
+/// Why no upstream takes a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NoPlace {
+    /// Predicted time at the best candidate, in milliseconds; `None` without a candidate.
+    pub(crate) best_ms: Option<f64>,
+    pub(crate) candidates: usize,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) service: &'a ServiceId,
+    pub(crate) engine: Option<&'a EngineProfile>,
+    pub(crate) size: RequestSize,
+    /// What is left of the latency objective, in milliseconds.
+    pub(crate) objective_left_ms: f64,
+    pub(crate) returning: bool,
+    /// Upstreams that failed this request already.
+    pub(crate) tried: &'a [UpstreamId],
+}
+
+/// Chooses an upstream for a request.
+pub(crate) fn choose(entry: &Entry, wanted: &Wanted<'_>) -> Result<Chosen, NoPlace> {
+    let now = clock::now();
+    let catalog = entry.catalog.borrow();
+    let timeline = wanted
+        .engine
+        .and_then(|engine| engine.models.first())
+        .and_then(|model| catalog.timeline(model));
+    let mut upstreams = Vec::new();
+    let mut candidates = Vec::new();
+    for upstream in catalog.directory.iter() {
+        if upstream.service != *wanted.service
+            || upstream.leaving
+            || wanted.tried.contains(&upstream.id)
+        {
+            continue;
+        }
+        let Some(version) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
+            continue;
+        };
+        let Some(candidate) = candidate(entry, upstream, now) else {
+            continue;
+        };
+        upstreams.push((upstream, version));
+        candidates.push(candidate);
+    }
+    let placement = place(
+        &candidates,
+        wanted.engine,
+        wanted.size,
+        wanted.objective_left_ms,
+        wanted.returning,
+        &PlacementRules::default(),
+    );
+    let count = candidates.len();
+    match placement {
+        Placement::Send {
+            index,
+            predicted_ms,
+        } => {
+            let (upstream, version) = upstreams[index];
+            Ok(Chosen {
+                upstream: upstream.clone(),
+                version,
+                predicted_ms,
+                total: candidates[index].total,
+                candidates: count,
+            })
+        }
+        Placement::Full { best_ms } => Err(NoPlace {
+            best_ms: Some(best_ms),
+            candidates: count,
+        }),
+        Placement::NoCandidate => Err(NoPlace {
+            best_ms: None,
+            candidates: 0,
+        }),
+    }
+}
+
+/// Returns `None` for an engine on which the request must not begin, else the
+/// version to insist on, if any.
+fn usable_version(
+    entry: &Entry,
+    upstream: &Upstream,
+    engine: Option<&EngineProfile>,
+    timeline: Option<&VersionTimeline>,
+    now: MonoMs,
+) -> Option<Option<VersionNumber>> {
+    let Some(engine) = engine else {
+        return Some(None);
+    };
+    let reports = entry.reports.borrow();
+    let report = reports
+        .get(&upstream.id)
+        .filter(|(_, at)| now.since_ms(*at) < REPORT_AGE_MAX_MS)
+        .map(|(report, _)| report);
+    if report.is_some_and(|report| report.switching || !report.reachable) {
+        return None;
+    }
+    let by_row = upstream
+        .models
+        .iter()
+        .find(|model| engine.models.contains(&model.model))
+        .and_then(|model| model.complete_version(engine.layers));
+    let held = match report {
+        Some(report) => report.version,
+        None => by_row,
+    }?;
+    let Some(timeline) = timeline else {
+        return Some(None);
+    };
+    if held >= timeline.newest() {
+        return Some(Some(held));
+    }
+    (held >= timeline.required(now, BEGIN_MARGIN_MS)).then_some(None)
+}
+
+fn candidate(entry: &Entry, upstream: &Upstream, now: MonoMs) -> Option<Candidate> {
+    let mut loads = entry.loads.borrow_mut();
+    let load = loads.entry(upstream.id.clone()).or_default();
+    if load.is_paused(now) {
+        return None;
+    }
+    Some(Candidate {
+        slots: upstream.slots,
+        total: load.total(now),
+        unread_tokens: load.unread_tokens,
+        service_ms: load.service_ms(),
+        distance_ms: distance_ms(entry, &upstream.zone),
+        draw: rand::random(),
+    })
+}
+
+fn distance_ms(entry: &Entry, zone: &ZoneId) -> f64 {
+    if *zone == entry.settings.zone {
+        return 0.0;
+    }
+    let region: Option<&RegionId> = entry.settings.regions.get(zone);
+    if region == Some(&entry.settings.region) {
+        return OTHER_ZONE_MS;
+    }
+    OTHER_REGION_MS
+}
--- /dev/null
+++ b/crates/masticdock-node/src/signals/mod.rs
@@ -0,0 +1,39 @@
+//! Signals of the platform.
+
+use std::io;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Signals that a process acts on.
+#[derive(Debug)]
+pub(crate) struct Signals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Request {
+    /// Stop within the grace period.
+    Stop,
+    /// Read the settings file again.
+    Reload,
+}
+
+impl Signals {
+    /// Registers the handlers.
+    pub(crate) fn register() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub(crate) async fn next(&mut self) -> Request {
+        tokio::select! {
+            _ = self.terminate.recv() => Request::Stop,
+            _ = self.reload.recv() => Request::Reload,
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -0,0 +1,123 @@
+//! Following the tables of the platform's store.
+
+mod catalog;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticdock_adapter::{Feed, Row, Store, StoreError, Table};
+use rand::Rng;
+use tokio::time::sleep;
+
+pub(crate) use catalog::Catalog;
+
+/// Longest wait for a change in one call. Calls are priced, and a silent path
+/// is found by probes of the connection or by the end of the wait.
+const WAIT: Duration = Duration::from_millis(2_500);
+/// First pause after a failed call, in milliseconds.
+const PAUSE_MIN_MS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds; a store that returned is
+/// noticed within it.
+const PAUSE_MAX_MS: u64 = 800;
+
+/// What a table's follower tells.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// All rows of the table.
+    Snapshot(Vec<Row>),
+    /// Rows that changed.
+    Changes(Vec<Row>),
+    /// The store answers again after failures that began before this snapshot or change.
+    Regained,
+}
+
+/// Settings of a follower.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Follower {
+    /// Table to follow.
+    pub(crate) table: Table,
+    /// Address of the store.
+    pub(crate) store: SocketAddr,
+    /// Time between two calls while changes come in quick succession.
+    pub(crate) settle: Duration,
+}
+
+impl Follower {
+    /// Follows the table for ever and hands each event to `apply`.
+    pub(crate) async fn run(self, mut apply: impl FnMut(Event)) {
+        let store = Store::new(self.store);
+        let mut version = None;
+        let mut failures = 0_u32;
+        loop {
+            let result = self.step(&store, version).await;
+            let event = match result {
+                Ok((event, reached)) => {
+                    version = reached;
+                    event
+                }
+                Err(error) => {
+                    self.failed(&mut failures, &error).await;
+                    continue;
+                }
+            };
+            if failures > 0 {
+                log::info!(
+                    event = "dependency.regained",
+                    dependency = "store",
+                    table = self.table.as_str(),
+                    failures = failures;
+                    "the store answers again"
+                );
+                failures = 0;
+                apply(Event::Regained);
+            }
+            let Some(event) = event else {
+                continue;
+            };
+            apply(event);
+            if !self.settle.is_zero() {
+                sleep(self.settle).await;
+            }
+        }
+    }
+
+    async fn step(
+        &self,
+        store: &Store,
+        version: Option<u64>,
+    ) -> Result<(Option<Event>, Option<u64>), StoreError> {
+        let Some(version) = version else {
+            let snapshot = store.read(self.table).await?;
+            return Ok((Some(Event::Snapshot(snapshot.rows)), Some(snapshot.version)));
+        };
+        match store.follow(self.table, version, WAIT).await? {
+            Feed::Changes(rows, reached) if rows.is_empty() => Ok((None, Some(reached))),
+            Feed::Changes(rows, reached) => Ok((Some(Event::Changes(rows)), Some(reached))),
+            Feed::HistoryLost => {
+                log::warn!(
+                    event = "store.history_lost",
+                    table = self.table.as_str(),
+                    version = version;
+                    "the store dropped its history; the table is read anew"
+                );
+                Ok((None, None))
+            }
+        }
+    }
+
+    async fn failed(&self, failures: &mut u32, error: &StoreError) {
+        if *failures == 0 {
+            log::warn!(
+                event = "dependency.lost",
+                dependency = "store",
+                table = self.table.as_str(),
+                error:% = error;
+                "the store does not answer; the last known rows stay in force"
+            );
+        }
+        let pause_ms = (PAUSE_MIN_MS << (*failures).min(3)).min(PAUSE_MAX_MS);
+        *failures += 1;
+        let jitter_ms = rand::rng().random_range(0..=pause_ms / 2);
+        sleep(Duration::from_millis(pause_ms / 2 + jitter_ms)).await;
+    }
+}
