Pace uploads, keep store calls few and tell returning callers by the usual deadline

Ruled out: TCP probes as a way to find a silent store (a trial with waits of 20 s found it only at the end of the wait).

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -25,10 +25,7 @@
     /// Returns true when the request may run again after an attempt of unknown outcome.
     #[must_use]
     pub const fn may_run_again(self) -> bool {
-        matches!(
-            self,
-            Self::Idempotent | Self::Stream { resumable: true }
-        )
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
     /// Returns true when the response is a stream of events.
@@ -108,7 +105,8 @@
     #[must_use]
     pub fn pass_ms(&self, running: u32) -> f64 {
         let running = f64::from(running);
-        let context_k = running * (self.prompt_tokens_mean + self.answer_tokens_mean / 2.0) / 1_000.0;
+        let context_k =
+            running * (self.prompt_tokens_mean + self.answer_tokens_mean / 2.0) / 1_000.0;
         f64::from(self.steps_per_pass)
             * (self.step_ms
                 + self.step_per_request_ms * running
@@ -265,7 +263,10 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
         let host = host_name(host);
-        let routes = self.routes.get(host.as_str()).map_or(&[][..], Vec::as_slice);
+        let routes = self
+            .routes
+            .get(host.as_str())
+            .map_or(&[][..], Vec::as_slice);
         let Some(route) = routes
             .iter()
             .find(|route| path.starts_with(route.prefix.as_str()))
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod repeat;
 mod retry_after;
+mod returning;
 mod switch_plan;
 mod versions;
 
@@ -21,7 +22,10 @@
 pub use load::{AgentReport, UpstreamLoad};
 pub use piece_sources::{PeerPieces, PieceSource, PieceSources};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
-pub use repeat::{Attempt, AttemptEnd, FinalAnswer, NextStep, RepeatBudget, RepeatBudgetSettings, next_step};
+pub use repeat::{
+    Attempt, AttemptEnd, FinalAnswer, NextStep, RepeatBudget, RepeatBudgetSettings, next_step,
+};
 pub use retry_after::{RetryAfter, RetryAfterSettings};
+pub use returning::UsualDeadline;
 pub use switch_plan::{SwitchPlan, SwitchTiming};
 pub use versions::{VersionNumber, VersionTimeline};
--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -64,7 +64,10 @@
         if let Some(index) = self.ranked(&key, |peer| peer.complete, skip) {
             return PieceSource::Peer(index);
         }
-        if self.origin_region.is_some_and(|region| region != self.region) {
+        if self
+            .origin_region
+            .is_some_and(|region| region != self.region)
+        {
             let beside_origin = |peer: &PeerPieces| Some(&peer.region) == self.origin_region;
             if let Some(index) = self.ranked(&key, beside_origin, skip) {
                 return PieceSource::Peer(index);
--- a/crates/masticdock-core/src/serving/repeat.rs
+++ b/crates/masticdock-core/src/serving/repeat.rs
@@ -183,7 +183,11 @@
         {
             self.buckets.pop_front();
         }
-        if self.buckets.back().is_none_or(|bucket| bucket.index < index) {
+        if self
+            .buckets
+            .back()
+            .is_none_or(|bucket| bucket.index < index)
+        {
             self.buckets.push_back(Bucket {
                 index,
                 requests: 0,
--- a/crates/masticdock-core/src/serving/retry_after.rs
+++ b/crates/masticdock-core/src/serving/retry_after.rs
@@ -53,7 +53,9 @@
     pub fn record(&mut self, rejected: bool, now: MonoMs) {
         let elapsed_ms = now.since_ms(self.updated_at) as f64;
         self.updated_at = now;
-        let keep = (-elapsed_ms / self.settings.memory_ms as f64).exp().min(0.97);
+        let keep = (-elapsed_ms / self.settings.memory_ms as f64)
+            .exp()
+            .min(0.97);
         let sample = if rejected { 1.0 } else { 0.0 };
         self.rejected_share = keep * self.rejected_share + (1.0 - keep) * sample;
     }
@@ -66,7 +68,11 @@
 
     /// Returns the delay for one rejected caller, in milliseconds; `draw` is uniform in 0..1.
     #[must_use]
-    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
     pub fn delay_ms(&self, draw: f64) -> u64 {
         let short_ms = self.settings.short_ms as f64;
         let span_ms = self.settings.long_ms as f64 - short_ms;
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -82,6 +82,13 @@
         Some(*at)
     }
 
+    /// Returns when requests must no longer begin on `held`, if a newer version is declared.
+    #[must_use]
+    pub fn begin_until(&self, held: VersionNumber) -> Option<MonoMs> {
+        let (_, at) = self.learnt.iter().find(|(version, _)| *version > held)?;
+        Some(at.plus_ms(self.in_force_ms))
+    }
+
     /// Returns when the oldest version that is not yet in force has to be, if any.
     #[must_use]
     pub fn next_deadline(&self, now: MonoMs) -> Option<MonoMs> {
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches the pieces of a version from peers and the origin.
 
-use std::collections::HashMap;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,7 +62,8 @@
     for piece in fetch_order(agent, goal, pieces) {
         let (agent, goal) = (Rc::clone(agent), goal.clone());
         let (pieces, sources) = (Rc::clone(pieces), Rc::clone(&sources));
-        tasks.spawn_local(async move { fetch_piece(&agent, &goal, &pieces, &sources, piece).await });
+        tasks
+            .spawn_local(async move { fetch_piece(&agent, &goal, &pieces, &sources, piece).await });
     }
     while let Some(result) = tasks.join_next().await {
         match result {
@@ -86,8 +87,9 @@
             continue;
         }
         let from_near = match source(agent, goal, pieces.version, piece, 0) {
-            Some((PieceSource::Peer(_), peer)) => peer
-                .is_some_and(|(region, _)| region == agent.settings.region),
+            Some((PieceSource::Peer(_), peer)) => {
+                peer.is_some_and(|(region, _)| region == agent.settings.region)
+            }
             _ => false,
         };
         if from_near {
@@ -97,9 +99,9 @@
         }
     }
     // Agents start at different pieces, so that none of them serves all at once.
-    let shift = agent
-        .own_id()
-        .map_or(0, |id| masticdock_core::rendezvous::weight(b"shift", id.as_str()));
+    let shift = agent.own_id().map_or(0, |id| {
+        masticdock_core::rendezvous::weight(b"shift", id.as_str())
+    });
     if !others.is_empty() {
         let count = others.len() as u64;
         others.rotate_left(usize::try_from(shift % count).unwrap_or(0));
@@ -130,9 +132,7 @@
     };
     let source = sources.source(piece, attempt);
     let peer = match source {
-        PieceSource::Peer(index) => {
-            Some((peers[index].pieces.region.clone(), peers[index].agent))
-        }
+        PieceSource::Peer(index) => Some((peers[index].pieces.region.clone(), peers[index].agent)),
         PieceSource::Origin => None,
     };
     Some((source, peer))
@@ -229,7 +229,9 @@
     let path = piece_path(&pieces.model, pieces.version, piece);
     // Sending takes some 50 ms on an idle link and more while others read too.
     let timeout = PIECE_WAIT + Duration::from_millis(700);
-    let reply = client.call(Method::GET, &path, Bytes::new(), timeout).await?;
+    let reply = client
+        .call(Method::GET, &path, Bytes::new(), timeout)
+        .await?;
     match reply.status {
         StatusCode::OK => Ok(Some(reply.body)),
         StatusCode::NOT_FOUND => Ok(None),
--- a/crates/masticdock-node/src/agent/keeper.rs
+++ b/crates/masticdock-node/src/agent/keeper.rs
@@ -5,7 +5,7 @@
 
 use masticdock_adapter::{OrderAnswer, OriginClient};
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{SwitchPlan, VersionNumber};
+use masticdock_core::serving::{SwitchPlan, VersionNumber, VersionTimeline};
 use masticdock_core::units::MonoMs;
 use tokio::time::{sleep, timeout};
 
@@ -37,7 +37,6 @@
 /// Returns the version to bring the engine to, or `None` while it holds it.
 fn next(agent: &Agent) -> Option<(ModelGoal, VersionNumber)> {
     let goal = agent.model_goal()?;
-    agent.own_id()?;
     // Without a report it is not known what the engine holds.
     agent.report.borrow().as_ref()?;
     let version = newest(agent, &goal);
@@ -45,7 +44,11 @@
         settle(agent, version);
         return None;
     }
-    if agent.report.borrow().as_ref().is_some_and(|report| report.busy)
+    if agent
+        .report
+        .borrow()
+        .as_ref()
+        .is_some_and(|report| report.busy)
         && agent.staged.get() == Some(version)
     {
         return None;
@@ -57,14 +60,17 @@
     let catalog = agent.catalog.borrow();
     catalog
         .timeline(&goal.model)
-        .map_or(VersionNumber(1), |timeline| timeline.newest())
+        .map_or(VersionNumber(1), VersionTimeline::newest)
 }
 
 /// Frees the pieces in memory once the engine holds them: the stage serves peers.
 fn settle(agent: &Agent, version: VersionNumber) {
     agent.staged.set(Some(version));
     let mut pieces = agent.pieces.borrow_mut();
-    if pieces.as_ref().is_some_and(|pieces| pieces.version == version) {
+    if pieces
+        .as_ref()
+        .is_some_and(|pieces| pieces.version == version)
+    {
         log::info!(
             event = "version.serving",
             weights = version.0;
@@ -109,8 +115,14 @@
     if let Some(pieces) = current.filter(|pieces| pieces.version == version) {
         return Some(pieces);
     }
+    agent.read_upstreams().await;
+    // Until the upstream has registered, peers rank its pieces differently.
+    agent.own_id()?;
     let origin = OriginClient::new(goal.origin.address);
-    let manifest = match origin.manifest(&goal.model, version, goal.engine.pieces).await {
+    let manifest = match origin
+        .manifest(&goal.model, version, goal.engine.pieces)
+        .await
+    {
         Ok(Some(manifest)) => manifest,
         Ok(None) => {
             log::warn!(
--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -20,6 +20,8 @@
 use crate::tables::Follower;
 use state::Agent;
 
+/// Longest wait for a declared version in one call; a version has 8 s.
+const WAIT: Duration = Duration::from_secs(4);
 /// Time between two reads of the store while changes come in quick succession:
 /// an agent needs declared versions within a second, not each configuration.
 const SETTLE: Duration = Duration::from_millis(300);
@@ -53,6 +55,7 @@
     let follower = Follower {
         table: Table::Operators,
         store: agent.settings.store,
+        wait: WAIT,
         settle: SETTLE,
     };
     let of_operators = Rc::clone(agent);
@@ -60,13 +63,4 @@
         of_operators.catalog.borrow_mut().apply_operators(event);
         of_operators.changed.notify_waiters();
     }));
-    let follower = Follower {
-        table: Table::Upstreams,
-        ..follower
-    };
-    let of_upstreams = Rc::clone(agent);
-    spawn_local(follower.run(move |event| {
-        of_upstreams.catalog.borrow_mut().apply_upstreams(event);
-        of_upstreams.changed.notify_waiters();
-    }));
 }
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -10,13 +10,14 @@
 use hyper::body::Incoming;
 use masticdock_core::ids::ModelId;
 use masticdock_core::serving::VersionNumber;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::state::Agent;
+use crate::clock;
 use crate::http_server::{respond, serve};
 
 /// Longest time that a request waits for a piece which is on its way here.
-pub(crate) const PIECE_WAIT: Duration = Duration::from_millis(2_000);
+pub(crate) const PIECE_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves pieces for ever.
 pub(crate) async fn run(agent: Rc<Agent>) {
@@ -42,11 +43,33 @@
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
     match find(&agent, &model, version, piece).await {
-        Some(bytes) => respond(StatusCode::OK, bytes),
+        Some(bytes) => {
+            pace(&agent, bytes.len()).await;
+            respond(StatusCode::OK, bytes)
+        }
         None => respond(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
+/// Waits until a piece may be sent without holding up events of streams.
+async fn pace(agent: &Agent, bytes: usize) {
+    loop {
+        let now = clock::now();
+        let wait_ms = {
+            let mut uploads = agent.uploads.borrow_mut();
+            let wait_ms = uploads.wait_ms(now);
+            if wait_ms == 0 {
+                uploads.take(bytes as u64, now);
+            }
+            wait_ms
+        };
+        if wait_ms == 0 {
+            return;
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+    }
+}
+
 fn parse(path: &str) -> Option<(ModelId, VersionNumber, usize)> {
     let mut parts = path.strip_prefix("/pieces/")?.split('/');
     let model = parts.next()?.parse().ok()?;
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -4,13 +4,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use masticdock_adapter::{Engine, EngineReport, NodeSettings};
+use masticdock_adapter::{Engine, EngineReport, NodeSettings, Store, Table};
 use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
 use masticdock_core::serving::{AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber};
+use masticdock_core::transfer::TokenBucket;
+use masticdock_core::units::BytesPerSecond;
 use tokio::sync::Notify;
 
 use super::pieces::Pieces;
-use crate::tables::Catalog;
+use crate::clock;
+use crate::tables::{Catalog, Event};
+
+/// Part of the VM's link that uploads may take: events of streams share the
+/// link and are late after 120 ms, in which it sends three pieces.
+const UPLOAD_PERCENT: u64 = 85;
 
 /// State of the agent.
 #[derive(Debug)]
@@ -19,6 +26,7 @@
     /// Address of the engine on this VM.
     pub(crate) upstream: SocketAddr,
     pub(crate) engine: Engine,
+    store: Store,
     pub(crate) catalog: RefCell<Catalog>,
     /// Newest report of the engine; `None` while it does not answer.
     pub(crate) report: RefCell<Option<EngineReport>>,
@@ -27,6 +35,8 @@
     /// Version of all staged pieces, once they were staged by this process or
     /// found beside the same version at start.
     pub(crate) staged: Cell<Option<VersionNumber>>,
+    /// Paces what is sent to other agents.
+    pub(crate) uploads: RefCell<TokenBucket>,
     /// Told after each change of the state above.
     pub(crate) changed: Notify,
 }
@@ -49,18 +59,39 @@
 impl Agent {
     pub(crate) fn new(settings: Rc<NodeSettings>, upstream: SocketAddr) -> Self {
         let in_force_ms = settings.bounds.version_ms;
+        let store = Store::new(settings.store);
+        let upload_rate = BytesPerSecond(settings.link.0 * UPLOAD_PERCENT / 100);
         Self {
             settings,
             upstream,
             engine: Engine::new(upstream),
+            store,
             catalog: RefCell::new(Catalog::new(in_force_ms)),
             report: RefCell::new(None),
             pieces: RefCell::new(None),
             staged: Cell::new(None),
+            uploads: RefCell::new(TokenBucket::new(upload_rate, clock::now())),
             changed: Notify::new(),
         }
     }
 
+    /// Reads the list of upstreams; an agent needs it only before it fetches, so
+    /// it does not follow every change.
+    pub(crate) async fn read_upstreams(&self) {
+        match self.store.read(Table::Upstreams).await {
+            Ok(snapshot) => {
+                let event = Event::Snapshot(snapshot.rows);
+                self.catalog.borrow_mut().apply_upstreams(event);
+            }
+            Err(error) => log::warn!(
+                event = "store.read_failed",
+                table = Table::Upstreams.as_str(),
+                error:% = error;
+                "the list of upstreams cannot be read; the last one stays in use"
+            ),
+        }
+    }
+
     /// Returns the model to serve once the configuration names it.
     pub(crate) fn model_goal(&self) -> Option<ModelGoal> {
         let catalog = self.catalog.borrow();
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use masticdock_adapter::{
     Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop, is_private_to_upstreams,
     mark_for_upstream, upstream_head,
 };
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{AttemptEnd, EventSplitter, RequestKind, StreamEvent};
+use masticdock_core::serving::{AttemptEnd, EventSplitter, RequestKind, StreamEvent, UpstreamLoad};
+use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::candidates::Chosen;
@@ -22,7 +23,7 @@
 
 /// Time without any byte of an upstream after which it counts as silent: four
 /// passes of a full batch with long prompts.
-const UPSTREAM_SILENCE: Duration = Duration::from_millis(1_000);
+const UPSTREAM_SILENCE: Duration = Duration::from_secs(1);
 /// Time for the first byte of a response after which its connection counts as
 /// silent, whatever the upstream sends on others.
 const CONNECTION_SILENCE: Duration = Duration::from_millis(1_800);
@@ -85,7 +86,7 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.first_event();
-        self.entry.with_load(&self.upstream, |load| load.end());
+        self.entry.with_load(&self.upstream, UpstreamLoad::end);
     }
 }
 
@@ -122,7 +123,12 @@
         version: chosen.version,
         last_event_id: last_event_id.or(call.head.last_event_id),
     };
-    let outcome = exchange(entry, call, &target, connection, load).await;
+    let patience = Patience {
+        started: Instant::now(),
+        since: clock::now(),
+        begin_until: chosen.begin_until,
+    };
+    let outcome = exchange(entry, call, &target, connection, load, &patience).await;
     if let Outcome::Failed(end, _) = &outcome {
         entry.with_load(id, |load| match end {
             AttemptEnd::NotExecuted => load.refused(clock::now()),
@@ -165,10 +171,10 @@
     target: &UpstreamTarget,
     mut connection: Connection,
     load: LoadGuard,
+    patience: &Patience,
 ) -> Outcome {
-    let started = Instant::now();
     let sent = connection.send_request(build(call, target));
-    let response = match within(entry, call, target, started, sent).await {
+    let response = match within(entry, call, target, patience, sent).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return broken(call, target, &error.to_string()),
         Err(waited) => return silent(call, target, waited),
@@ -176,7 +182,11 @@
     let (parts, body) = response.into_parts();
     let head = upstream_head(parts.status, &parts.headers);
     note_head(entry, target, &head);
-    if head.request_id.as_deref().is_some_and(|id| id != call.head.request_id) {
+    if head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != call.head.request_id)
+    {
         return broken(call, target, "a response to another request arrived");
     }
     if head.not_executed {
@@ -190,8 +200,13 @@
         );
         // The connection can be used again once the short body was read.
         let body = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        if timeout_at(call.deadline, body).await.is_ok_and(|body| body.is_ok()) {
-            entry.pools.keep(&target.id, connection, head.idle_timeout_ms);
+        if timeout_at(call.deadline, body)
+            .await
+            .is_ok_and(|body| body.is_ok())
+        {
+            entry
+                .pools
+                .keep(&target.id, connection, head.idle_timeout_ms);
         }
         return Outcome::Failed(AttemptEnd::NotExecuted, None);
     }
@@ -211,20 +226,20 @@
             idle_timeout_ms: head.idle_timeout_ms,
             load,
         };
-        return first_events(entry, call, target, started, stream).await;
+        return first_events(entry, call, target, patience, stream).await;
     }
-    let declared = body.size_hint().exact();
     let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-    let body = match within(entry, call, target, started, collected).await {
+    let body = match within(entry, call, target, patience, collected).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => return broken(call, target, &error.to_string()),
         Err(waited) => return silent(call, target, waited),
     };
-    debug_assert!(declared.is_none_or(|length| length == body.len() as u64));
-    entry.pools.keep(&target.id, connection, head.idle_timeout_ms);
+    entry
+        .pools
+        .keep(&target.id, connection, head.idle_timeout_ms);
     entry.with_load(&target.id, |load| {
         load.heard(clock::now());
-        load.served(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+        load.served(u64::try_from(patience.started.elapsed().as_millis()).unwrap_or(u64::MAX));
     });
     if parts.status.is_server_error() {
         return Outcome::Failed(AttemptEnd::ServerError, Some((passed_on, body)));
@@ -236,11 +251,11 @@
     entry: &Entry,
     call: &Call,
     target: &UpstreamTarget,
-    started: Instant,
+    patience: &Patience,
     mut stream: OpenStream,
 ) -> Outcome {
     while stream.first.is_empty() {
-        let frame = match within(entry, call, target, started, stream.body.frame()).await {
+        let frame = match within(entry, call, target, patience, stream.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return broken(call, target, &error.to_string()),
             Ok(None) if stream.splitter.has_rest() => {
@@ -265,34 +280,44 @@
     Outcome::Stream(Box::new(stream))
 }
 
+/// How long an attempt waits for its response to begin.
+#[derive(Debug, Clone, Copy)]
+struct Patience {
+    started: Instant,
+    since: MonoMs,
+    /// When the version of the upstream's weights ends; a request that has not
+    /// begun by then must not begin there.
+    begin_until: Option<MonoMs>,
+}
+
 /// Awaits something of an upstream until the deadline; a request that may run
 /// again also ends when the upstream falls silent. Returns the time waited.
 async fn within<T>(
     entry: &Entry,
     call: &Call,
     target: &UpstreamTarget,
-    started: Instant,
+    patience: &Patience,
     awaited: impl Future<Output = T>,
 ) -> Result<T, Duration> {
     let mut awaited = std::pin::pin!(awaited);
     let repeatable = call.route.kind.may_run_again();
-    let began = clock::now();
     loop {
-        let look_at = if repeatable {
-            (Instant::now() + SILENCE_LOOK).min(call.deadline)
-        } else {
-            call.deadline
-        };
+        let mut look_at = call.deadline;
+        if repeatable || patience.begin_until.is_some() {
+            look_at = look_at.min(Instant::now() + SILENCE_LOOK);
+        }
         tokio::select! {
             done = &mut awaited => return Ok(done),
             () = sleep_until(look_at) => {}
         }
-        let waited = started.elapsed();
-        if Instant::now() >= call.deadline {
+        let waited = patience.started.elapsed();
+        let now = clock::now();
+        let version_ended = patience.begin_until.is_some_and(|until| now >= until);
+        if Instant::now() >= call.deadline || version_ended {
             return Err(waited);
         }
         let heard_at = entry.with_load(&target.id, |load| load.last_heard_at());
-        let quiet = clock::now().since(heard_at.max(began));
+        let quiet = now.since(heard_at.max(patience.since));
         if repeatable && (quiet >= UPSTREAM_SILENCE || waited >= CONNECTION_SILENCE) {
             return Err(waited);
         }
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -12,9 +12,13 @@
 
 /// Age up to which an agent's report goes before the upstream's row, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 2_500;
-/// Time that a request may wait at an upstream before it begins, in milliseconds;
-/// an older version is not used that close to its end.
+/// Time before the end of an older version from which no request is sent to it, in
+/// milliseconds: a request may wait at an upstream before it begins.
 const BEGIN_MARGIN_MS: u64 = 1_500;
+/// Time before the end of an older version at which a request that has not begun
+/// is taken back, in milliseconds; covers the way to the upstream and the age
+/// of the declaration when it was read.
+const TAKE_BACK_MARGIN_MS: u64 = 500;
 /// Delay that crossing to another availability zone is worth, in milliseconds.
 const OTHER_ZONE_MS: f64 = 40.0;
 /// Delay that crossing to another region is worth, in milliseconds.
@@ -26,6 +30,8 @@
     pub(crate) upstream: Upstream,
     /// Version that the upstream has to hold, when one was declared.
     pub(crate) version: Option<VersionNumber>,
+    /// When a request that has not begun there is taken back.
+    pub(crate) begin_until: Option<MonoMs>,
     /// Predicted time to the first event, in milliseconds.
     pub(crate) predicted_ms: f64,
     /// Requests at the upstream when it was chosen.
@@ -72,13 +78,13 @@
         {
             continue;
         }
-        let Some(version) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
+        let Some(usable) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
             continue;
         };
         let Some(candidate) = candidate(entry, upstream, now) else {
             continue;
         };
-        upstreams.push((upstream, version));
+        upstreams.push((upstream, usable));
         candidates.push(candidate);
     }
     let placement = place(
@@ -95,10 +101,11 @@
             index,
             predicted_ms,
         } => {
-            let (upstream, version) = upstreams[index];
+            let (upstream, usable) = upstreams[index];
             Ok(Chosen {
                 upstream: upstream.clone(),
-                version,
+                version: usable.insist_on,
+                begin_until: usable.begin_until,
                 predicted_ms,
                 total: candidates[index].total,
                 candidates: count,
@@ -115,17 +122,23 @@
     }
 }
 
-/// Returns `None` for an engine on which the request must not begin, else the
-/// version to insist on, if any.
+/// How the version that an upstream holds bounds a request.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usable {
+    insist_on: Option<VersionNumber>,
+    begin_until: Option<MonoMs>,
+}
+
+/// Returns `None` for an engine on which the request must not begin.
 fn usable_version(
     entry: &Entry,
     upstream: &Upstream,
     engine: Option<&EngineProfile>,
     timeline: Option<&VersionTimeline>,
     now: MonoMs,
-) -> Option<Option<VersionNumber>> {
+) -> Option<Usable> {
     let Some(engine) = engine else {
-        return Some(None);
+        return Some(Usable::default());
     };
     let reports = entry.reports.borrow();
     let report = reports
@@ -145,12 +158,18 @@
         None => by_row,
     }?;
     let Some(timeline) = timeline else {
-        return Some(None);
+        return Some(Usable::default());
     };
-    if held >= timeline.newest() {
-        return Some(Some(held));
-    }
-    (held >= timeline.required(now, BEGIN_MARGIN_MS)).then_some(None)
+    let Some(begin_until) = timeline.begin_until(held) else {
+        return Some(Usable {
+            insist_on: Some(held),
+            begin_until: None,
+        });
+    };
+    (now.plus_ms(BEGIN_MARGIN_MS) < begin_until).then_some(Usable {
+        insist_on: None,
+        begin_until: Some(MonoMs(begin_until.0.saturating_sub(TAKE_BACK_MARGIN_MS))),
+    })
 }
 
 fn candidate(entry: &Entry, upstream: &Upstream, now: MonoMs) -> Option<Candidate> {
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -106,7 +106,10 @@
     /// Returns the number of connections on which a request is answered or read.
     pub(crate) fn in_use(&self) -> usize {
         let busy = |connection: &Rc<CallerConnection>| connection.phase.get() != Phase::Idle;
-        self.all().iter().filter(|connection| busy(connection)).count()
+        self.all()
+            .iter()
+            .filter(|connection| busy(connection))
+            .count()
     }
 
     /// Closes connections that are idle or send a head for too long.
@@ -141,7 +144,10 @@
                 continue;
             }
         };
-        let open_max = entry.settings.descriptors_max.saturating_sub(DESCRIPTORS_RESERVED);
+        let open_max = entry
+            .settings
+            .descriptors_max
+            .saturating_sub(DESCRIPTORS_RESERVED);
         if entry.connections.count() >= open_max && entry.connections.all().len() >= open_max {
             log::warn!(event = "connection.refused", open = open_max; "too many connections of callers");
             continue;
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -31,6 +31,12 @@
 use crate::tables::Follower;
 use state::Entry;
 
+/// Longest wait for a change of a table. Together with the time for the answer
+/// it stays under 3 s, after which a calm VM has to know what changed.
+const WAIT: Duration = Duration::from_secs(2);
+/// Time between two calls while changes come in quick succession; the bounds
+/// on configurations and leaving upstreams are 2 s.
+const SETTLE: Duration = Duration::from_millis(100);
 /// Time between two looks at lapsed upstreams and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -79,7 +85,8 @@
     let follower = Follower {
         table: Table::Operators,
         store: entry.settings.store,
-        settle: Duration::ZERO,
+        wait: WAIT,
+        settle: SETTLE,
     };
     let of_operators = Rc::clone(entry);
     spawn_local(follower.run(move |event| {
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -60,7 +60,9 @@
         }
         let now = clock::now();
         let idle_ms = idle_timeout_ms
-            .map_or(IDLE_MS_MAX, |timeout_ms| timeout_ms.saturating_sub(IDLE_MARGIN_MS))
+            .map_or(IDLE_MS_MAX, |timeout_ms| {
+                timeout_ms.saturating_sub(IDLE_MARGIN_MS)
+            })
             .min(IDLE_MS_MAX);
         self.kept
             .borrow_mut()
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -15,7 +15,7 @@
 use super::attempt::{OpenStream, Outcome, attempt};
 use super::candidates::Chosen;
 use super::connections::InUse;
-use super::request::{Call, ended, place, step};
+use super::request::{Call, Times, ended, place, step};
 use super::state::Entry;
 use crate::clock;
 use crate::metrics::metrics;
@@ -35,6 +35,8 @@
     events: Sender<Result<Bytes, Cut>>,
     last_id: Option<u64>,
     first_ms: u64,
+    /// Longest pause between two arrivals of events, in milliseconds.
+    pause_ms: u64,
 }
 
 /// How passing on one upstream's events ended.
@@ -65,6 +67,7 @@
     made.delivering = true;
     let relay = Relay {
         first_ms: call.age_ms(),
+        pause_ms: 0,
         last_id: call.head.last_event_id,
         entry,
         call,
@@ -131,7 +134,10 @@
                 Outcome::Failed(failed, _) => {
                     self.made.record(failed);
                     self.tried.push(chosen.upstream.id);
-                    metrics().attempts.with_label_values(&[failed.as_str()]).inc();
+                    metrics()
+                        .attempts
+                        .with_label_values(&[failed.as_str()])
+                        .inc();
                     end = failed;
                 }
             }
@@ -145,6 +151,7 @@
         }
         let mut ended = stream.ended;
         while !ended {
+            let asked_at = clock::now();
             let silent_at = Instant::now() + EVENT_SILENCE;
             let frame = tokio::select! {
                 frame = stream.body.frame() => frame,
@@ -163,8 +170,10 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    let now = clock::now();
+                    self.pause_ms = self.pause_ms.max(now.since_ms(asked_at));
                     self.entry
-                        .with_load(&stream.upstream, |load| load.heard(clock::now()));
+                        .with_load(&stream.upstream, |load| load.heard(now));
                     let Some(events) = stream.splitter.push(&bytes) else {
                         return Passed::Broken("an event is too long".to_owned());
                     };
@@ -208,7 +217,11 @@
 
     fn end(&self, outcome: &'static str, chosen: &Chosen) {
         let status = http::StatusCode::OK;
-        ended(&self.call, outcome, Some(chosen), status, &self.made, self.first_ms);
+        let times = Times {
+            first_ms: self.first_ms,
+            pause_ms: self.pause_ms,
+        };
+        ended(&self.call, outcome, Some(chosen), status, &self.made, times);
     }
 
     /// Ends the response so that it does not look complete.
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -15,7 +15,7 @@
 use crate::peer::{Datagram, decode, encode};
 
 /// Time between two rounds of hellos; an agent forgets an entry after three.
-const HELLO_INTERVAL: Duration = Duration::from_millis(1_000);
+const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Follows the reports of agents for ever.
 pub(crate) async fn run(entry: Rc<Entry>) {
@@ -118,4 +118,3 @@
         );
     }
 }
-
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -78,7 +78,13 @@
     let head = caller_head(&parts.headers);
     let request_id = head.request_id.clone();
     let Some(configuration) = entry.configuration().filter(|_| entry.serves()) else {
-        return reject(&request_id, StatusCode::SERVICE_UNAVAILABLE, "not_ready", Some(NOT_READY_RETRY_MS), in_use);
+        return reject(
+            &request_id,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not_ready",
+            Some(NOT_READY_RETRY_MS),
+            in_use,
+        );
     };
     let host = match parts.uri.authority() {
         Some(authority) => Some(authority.as_str()),
@@ -95,7 +101,13 @@
             return reject(&request_id, StatusCode::NOT_FOUND, "no_route", None, in_use);
         }
         RouteMatch::UnknownKey => {
-            return reject(&request_id, StatusCode::UNAUTHORIZED, "unknown_key", None, in_use);
+            return reject(
+                &request_id,
+                StatusCode::UNAUTHORIZED,
+                "unknown_key",
+                None,
+                in_use,
+            );
         }
     };
     let deadline_ms = head.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
@@ -176,7 +188,14 @@
         let outcome = attempt(&entry, &call, &chosen, None).await;
         let (end, error) = match outcome {
             Outcome::Whole(head, body) => {
-                ended(&call, "answered", Some(&chosen), head.status(), &made, call.age_ms());
+                ended(
+                    &call,
+                    "answered",
+                    Some(&chosen),
+                    head.status(),
+                    &made,
+                    Times::at_once(&call),
+                );
                 return whole(head, body, in_use);
             }
             Outcome::Stream(stream) => {
@@ -239,10 +258,24 @@
 ) -> Response<AnswerBody> {
     if made.may_have_run {
         if let Some((head, body)) = last_error {
-            ended(call, "error_passed_on", None, head.status(), made, call.age_ms());
+            ended(
+                call,
+                "error_passed_on",
+                None,
+                head.status(),
+                made,
+                Times::at_once(call),
+            );
             return whole(head, body, in_use);
         }
-        ended(call, "failed", None, StatusCode::BAD_GATEWAY, made, call.age_ms());
+        ended(
+            call,
+            "failed",
+            None,
+            StatusCode::BAD_GATEWAY,
+            made,
+            Times::at_once(call),
+        );
         return own(StatusCode::BAD_GATEWAY, None, in_use);
     }
     entry.record_admission(&call.service, true);
@@ -281,13 +314,27 @@
 ) -> Response<AnswerBody> {
     match (answer, last_error) {
         (FinalAnswer::PassOn, Some((head, body))) => {
-            ended(call, "error_passed_on", Some(chosen), head.status(), made, call.age_ms());
+            ended(
+                call,
+                "error_passed_on",
+                Some(chosen),
+                head.status(),
+                made,
+                Times::at_once(call),
+            );
             whole(head, body, in_use)
         }
         (FinalAnswer::NotRun, _) => {
             let (delay_ms, _) = entry.retry_after(&call.service);
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            ended(call, "not_run", Some(chosen), status, made, call.age_ms());
+            ended(
+                call,
+                "not_run",
+                Some(chosen),
+                status,
+                made,
+                Times::at_once(call),
+            );
             own(status, Some(delay_ms), in_use)
         }
         _ => {
@@ -296,7 +343,14 @@
             } else {
                 StatusCode::BAD_GATEWAY
             };
-            ended(call, "failed", Some(chosen), status, made, call.age_ms());
+            ended(
+                call,
+                "failed",
+                Some(chosen),
+                status,
+                made,
+                Times::at_once(call),
+            );
             own(status, None, in_use)
         }
     }
@@ -320,6 +374,24 @@
     own(status, retry_after_ms, in_use)
 }
 
+/// Times of a response, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Times {
+    /// From the request to the first event or the whole response.
+    pub(crate) first_ms: u64,
+    /// Longest pause between two arrivals of events.
+    pub(crate) pause_ms: u64,
+}
+
+impl Times {
+    fn at_once(call: &Call) -> Self {
+        Self {
+            first_ms: call.age_ms(),
+            pause_ms: 0,
+        }
+    }
+}
+
 /// Logs and counts the end of a request that was sent to some upstream.
 pub(crate) fn ended(
     call: &Call,
@@ -327,7 +399,7 @@
     chosen: Option<&Chosen>,
     status: StatusCode,
     made: &Attempt,
-    first_ms: u64,
+    times: Times,
 ) {
     let total_ms = call.age_ms();
     log::info!(
@@ -344,7 +416,8 @@
         weights = chosen.and_then(|chosen| chosen.version).map_or(0, |version| version.0),
         prompt_tokens = call.head.size.prompt_tokens,
         answer_tokens = call.head.size.answer_tokens,
-        first_ms = first_ms,
+        first_ms = times.first_ms,
+        pause_ms = times.pause_ms,
         total_ms = total_ms,
         failed_attempts = made.sent + made.unsent,
         returning = call.returning,
@@ -355,8 +428,14 @@
     metrics.requests.with_label_values(&[outcome]).inc();
     #[allow(clippy::cast_precision_loss)]
     let seconds = |ms: u64| ms as f64 / 1_000.0;
-    metrics.first_seconds.with_label_values(&[outcome]).observe(seconds(first_ms));
-    metrics.total_seconds.with_label_values(&[outcome]).observe(seconds(total_ms));
+    metrics
+        .first_seconds
+        .with_label_values(&[outcome])
+        .observe(seconds(times.first_ms));
+    metrics
+        .total_seconds
+        .with_label_values(&[outcome])
+        .observe(seconds(total_ms));
 }
 
 impl Entry {
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -9,7 +9,7 @@
 use masticdock_core::ids::{ServiceId, UpstreamId};
 use masticdock_core::serving::{
     AgentReport, Configuration, RepeatBudget, RepeatBudgetSettings, RequestLimits, RetryAfter,
-    RetryAfterSettings, UpstreamLoad,
+    RetryAfterSettings, UpstreamLoad, UsualDeadline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -35,8 +35,8 @@
     pub(crate) reports: RefCell<HashMap<UpstreamId, (AgentReport, MonoMs)>>,
     budgets: RefCell<HashMap<ServiceId, RepeatBudget>>,
     advice: RefCell<HashMap<ServiceId, RetryAfter>>,
-    /// Longest deadline seen by route; a caller that returns has less left.
-    deadlines: RefCell<HashMap<CompactString, u64>>,
+    /// Usual deadline by route; a caller that returns has less left.
+    deadlines: RefCell<HashMap<CompactString, UsualDeadline>>,
     pub(crate) pools: Pools,
     pub(crate) connections: Connections,
     stopping_since: Cell<Option<MonoMs>>,
@@ -73,7 +73,9 @@
     /// Returns true when the entry can serve new connections.
     pub(crate) fn is_ready(&self) -> bool {
         let catalog = self.catalog.borrow();
-        self.stopping_since.get().is_none() && catalog.configuration.is_some() && catalog.upstreams_known
+        self.stopping_since.get().is_none()
+            && catalog.configuration.is_some()
+            && catalog.upstreams_known
     }
 
     /// Returns when the entry was told to stop.
@@ -148,9 +150,7 @@
     /// Returns true when a caller with this deadline has been rejected before.
     pub(crate) fn is_returning(&self, route: &str, deadline_ms: u64) -> bool {
         let mut deadlines = self.deadlines.borrow_mut();
-        let longest_ms = deadlines.entry(CompactString::new(route)).or_insert(0);
-        *longest_ms = (*longest_ms).max(deadline_ms);
-        // Callers of one route wait equally long; what is missing was spent before.
-        deadline_ms + 50 < *longest_ms
+        let usual = deadlines.entry(CompactString::new(route)).or_default();
+        usual.is_returning(deadline_ms)
     }
 }
--- a/crates/masticdock-node/src/json_log/mod.rs
+++ b/crates/masticdock-node/src/json_log/mod.rs
@@ -131,7 +131,10 @@
         fields.insert("unix_ms".to_owned(), clock::unix_ms().into());
         fields.insert("mono_ms".to_owned(), clock::now().0.into());
         fields.insert("node".to_owned(), self.node.as_str().into());
-        fields.insert("level".to_owned(), record.level().as_str().to_ascii_lowercase().into());
+        fields.insert(
+            "level".to_owned(),
+            record.level().as_str().to_ascii_lowercase().into(),
+        );
         fields.insert("text".to_owned(), record.args().to_string().into());
         // A map of plain values always serialises.
         let _ = serde_json::to_writer(&mut buffer.bytes, &fields);
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
-};
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
 
 use crate::http_server::{respond, serve};
 
@@ -46,7 +44,10 @@
     fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
         let requests = IntCounterVec::new(
-            Opts::new("masticdock_requests_total", "Requests of callers by outcome."),
+            Opts::new(
+                "masticdock_requests_total",
+                "Requests of callers by outcome.",
+            ),
             &["outcome"],
         )?;
         let attempts = IntCounterVec::new(
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -106,7 +106,10 @@
 
     /// Takes over a configuration unless a newer one is in force.
     fn adopt(&mut self, configuration: Configuration) {
-        let current = self.configuration.as_ref().map_or(0, |current| current.version);
+        let current = self
+            .configuration
+            .as_ref()
+            .map_or(0, |current| current.version);
         if configuration.version <= current {
             return;
         }
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -11,14 +11,14 @@
 
 pub(crate) use catalog::Catalog;
 
-/// Longest wait for a change in one call. Calls are priced, and a silent path
-/// is found by probes of the connection or by the end of the wait.
-const WAIT: Duration = Duration::from_millis(2_500);
+/// Time in which a call that asks for changes without waiting has to be answered.
+/// A store that is slow answers within a quarter of a second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// First pause after a failed call, in milliseconds.
 const PAUSE_MIN_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds; a store that returned is
 /// noticed within it.
-const PAUSE_MAX_MS: u64 = 800;
+const PAUSE_MAX_MS: u64 = 400;
 
 /// What a table's follower tells.
 #[derive(Debug)]
@@ -38,6 +38,9 @@
     pub(crate) table: Table,
     /// Address of the store.
     pub(crate) store: SocketAddr,
+    /// Longest wait for a change in one call. Calls are priced; a path that fell
+    /// silent shows only when a wait ends without an answer.
+    pub(crate) wait: Duration,
     /// Time between two calls while changes come in quick succession.
     pub(crate) settle: Duration,
 }
@@ -49,7 +52,14 @@
         let mut version = None;
         let mut failures = 0_u32;
         loop {
-            let result = self.step(&store, version).await;
+            // A store that was away is asked without waiting, so that its return
+            // shows at once.
+            let wait = if failures == 0 {
+                self.wait
+            } else {
+                Duration::ZERO
+            };
+            let result = self.step(&store, version, wait).await;
             let event = match result {
                 Ok((event, reached)) => {
                     version = reached;
@@ -85,12 +95,16 @@
         &self,
         store: &Store,
         version: Option<u64>,
+        wait: Duration,
     ) -> Result<(Option<Event>, Option<u64>), StoreError> {
         let Some(version) = version else {
             let snapshot = store.read(self.table).await?;
             return Ok((Some(Event::Snapshot(snapshot.rows)), Some(snapshot.version)));
         };
-        match store.follow(self.table, version, WAIT).await? {
+        match store
+            .follow(self.table, version, wait, ANSWER_TIMEOUT)
+            .await?
+        {
             Feed::Changes(rows, reached) if rows.is_empty() => Ok((None, Some(reached))),
             Feed::Changes(rows, reached) => Ok((Some(Event::Changes(rows)), Some(reached))),
             Feed::HistoryLost => {
