Fetch apart from the switch, pace uploads without bursts, predict from turns and slowness

Causes found: agents fetched a version only after the turn of the one before; a burst of three pieces held events of streams up for over 120 ms; all agents read each configuration, which fills the links between regions on a large site; the prediction of the first event knew neither the prompts that other entries had sent nor the turns of engines.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -31,6 +31,23 @@
 /// Age at which a load report no longer counts, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 3_000;
 
+/// A report of an upstream's whole load, beside what was the entry's own part.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    total: u32,
+    queued: u32,
+    own: u32,
+    own_unread: u32,
+    at: MonoMs,
+}
+
+/// Weight of a new sample of slowness: some four samples carry a change.
+const SLOWNESS_WEIGHT: f64 = 0.3;
+/// Range of a sample of slowness; one outlier must not close an upstream.
+const SLOWNESS_RANGE: (f64, f64) = (0.5, 4.0);
+/// Time in which slowness fades to half without new samples, in milliseconds.
+const SLOWNESS_HALF_MS: f64 = 400.0;
+
 /// What one entry knows of the load and health of an upstream.
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamLoad {
@@ -38,8 +55,12 @@
     pub in_flight: u32,
     /// Prompt tokens of own requests that have not produced their first event.
     pub unread_tokens: u64,
-    /// Total and own requests at the time of the newest report.
-    reported: Option<(u32, u32, MonoMs)>,
+    /// Own requests that have not produced their first event.
+    pub unread: u32,
+    reported: Option<Reported>,
+    /// Seen times to the first event over predicted ones, smoothed, and when
+    /// the last one was seen.
+    slowness: Option<(f64, MonoMs)>,
     failures: u32,
     paused_until: MonoMs,
     last_heard_at: MonoMs,
@@ -51,11 +72,13 @@
     /// Counts a request sent with `prompt_tokens`.
     pub fn begin(&mut self, prompt_tokens: u64) {
         self.in_flight += 1;
+        self.unread += 1;
         self.unread_tokens += prompt_tokens;
     }
 
-    /// Notes the first event of a request.
+    /// Notes the first event, or the end, of a request that had none yet.
     pub fn first_event(&mut self, prompt_tokens: u64) {
+        self.unread = self.unread.saturating_sub(1);
         self.unread_tokens = self.unread_tokens.saturating_sub(prompt_tokens);
     }
 
@@ -65,8 +88,45 @@
     }
 
     /// Takes over a report of the upstream's whole load.
-    pub fn report(&mut self, total: u32, now: MonoMs) {
-        self.reported = Some((total, self.in_flight, now));
+    pub fn report(&mut self, running: u32, queued: u32, now: MonoMs) {
+        self.reported = Some(Reported {
+            total: running + queued,
+            queued,
+            own: self.in_flight,
+            own_unread: self.unread,
+            at: now,
+        });
+    }
+
+    /// Compares a seen time to the first event with the predicted one.
+    pub fn seen(&mut self, first_ms: f64, predicted_ms: f64, now: MonoMs) {
+        let (low, high) = SLOWNESS_RANGE;
+        let sample = (first_ms / predicted_ms.max(1.0)).clamp(low, high);
+        let slowness = self.slowness(now);
+        let slowness = slowness + SLOWNESS_WEIGHT * (sample - slowness);
+        self.slowness = Some((slowness, now));
+    }
+
+    /// Returns the factor by which the upstream is slower than predicted.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn slowness(&self, now: MonoMs) -> f64 {
+        let Some((slowness, at)) = self.slowness else {
+            return 1.0;
+        };
+        let fade = 0.5_f64.powf(now.since_ms(at) as f64 / SLOWNESS_HALF_MS);
+        1.0 + (slowness - 1.0) * fade
+    }
+
+    /// Returns the requests of other entries that wait for their first event.
+    #[must_use]
+    pub fn others_unread(&self, now: MonoMs) -> u32 {
+        match self.reported {
+            Some(reported) if now.since_ms(reported.at) < REPORT_AGE_MAX_MS => {
+                reported.queued.saturating_sub(reported.own_unread)
+            }
+            _ => 0,
+        }
     }
 
     /// Notes that the upstream sent something.
@@ -127,8 +187,8 @@
     #[must_use]
     pub fn total(&self, now: MonoMs) -> u32 {
         let others = match self.reported {
-            Some((total, own, at)) if now.since_ms(at) < REPORT_AGE_MAX_MS => {
-                total.saturating_sub(own)
+            Some(reported) if now.since_ms(reported.at) < REPORT_AGE_MAX_MS => {
+                reported.total.saturating_sub(reported.own)
             }
             _ => 0,
         };
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -27,6 +27,12 @@
     pub total: u32,
     /// Prompt tokens of own requests without a first event.
     pub unread_tokens: u64,
+    /// Requests of other entries without a first event.
+    pub others_unread: u32,
+    /// Factor by which it is slower than predicted.
+    pub slowness: f64,
+    /// Time until it stops to change its weights, in milliseconds.
+    pub switch_in_ms: Option<f64>,
     /// Smoothed time of a plain request, in milliseconds; 0 when unknown.
     pub service_ms: f64,
     /// Further delay that its distance is worth, in milliseconds.
@@ -44,6 +50,9 @@
     pub returning_queue_max: u32,
     /// Part of the remaining objective that the prediction may use.
     pub objective_share: f64,
+    /// Part of the time by which a request would hold up the change of an
+    /// upstream's weights that counts as a delay of the request.
+    pub overrun_share: f64,
     /// Spread between equal candidates, in milliseconds; keeps two entries from
     /// choosing the same idle upstream.
     pub spread_ms: f64,
@@ -57,6 +66,7 @@
             queue_max: 1,
             returning_queue_max: 4,
             objective_share: 0.9,
+            overrun_share: 0.25,
             spread_ms: 20.0,
         }
     }
@@ -105,7 +115,10 @@
             best_refused_ms = best_refused_ms.min(predicted_ms);
             continue;
         }
-        let cost_ms = predicted_ms + candidate.distance_ms + rules.spread_ms * candidate.draw;
+        let cost_ms = predicted_ms
+            + candidate.distance_ms
+            + rules.spread_ms * candidate.draw
+            + rules.overrun_share * overrun_ms(candidate, engine, size, predicted_ms);
         if best.is_none_or(|(_, cost, _)| cost_ms < cost) {
             best = Some((index, cost_ms, predicted_ms));
         }
@@ -142,8 +155,31 @@
     };
     let running = candidate.total.min(slots);
     let slot_wait_ms = f64::from(ahead) * engine.service_ms() / f64::from(slots);
-    let read_ms = engine.prefill_ms((candidate.unread_tokens + size.prompt_tokens) as f64);
+    let own_tokens = (candidate.unread_tokens + size.prompt_tokens) as f64;
+    let others_tokens = f64::from(candidate.others_unread) * engine.prompt_tokens_mean;
+    let read_ms = engine.prefill_ms(own_tokens + others_tokens);
     // A request joins at the end of the current pass and its first event comes
     // at the end of the one after its prompt was read.
-    slot_wait_ms + read_ms + 1.5 * engine.pass_ms(running) + f64::from(running)
+    let first_ms = slot_wait_ms + read_ms + 1.5 * engine.pass_ms(running);
+    candidate.slowness * first_ms + f64::from(running)
 }
+
+/// Returns by how long a request would hold up the change of the weights, in milliseconds.
+#[allow(clippy::cast_precision_loss)]
+fn overrun_ms(
+    candidate: &Candidate,
+    engine: Option<&EngineProfile>,
+    size: RequestSize,
+    predicted_ms: f64,
+) -> f64 {
+    let (Some(engine), Some(switch_in_ms)) = (engine, candidate.switch_in_ms) else {
+        return 0.0;
+    };
+    let passes = size.answer_tokens as f64 / f64::from(engine.steps_per_pass);
+    let running = candidate.total.min(candidate.slots) + 1;
+    let duration_ms = predicted_ms + passes * engine.pass_ms(running) * candidate.slowness;
+    (duration_ms - switch_in_ms.max(0.0)).clamp(0.0, OVERRUN_MAX_MS)
+}
+
+/// Longest overrun that counts, in milliseconds: hints of the length are often far off.
+const OVERRUN_MAX_MS: f64 = 3_000.0;
--- a/crates/masticdock-core/src/serving/switch_plan.rs
+++ b/crates/masticdock-core/src/serving/switch_plan.rs
@@ -27,9 +27,9 @@
     /// has to be in force after 8 s.
     fn default() -> Self {
         Self {
-            first_ms: 2_500,
-            last_ms: 7_000,
-            staging_ms: 3_200,
+            first_ms: 3_000,
+            last_ms: 7_200,
+            staging_ms: 3_300,
         }
     }
 }
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -88,13 +88,4 @@
         let (_, at) = self.learnt.iter().find(|(version, _)| *version > held)?;
         Some(at.plus_ms(self.in_force_ms))
     }
-
-    /// Returns when the oldest version that is not yet in force has to be, if any.
-    #[must_use]
-    pub fn next_deadline(&self, now: MonoMs) -> Option<MonoMs> {
-        self.learnt
-            .iter()
-            .map(|(_, at)| at.plus_ms(self.in_force_ms))
-            .find(|deadline| *deadline > now)
-    }
 }
--- a/crates/masticdock-core/src/transfer/pacing.rs
+++ b/crates/masticdock-core/src/transfer/pacing.rs
@@ -65,3 +65,39 @@
         self.level_milli -= i128::from(bytes) * 1_000;
     }
 }
+
+/// Spaces messages so that a link never queues more than one of them.
+///
+/// Unlike [`TokenBucket`] it saves nothing up during a pause, so other traffic
+/// of the link waits for one message at most.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkPacer {
+    rate: BytesPerSecond,
+    free_at: MonoMs,
+}
+
+impl LinkPacer {
+    /// Makes a pacer; a rate of 0 means no limit.
+    #[must_use]
+    pub const fn new(rate: BytesPerSecond) -> Self {
+        Self {
+            rate,
+            free_at: MonoMs(0),
+        }
+    }
+
+    /// Returns the time until the next message may be sent, in milliseconds.
+    #[must_use]
+    pub const fn wait_ms(&self, now: MonoMs) -> u64 {
+        self.free_at.since_ms(now)
+    }
+
+    /// Takes the time of a message that is sent now.
+    pub fn take(&mut self, bytes: u64, now: MonoMs) {
+        if self.rate.0 == 0 {
+            return;
+        }
+        let took_ms = bytes.saturating_mul(1_000).div_ceil(self.rate.0);
+        self.free_at = self.free_at.max(now).plus_ms(took_ms);
+    }
+}
--- a/crates/masticdock-node/src/agent/engine_watch.rs
+++ b/crates/masticdock-node/src/agent/engine_watch.rs
@@ -47,6 +47,7 @@
         if restarted {
             // What lies in the stage was perhaps put there for another engine.
             agent.staged.set(None);
+            agent.ordered.set(None);
         }
         if previous != report {
             *agent.report.borrow_mut() = report;
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::peer_server::{PIECE_WAIT, piece_path};
+use super::peer_server::{PIECE_WAIT, PieceRequest};
 use super::pieces::Pieces;
 use super::state::{Agent, ModelGoal};
 
@@ -33,7 +33,7 @@
 /// How fetching a version ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fetched {
-    /// All pieces are in memory and staged.
+    /// All pieces are in memory.
     Complete,
     /// The origin no longer has the version.
     Obsolete,
@@ -50,7 +50,7 @@
     permits: Semaphore,
 }
 
-/// Fetches and stages every missing piece.
+/// Fetches every missing piece.
 pub(crate) async fn fetch(agent: &Rc<Agent>, goal: &ModelGoal, pieces: &Rc<Pieces>) -> Fetched {
     let sources = Rc::new(Sources {
         origin: OriginClient::new(goal.origin.address),
@@ -152,15 +152,17 @@
         let chosen = source(agent, goal, pieces.version, piece, attempt);
         let peer = chosen.and_then(|(_, peer)| peer);
         let result = match &peer {
-            Some((_, address)) => from_peer(sources, *address, pieces, piece).await,
+            Some((region, address)) => {
+                let far = *region != agent.settings.region;
+                from_peer(sources, *address, pieces, piece, far).await
+            }
             None => from_origin(sources, pieces, piece).await,
         };
         drop(permit);
         let from = peer.map_or_else(|| "origin".to_owned(), |(_, address)| address.to_string());
         match result {
             Ok(Some(bytes)) => {
-                if pieces.insert(piece, bytes.clone()) {
-                    stage(agent, pieces, piece, bytes).await;
+                if pieces.insert(piece, bytes) {
                     return Fetched::Complete;
                 }
                 mismatches += 1;
@@ -218,6 +220,7 @@
     address: SocketAddr,
     pieces: &Pieces,
     piece: usize,
+    far: bool,
 ) -> Result<Option<Bytes>, CallError> {
     let client = Rc::clone(
         sources
@@ -226,11 +229,16 @@
             .entry(address)
             .or_insert_with(|| Rc::new(HttpClient::new(address))),
     );
-    let path = piece_path(&pieces.model, pieces.version, piece);
+    let wanted = PieceRequest {
+        model: pieces.model.clone(),
+        version: pieces.version,
+        piece,
+        far,
+    };
     // Sending takes some 50 ms on an idle link and more while others read too.
     let timeout = PIECE_WAIT + Duration::from_millis(700);
     let reply = client
-        .call(Method::GET, &path, Bytes::new(), timeout)
+        .call(Method::GET, &wanted.path(), Bytes::new(), timeout)
         .await?;
     match reply.status {
         StatusCode::OK => Ok(Some(reply.body)),
@@ -238,15 +246,3 @@
         status => Err(CallError::Unexpected(status.to_string())),
     }
 }
-
-/// Stages a piece; a failure shows when the stage is read back.
-async fn stage(agent: &Agent, pieces: &Pieces, piece: usize, bytes: Bytes) {
-    if let Err(error) = agent.engine.stage(&pieces.model, piece, bytes).await {
-        log::warn!(
-            event = "piece.unstaged",
-            piece = piece,
-            error:% = error;
-            "a piece could not be staged; it is staged again before the switch"
-        );
-    }
-}
--- /dev/null
+++ b/crates/masticdock-node/src/agent/fetcher.rs
@@ -0,0 +1,174 @@
+//! Fetches each newer version into memory as soon as it is declared.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticdock_adapter::OriginClient;
+use masticdock_core::serving::{SwitchPlan, VersionNumber};
+use tokio::time::{sleep, timeout};
+
+use super::fetch::{Fetched, fetch};
+use super::pieces::Pieces;
+use super::state::{Agent, ModelGoal};
+use crate::clock;
+
+/// Longest wait for a change before the state is looked at again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a step that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Fetches versions for ever.
+pub(crate) async fn run(agent: Rc<Agent>) {
+    loop {
+        let Some((goal, version)) = next(&agent) else {
+            let _ = timeout(LOOK_INTERVAL, agent.changed.notified()).await;
+            continue;
+        };
+        if !advance(&agent, &goal, version).await {
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Returns the version to fetch, or `None` while nothing is missing.
+fn next(agent: &Agent) -> Option<(ModelGoal, VersionNumber)> {
+    let goal = agent.model_goal()?;
+    // Without a report it is not known what the engine holds.
+    agent.report.borrow().as_ref()?;
+    let version = agent.newest(&goal);
+    if agent.held(&goal) == Some(version) {
+        agent.settle(version);
+        return None;
+    }
+    let complete = agent
+        .pieces_of(version)
+        .is_some_and(|pieces| pieces.is_complete());
+    (!complete).then_some((goal, version))
+}
+
+/// Fetches `version`; returns false when that failed.
+async fn advance(agent: &Rc<Agent>, goal: &ModelGoal, version: VersionNumber) -> bool {
+    let Some(pieces) = prepare(agent, goal, version).await else {
+        return false;
+    };
+    let started_at = clock::now();
+    let end = tokio::select! {
+        end = fetch(agent, goal, &pieces) => end,
+        () = replaced(agent, goal, version) => {
+            log::info!(
+                event = "fetch.replaced",
+                weights = version.0;
+                "a newer version replaces one that was not fetched yet"
+            );
+            return true;
+        }
+    };
+    if end == Fetched::Complete {
+        log::info!(
+            event = "version.fetched",
+            weights = version.0,
+            took_ms = clock::now().since_ms(started_at);
+            "all pieces of a version are in memory"
+        );
+        agent.changed.notify_waiters();
+        return true;
+    }
+    log::warn!(
+        event = "fetch.ended",
+        weights = version.0,
+        end:? = end;
+        "the version cannot be fetched; it is tried anew"
+    );
+    agent.pieces.borrow_mut().remove(&version);
+    false
+}
+
+/// Returns once a newer version is declared that can be fetched before this one is due.
+async fn replaced(agent: &Agent, goal: &ModelGoal, version: VersionNumber) {
+    let plan = SwitchPlan::default();
+    loop {
+        agent.changed.notified().await;
+        if agent.newest(goal) > version && agent.can_skip(goal, &plan) {
+            return;
+        }
+    }
+}
+
+/// Returns the pieces of `version`, with its manifest and what the stage holds already.
+async fn prepare(
+    agent: &Rc<Agent>,
+    goal: &ModelGoal,
+    version: VersionNumber,
+) -> Option<Rc<Pieces>> {
+    if let Some(pieces) = agent.pieces_of(version) {
+        return Some(pieces);
+    }
+    agent.read_upstreams().await;
+    // Until the upstream has registered, peers rank its pieces differently.
+    agent.own_id()?;
+    let origin = OriginClient::new(goal.origin.address);
+    let manifest = match origin
+        .manifest(&goal.model, version, goal.engine.pieces)
+        .await
+    {
+        Ok(Some(manifest)) => manifest,
+        Ok(None) => {
+            log::warn!(
+                event = "manifest.gone",
+                weights = version.0;
+                "the origin no longer has the version"
+            );
+            return None;
+        }
+        Err(error) => {
+            log::warn!(
+                event = "manifest.failed",
+                weights = version.0,
+                error:% = error;
+                "the manifest could not be read; it is tried again"
+            );
+            return None;
+        }
+    };
+    let pieces = Pieces::new(goal.model.clone(), version, manifest);
+    adopt_staged(agent, &pieces).await;
+    log::info!(
+        event = "version.fetching",
+        weights = version.0,
+        pieces = pieces.count();
+        "the pieces of a version are fetched"
+    );
+    agent
+        .pieces
+        .borrow_mut()
+        .insert(version, Rc::clone(&pieces));
+    agent.changed.notify_waiters();
+    Some(pieces)
+}
+
+/// Takes over staged pieces whose digest is right, for example after a crash of the engine.
+async fn adopt_staged(agent: &Agent, pieces: &Pieces) {
+    let staged = match agent.engine.staged(&pieces.model).await {
+        Ok(staged) => staged,
+        Err(error) => {
+            log::warn!(event = "stage.unreadable", error:% = error; "the stage cannot be listed");
+            return;
+        }
+    };
+    let mut adopted = 0;
+    for (read, piece) in staged.into_iter().enumerate() {
+        let Ok(Some(bytes)) = agent.engine.read_staged(&pieces.model, piece).await else {
+            continue;
+        };
+        if pieces.insert(piece, bytes) {
+            adopted += 1;
+        } else if adopted == 0 && read >= STAGED_MISSES_MAX {
+            // The stage holds another version.
+            return;
+        }
+    }
+}
+
+/// Staged pieces with wrong digests, before any right one, after which the stage
+/// is taken for another version's; a few may have turned bad.
+const STAGED_MISSES_MAX: usize = 3;
--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -2,30 +2,24 @@
 
 mod engine_watch;
 mod fetch;
-mod keeper;
+mod fetcher;
 mod peer_server;
 mod pieces;
 mod reporter;
 mod state;
+mod store_watch;
+mod switcher;
 
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 
-use masticdock_adapter::{NodeSettings, Table};
+use masticdock_adapter::NodeSettings;
 use tokio::task::spawn_local;
 
 use crate::StartError;
 use crate::signals::{Request, Signals};
-use crate::tables::Follower;
 use state::Agent;
 
-/// Longest wait for a declared version in one call; a version has 8 s.
-const WAIT: Duration = Duration::from_secs(4);
-/// Time between two reads of the store while changes come in quick succession:
-/// an agent needs declared versions within a second, not each configuration.
-const SETTLE: Duration = Duration::from_millis(300);
-
 /// Runs the agent until it is told to stop.
 pub(crate) async fn run(settings: Rc<NodeSettings>, path: PathBuf) -> Result<(), StartError> {
     let mut signals = Signals::register()?;
@@ -35,9 +29,10 @@
         )));
     };
     let agent = Rc::new(Agent::new(Rc::clone(&settings), upstream));
-    follow(&agent);
+    spawn_local(store_watch::run(Rc::clone(&agent)));
     spawn_local(engine_watch::run(Rc::clone(&agent)));
-    spawn_local(keeper::run(Rc::clone(&agent)));
+    spawn_local(fetcher::run(Rc::clone(&agent)));
+    spawn_local(switcher::run(Rc::clone(&agent)));
     spawn_local(reporter::run(Rc::clone(&agent)));
     spawn_local(peer_server::run(Rc::clone(&agent)));
     loop {
@@ -50,17 +45,3 @@
         }
     }
 }
-
-fn follow(agent: &Rc<Agent>) {
-    let follower = Follower {
-        table: Table::Operators,
-        store: agent.settings.store,
-        wait: WAIT,
-        settle: SETTLE,
-    };
-    let of_operators = Rc::clone(agent);
-    spawn_local(follower.run(move |event| {
-        of_operators.catalog.borrow_mut().apply_operators(event);
-        of_operators.changed.notify_waiters();
-    }));
-}
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -19,6 +19,9 @@
 /// Longest time that a request waits for a piece which is on its way here.
 pub(crate) const PIECE_WAIT: Duration = Duration::from_secs(2);
 
+/// Time for which a piece lets one for another region go first, in milliseconds.
+const YIELD_MS: u64 = 5;
+
 /// Serves pieces for ever.
 pub(crate) async fn run(agent: Rc<Agent>) {
     let address = SocketAddr::new(agent.settings.ip, agent.settings.peer_port);
@@ -33,77 +36,106 @@
     }
 }
 
-/// Returns the path under which a piece is asked for.
-pub(crate) fn piece_path(model: &ModelId, version: VersionNumber, piece: usize) -> String {
-    format!("/pieces/{model}/{version}/{piece}")
+/// A piece that another agent asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PieceRequest {
+    pub(crate) model: ModelId,
+    pub(crate) version: VersionNumber,
+    pub(crate) piece: usize,
+    /// True when the agent that asks is in another region.
+    pub(crate) far: bool,
+}
+
+impl PieceRequest {
+    /// Returns the path under which the piece is asked for.
+    pub(crate) fn path(&self) -> String {
+        let distance = if self.far { "far" } else { "near" };
+        format!(
+            "/pieces/{}/{}/{}/{distance}",
+            self.model, self.version, self.piece
+        )
+    }
+
+    fn parse(path: &str) -> Option<Self> {
+        let mut parts = path.strip_prefix("/pieces/")?.split('/');
+        Some(Self {
+            model: parts.next()?.parse().ok()?,
+            version: parts.next()?.parse().ok()?,
+            piece: parts.next()?.parse().ok()?,
+            far: parts.next() == Some("far"),
+        })
+    }
 }
 
 async fn answer(agent: Rc<Agent>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let Some((model, version, piece)) = parse(request.uri().path()) else {
+    let Some(wanted) = PieceRequest::parse(request.uri().path()) else {
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
-    match find(&agent, &model, version, piece).await {
+    match find(&agent, &wanted).await {
         Some(bytes) => {
-            pace(&agent, bytes.len()).await;
+            pace(&agent, bytes.len(), wanted.far).await;
             respond(StatusCode::OK, bytes)
         }
         None => respond(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
+/// Counts a piece that an agent of another region waits for.
+struct FarWaiting<'a>(&'a Agent);
+
+impl<'a> FarWaiting<'a> {
+    fn begin(agent: &'a Agent) -> Self {
+        agent.far_waiting.set(agent.far_waiting.get() + 1);
+        Self(agent)
+    }
+}
+
+impl Drop for FarWaiting<'_> {
+    fn drop(&mut self) {
+        self.0.far_waiting.set(self.0.far_waiting.get() - 1);
+    }
+}
+
 /// Waits until a piece may be sent without holding up events of streams.
-async fn pace(agent: &Agent, bytes: usize) {
+async fn pace(agent: &Agent, bytes: usize, far: bool) {
+    let _waiting = far.then(|| FarWaiting::begin(agent));
     loop {
         let now = clock::now();
+        let yields = !far && agent.far_waiting.get() > 0;
         let wait_ms = {
             let mut uploads = agent.uploads.borrow_mut();
             let wait_ms = uploads.wait_ms(now);
-            if wait_ms == 0 {
+            if wait_ms == 0 && !yields {
                 uploads.take(bytes as u64, now);
+                return;
             }
             wait_ms
         };
-        if wait_ms == 0 {
-            return;
-        }
-        sleep(Duration::from_millis(wait_ms)).await;
+        sleep(Duration::from_millis(wait_ms.max(YIELD_MS))).await;
     }
 }
 
-fn parse(path: &str) -> Option<(ModelId, VersionNumber, usize)> {
-    let mut parts = path.strip_prefix("/pieces/")?.split('/');
-    let model = parts.next()?.parse().ok()?;
-    let version = parts.next()?.parse().ok()?;
-    let piece = parts.next()?.parse().ok()?;
-    Some((model, version, piece))
-}
-
 /// Finds a piece in memory or in the stage, or waits for it to arrive.
-async fn find(
-    agent: &Agent,
-    model: &ModelId,
-    version: VersionNumber,
-    piece: usize,
-) -> Option<Bytes> {
+async fn find(agent: &Agent, wanted: &PieceRequest) -> Option<Bytes> {
     let deadline = Instant::now() + PIECE_WAIT;
     loop {
-        let pieces = agent.pieces.borrow().clone();
-        let newest = pieces.as_ref().map(|pieces| pieces.version);
-        if let Some(pieces) = pieces.filter(|pieces| pieces.version == version) {
+        if let Some(pieces) = agent.pieces_of(wanted.version) {
             let arrived = pieces.arrived.notified();
-            if let Some(bytes) = pieces.get(piece) {
+            if let Some(bytes) = pieces.get(wanted.piece) {
                 return Some(bytes);
             }
             timeout_at(deadline, arrived).await.ok()?;
             continue;
         }
-        if agent.staged.get() == Some(version) {
-            return agent.engine.read_staged(model, piece).await.ok()?;
+        if agent.staged.get() == Some(wanted.version) {
+            let read = agent.engine.read_staged(&wanted.model, wanted.piece);
+            return read.await.ok()?;
         }
-        if newest.is_some_and(|newest| newest > version) {
+        let goal = agent.model_goal()?;
+        if agent.newest(&goal) > wanted.version {
             return None;
         }
-        // The version may not be known here yet.
+        // The version may not be known or prepared here yet.
         timeout_at(deadline, agent.changed.notified()).await.ok()?;
     }
 }
--- a/crates/masticdock-node/src/agent/pieces.rs
+++ b/crates/masticdock-node/src/agent/pieces.rs
@@ -56,6 +56,11 @@
         self.manifest.digests.get(piece) == Some(&digest)
     }
 
+    /// Returns true when every piece is held.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.held.borrow().iter().all(Option::is_some)
+    }
+
     /// Returns the number of pieces of the version.
     pub(crate) fn count(&self) -> usize {
         self.manifest.digests.len()
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use masticdock_adapter::DeclaredVersion;
 use masticdock_core::serving::AgentReport;
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
@@ -12,7 +13,7 @@
 
 use super::state::Agent;
 use crate::clock;
-use crate::peer::{Datagram, decode, encode};
+use crate::peer::{DATAGRAM_BYTES_MAX, Datagram, decode, encode};
 
 /// Time after its last hello in which an entry is told, in milliseconds.
 const SUBSCRIPTION_MS: u64 = 3_500;
@@ -37,7 +38,7 @@
     let mut entries: BTreeMap<SocketAddr, MonoMs> = BTreeMap::new();
     let mut told: Option<AgentReport> = None;
     let mut load_due = Instant::now();
-    let mut bytes = [0; 64];
+    let mut bytes = [0; DATAGRAM_BYTES_MAX];
     loop {
         let wake = tokio::select! {
             received = socket.recv_from(&mut bytes) => Some(received),
@@ -46,9 +47,11 @@
         };
         let report = agent.report_for_entries();
         if let Some(Ok((length, entry))) = wake
-            && decode(&bytes[..length]) == Some(Datagram::Hello)
+            && let Some(Datagram::Hello(versions)) = decode(&bytes[..length])
         {
             let now = clock::now();
+            agent.hello_at.set(now);
+            learn(&agent, &versions, now);
             if entries.insert(entry, now).is_none() {
                 send(&socket, entry, report).await;
             }
@@ -71,8 +74,22 @@
     }
 }
 
+/// Takes over versions that an entry knows.
+fn learn(agent: &Agent, versions: &[(DeclaredVersion, u64)], now: MonoMs) {
+    let mut catalog = agent.catalog.borrow_mut();
+    let mut newer = false;
+    for (declared, age_ms) in versions {
+        let learnt_at = MonoMs(now.0.saturating_sub(*age_ms));
+        newer |= catalog.learn_version(declared, learnt_at, "entry");
+    }
+    drop(catalog);
+    if newer {
+        agent.changed.notify_waiters();
+    }
+}
+
 async fn send(socket: &UdpSocket, entry: SocketAddr, report: AgentReport) {
-    let bytes = encode(Datagram::Report(report));
+    let bytes = encode(&Datagram::Report(report));
     let sent = timeout_at(
         Instant::now() + Duration::from_millis(20),
         socket.send_to(&bytes, entry),
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -1,14 +1,17 @@
 //! State that the tasks of an agent share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use masticdock_adapter::{Engine, EngineReport, NodeSettings, Store, Table};
 use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
-use masticdock_core::serving::{AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber};
-use masticdock_core::transfer::TokenBucket;
-use masticdock_core::units::BytesPerSecond;
+use masticdock_core::serving::{
+    AgentReport, EngineProfile, Origin, PeerPieces, SwitchPlan, VersionNumber, VersionTimeline,
+};
+use masticdock_core::transfer::LinkPacer;
+use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
 use super::pieces::Pieces;
@@ -26,17 +29,24 @@
     /// Address of the engine on this VM.
     pub(crate) upstream: SocketAddr,
     pub(crate) engine: Engine,
-    store: Store,
+    pub(crate) store: Store,
     pub(crate) catalog: RefCell<Catalog>,
     /// Newest report of the engine; `None` while it does not answer.
     pub(crate) report: RefCell<Option<EngineReport>>,
-    /// Pieces of the version that is being fetched or was fetched last.
-    pub(crate) pieces: RefCell<Option<Rc<Pieces>>>,
+    /// Pieces by version, of those that the engine does not hold yet.
+    pub(crate) pieces: RefCell<BTreeMap<VersionNumber, Rc<Pieces>>>,
     /// Version of all staged pieces, once they were staged by this process or
     /// found beside the same version at start.
     pub(crate) staged: Cell<Option<VersionNumber>>,
+    /// Version that the engine was ordered to load last.
+    pub(crate) ordered: Cell<Option<VersionNumber>>,
+    /// When an entry said hello last.
+    pub(crate) hello_at: Cell<MonoMs>,
     /// Paces what is sent to other agents.
-    pub(crate) uploads: RefCell<TokenBucket>,
+    pub(crate) uploads: RefCell<LinkPacer>,
+    /// Pieces that agents of other regions wait for; each of them passes its
+    /// piece on to a whole region and goes first.
+    pub(crate) far_waiting: Cell<usize>,
     /// Told after each change of the state above.
     pub(crate) changed: Notify,
 }
@@ -68,9 +78,12 @@
             store,
             catalog: RefCell::new(Catalog::new(in_force_ms)),
             report: RefCell::new(None),
-            pieces: RefCell::new(None),
+            pieces: RefCell::default(),
             staged: Cell::new(None),
-            uploads: RefCell::new(TokenBucket::new(upload_rate, clock::now())),
+            ordered: Cell::new(None),
+            hello_at: Cell::new(MonoMs(0)),
+            uploads: RefCell::new(LinkPacer::new(upload_rate)),
+            far_waiting: Cell::new(0),
             changed: Notify::new(),
         }
     }
@@ -125,6 +138,56 @@
         model.complete_version(goal.engine.layers)
     }
 
+    /// Returns the newest declared version, or the first one.
+    pub(crate) fn newest(&self, goal: &ModelGoal) -> VersionNumber {
+        let catalog = self.catalog.borrow();
+        catalog
+            .timeline(&goal.model)
+            .map_or(VersionNumber(1), VersionTimeline::newest)
+    }
+
+    /// Returns when the engine has to hold a newer version, if one is declared.
+    pub(crate) fn due_at(&self, goal: &ModelGoal) -> Option<MonoMs> {
+        let held = self.held(goal)?;
+        self.catalog
+            .borrow()
+            .timeline(&goal.model)?
+            .begin_until(held)
+    }
+
+    /// Returns true when the newest version can be fetched before an older one is due.
+    pub(crate) fn can_skip(&self, goal: &ModelGoal, plan: &SwitchPlan) -> bool {
+        self.due_at(goal)
+            .is_none_or(|due_at| plan.can_skip(clock::now(), due_at))
+    }
+
+    /// Returns the pieces of a version in memory.
+    pub(crate) fn pieces_of(&self, version: VersionNumber) -> Option<Rc<Pieces>> {
+        self.pieces.borrow().get(&version).cloned()
+    }
+
+    /// Returns the newest version of which all pieces are in memory.
+    pub(crate) fn newest_fetched(&self) -> Option<Rc<Pieces>> {
+        let pieces = self.pieces.borrow();
+        let complete = pieces.values().rev().find(|pieces| pieces.is_complete())?;
+        Some(Rc::clone(complete))
+    }
+
+    /// Frees the pieces in memory once the engine holds them: the stage serves peers.
+    pub(crate) fn settle(&self, version: VersionNumber) {
+        let mut pieces = self.pieces.borrow_mut();
+        if self.staged.get() == Some(version) && pieces.is_empty() {
+            return;
+        }
+        self.staged.set(Some(version));
+        log::info!(
+            event = "version.serving",
+            weights = version.0;
+            "the engine serves the newest version"
+        );
+        pieces.clear();
+    }
+
     /// Returns the region of an availability zone.
     pub(crate) fn region(&self, zone: &masticdock_core::ids::ZoneId) -> RegionId {
         let regions = &self.settings.regions;
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -63,7 +63,8 @@
 pub(crate) struct LoadGuard {
     entry: Rc<Entry>,
     upstream: UpstreamId,
-    unread_tokens: u64,
+    /// Prompt tokens while no event has come.
+    unread_tokens: Option<u64>,
 }
 
 impl LoadGuard {
@@ -72,14 +73,15 @@
         Self {
             entry: Rc::clone(entry),
             upstream: upstream.clone(),
-            unread_tokens: prompt_tokens,
+            unread_tokens: Some(prompt_tokens),
         }
     }
 
     fn first_event(&mut self) {
-        let tokens = std::mem::take(&mut self.unread_tokens);
-        self.entry
-            .with_load(&self.upstream, |load| load.first_event(tokens));
+        if let Some(tokens) = self.unread_tokens.take() {
+            self.entry
+                .with_load(&self.upstream, |load| load.first_event(tokens));
+        }
     }
 }
 
@@ -127,6 +129,7 @@
         started: Instant::now(),
         since: clock::now(),
         begin_until: chosen.begin_until,
+        predicted_ms: chosen.base_ms,
     };
     let outcome = exchange(entry, call, &target, connection, load, &patience).await;
     if let Outcome::Failed(end, _) = &outcome {
@@ -275,7 +278,12 @@
             None => return broken(call, target, "an event is too long"),
         }
     }
-    entry.with_load(&target.id, |load| load.heard(clock::now()));
+    let first_ms = patience.started.elapsed().as_secs_f64() * 1_000.0;
+    entry.with_load(&target.id, |load| {
+        let now = clock::now();
+        load.heard(now);
+        load.seen(first_ms, patience.predicted_ms, now);
+    });
     stream.load.first_event();
     Outcome::Stream(Box::new(stream))
 }
@@ -288,6 +296,8 @@
     /// When the version of the upstream's weights ends; a request that has not
     /// begun by then must not begin there.
     begin_until: Option<MonoMs>,
+    /// Predicted time to the first event, in milliseconds.
+    predicted_ms: f64,
 }
 
 /// Awaits something of an upstream until the deadline; a request that may run
@@ -329,7 +339,7 @@
     entry.with_load(&target.id, |load| {
         load.heard(now);
         if let Some((running, waiting)) = head.load {
-            load.report(running + waiting, now);
+            load.report(running, waiting, now);
         }
     });
 }
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -2,13 +2,14 @@
 
 use masticdock_core::ids::{RegionId, ServiceId, UpstreamId, ZoneId};
 use masticdock_core::serving::{
-    Candidate, EngineProfile, Placement, PlacementRules, RequestSize, Upstream, VersionNumber,
-    VersionTimeline, place,
+    Candidate, EngineProfile, Placement, PlacementRules, RequestSize, SwitchPlan, Upstream,
+    VersionNumber, VersionTimeline, place,
 };
 use masticdock_core::units::MonoMs;
 
 use super::state::Entry;
 use crate::clock;
+use crate::tables::Catalog;
 
 /// Age up to which an agent's report goes before the upstream's row, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 2_500;
@@ -34,6 +35,8 @@
     pub(crate) begin_until: Option<MonoMs>,
     /// Predicted time to the first event, in milliseconds.
     pub(crate) predicted_ms: f64,
+    /// The same without what is known of its slowness.
+    pub(crate) base_ms: f64,
     /// Requests at the upstream when it was chosen.
     pub(crate) total: u32,
     /// Number of upstreams that were candidates.
@@ -81,9 +84,14 @@
         let Some(usable) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
             continue;
         };
-        let Some(candidate) = candidate(entry, upstream, now) else {
+        let Some(mut candidate) = candidate(entry, upstream, now) else {
             continue;
         };
+        if usable.begin_until.is_some()
+            && let Some(timeline) = timeline
+        {
+            candidate.switch_in_ms = switch_in_ms(&catalog, timeline, upstream, usable, now);
+        }
         upstreams.push((upstream, usable));
         candidates.push(candidate);
     }
@@ -107,6 +115,7 @@
                 version: usable.insist_on,
                 begin_until: usable.begin_until,
                 predicted_ms,
+                base_ms: predicted_ms / candidates[index].slowness.max(0.1),
                 total: candidates[index].total,
                 candidates: count,
             })
@@ -182,12 +191,44 @@
         slots: upstream.slots,
         total: load.total(now),
         unread_tokens: load.unread_tokens,
+        others_unread: load.others_unread(now),
+        slowness: load.slowness(now),
+        switch_in_ms: None,
         service_ms: load.service_ms(),
         distance_ms: distance_ms(entry, &upstream.zone),
         draw: rand::random(),
     })
 }
 
+/// Returns the time until an upstream's turn to change to the newest version, in
+/// milliseconds; its agent computes the same turn.
+#[allow(clippy::cast_precision_loss)]
+fn switch_in_ms(
+    catalog: &Catalog,
+    timeline: &VersionTimeline,
+    upstream: &Upstream,
+    usable: Usable,
+    now: MonoMs,
+) -> Option<f64> {
+    let newest = timeline.newest();
+    let learnt_at = timeline.learnt_at(newest)?;
+    let upstreams: Vec<UpstreamId> = catalog
+        .directory
+        .iter()
+        .filter(|other| other.service == upstream.service && !other.leaving)
+        .map(|other| other.id.clone())
+        .collect();
+    let plan = SwitchPlan::default();
+    let turn = plan.turn(
+        &upstream.id,
+        &upstreams,
+        newest,
+        learnt_at,
+        usable.begin_until,
+    );
+    Some(turn.since_ms(now) as f64)
+}
+
 fn distance_ms(entry: &Entry, zone: &ZoneId) -> f64 {
     if *zone == entry.settings.zone {
         return 0.0;
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -90,7 +90,10 @@
     };
     let of_operators = Rc::clone(entry);
     spawn_local(follower.run(move |event| {
-        of_operators.catalog.borrow_mut().apply_operators(event);
+        let mut catalog = of_operators.catalog.borrow_mut();
+        if catalog.apply_operators(event) {
+            of_operators.versions_changed.notify_one();
+        }
     }));
     let follower = Follower {
         table: Table::Upstreams,
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -48,11 +48,13 @@
                 greeted.clear();
             }
             _ = look.tick() => {}
+            () = entry.versions_changed.notified() => greeted.clear(),
         }
+        let versions = entry.catalog.borrow().newest_versions();
         for ip in engine_ips(&entry) {
             if greeted.insert(ip) {
                 let agent = SocketAddr::new(ip, entry.settings.peer_port);
-                let hello = encode(Datagram::Hello);
+                let hello = encode(&Datagram::Hello(versions.clone()));
                 // A full send buffer loses one hello; the next round repeats it.
                 let _ = socket.try_send_to(&hello, agent);
             }
@@ -94,7 +96,7 @@
     let now = clock::now();
     let previous = entry.reports.borrow_mut().insert(id.clone(), (report, now));
     entry.with_load(&id, |load| {
-        load.report(report.running + report.queued, now);
+        load.report(report.running, report.queued, now);
         let was_away = previous.is_some_and(|(previous, _)| !previous.reachable);
         if report.reachable && was_away {
             load.recovered(now);
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -421,6 +421,7 @@
         total_ms = total_ms,
         failed_attempts = made.sent + made.unsent,
         returning = call.returning,
+        deadline_ms = call.head.deadline_ms.unwrap_or(0),
         configuration = call.configuration.version;
         "a request ended"
     );
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -13,6 +13,8 @@
 };
 use masticdock_core::units::MonoMs;
 
+use tokio::sync::Notify;
+
 use super::connections::Connections;
 use super::pool::Pools;
 use crate::clock;
@@ -39,6 +41,8 @@
     deadlines: RefCell<HashMap<CompactString, UsualDeadline>>,
     pub(crate) pools: Pools,
     pub(crate) connections: Connections,
+    /// Told when operators may have declared a version.
+    pub(crate) versions_changed: Notify,
     stopping_since: Cell<Option<MonoMs>>,
 }
 
@@ -55,6 +59,7 @@
             deadlines: RefCell::default(),
             pools: Pools::default(),
             connections: Connections::default(),
+            versions_changed: Notify::new(),
             stopping_since: Cell::new(None),
         }
     }
--- a/crates/masticdock-node/src/peer/mod.rs
+++ b/crates/masticdock-node/src/peer/mod.rs
@@ -1,37 +1,60 @@
 //! Datagrams between entries and agents.
 //!
-//! An entry says hello to each agent once a second; the agent sends its
-//! engine's state to those that said hello lately. A lost datagram is replaced
-//! by the next one.
+//! An entry says hello to each agent once a second and when a version is
+//! declared, and names the newest versions; the agent sends its engine's state
+//! to those that said hello lately. A lost datagram is replaced by the next one.
 
+use masticdock_adapter::DeclaredVersion;
 use masticdock_core::serving::{AgentReport, VersionNumber};
 
 /// First bytes of a hello; the last one is the version of the format.
 const HELLO: [u8; 4] = *b"mdh1";
 /// First bytes of a report.
 const REPORT: [u8; 4] = *b"mdr1";
-/// Length of a report in bytes.
-const REPORT_LEN: usize = 17;
+/// Length of a report without its first bytes.
+const REPORT_LEN: usize = 13;
 const SWITCHING: u8 = 1;
 const REACHABLE: u8 = 2;
+/// Longest datagram, in bytes; one packet carries it.
+pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_200;
 
 /// A datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Datagram {
-    /// An entry wants reports.
-    Hello,
+    /// An entry wants reports and knows these versions, each with its age in milliseconds.
+    Hello(Vec<(DeclaredVersion, u64)>),
     /// An agent reports its engine.
     Report(AgentReport),
 }
 
-/// Encodes a datagram.
-pub(crate) fn encode(datagram: Datagram) -> Vec<u8> {
-    let report = match datagram {
-        Datagram::Hello => return HELLO.to_vec(),
-        Datagram::Report(report) => report,
-    };
-    let mut bytes = Vec::with_capacity(REPORT_LEN);
-    bytes.extend_from_slice(&REPORT);
+/// Encodes a datagram; versions that do not fit are left to the store.
+pub(crate) fn encode(datagram: &Datagram) -> Vec<u8> {
+    match datagram {
+        Datagram::Hello(versions) => encode_hello(versions),
+        Datagram::Report(report) => encode_report(report),
+    }
+}
+
+fn encode_hello(versions: &[(DeclaredVersion, u64)]) -> Vec<u8> {
+    let mut bytes = HELLO.to_vec();
+    for (declared, age_ms) in versions {
+        let name = declared.model.as_str().as_bytes();
+        let Ok(length) = u8::try_from(name.len()) else {
+            continue;
+        };
+        if bytes.len() + 17 + name.len() > DATAGRAM_BYTES_MAX {
+            break;
+        }
+        bytes.extend_from_slice(&declared.version.0.to_le_bytes());
+        bytes.extend_from_slice(&age_ms.to_le_bytes());
+        bytes.push(length);
+        bytes.extend_from_slice(name);
+    }
+    bytes
+}
+
+fn encode_report(report: &AgentReport) -> Vec<u8> {
+    let mut bytes = REPORT.to_vec();
     let narrow = |number: u32| u16::try_from(number).unwrap_or(u16::MAX);
     bytes.extend_from_slice(&narrow(report.running).to_le_bytes());
     bytes.extend_from_slice(&narrow(report.queued).to_le_bytes());
@@ -51,11 +74,10 @@
 
 /// Decodes a datagram; `None` for foreign bytes.
 pub(crate) fn decode(bytes: &[u8]) -> Option<Datagram> {
-    if bytes == HELLO {
-        return Some(Datagram::Hello);
+    if let Some(rest) = bytes.strip_prefix(&HELLO) {
+        return decode_hello(rest).map(Datagram::Hello);
     }
-    let rest = bytes.strip_prefix(&REPORT)?;
-    let rest: &[u8; REPORT_LEN - 4] = rest.try_into().ok()?;
+    let rest: &[u8; REPORT_LEN] = bytes.strip_prefix(&REPORT)?.try_into().ok()?;
     let version = u64::from_le_bytes(rest[4..12].try_into().ok()?);
     Some(Datagram::Report(AgentReport {
         running: u16::from_le_bytes([rest[0], rest[1]]).into(),
@@ -65,3 +87,20 @@
         reachable: rest[12] & REACHABLE != 0,
     }))
 }
+
+fn decode_hello(mut rest: &[u8]) -> Option<Vec<(DeclaredVersion, u64)>> {
+    let mut versions = Vec::new();
+    while !rest.is_empty() {
+        let (version, after) = rest.split_first_chunk::<8>()?;
+        let (age_ms, after) = after.split_first_chunk::<8>()?;
+        let (length, after) = after.split_first()?;
+        let (name, after) = after.split_at_checked(usize::from(*length))?;
+        rest = after;
+        let declared = DeclaredVersion {
+            model: std::str::from_utf8(name).ok()?.parse().ok()?,
+            version: VersionNumber(u64::from_le_bytes(*version)),
+        };
+        versions.push((declared, u64::from_le_bytes(*age_ms)));
+    }
+    Some(versions)
+}
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use masticdock_adapter::{OperatorRow, Row, decode_operator_row, decode_upstream_row};
+use masticdock_adapter::{
+    DeclaredVersion, OperatorRow, Row, decode_operator_row, decode_upstream_row,
+};
 use masticdock_core::ids::{ModelId, UpstreamId};
 use masticdock_core::serving::{
     Configuration, Directory, DirectoryChange, Upstream, VersionTimeline,
@@ -53,45 +55,31 @@
         self.versions.get(model)
     }
 
-    /// Applies an event of the operators' table.
-    pub(crate) fn apply_operators(&mut self, event: Event) {
+    /// Applies an event of the operators' table; returns true when a version was declared.
+    pub(crate) fn apply_operators(&mut self, event: Event) -> bool {
         match event {
-            Event::Regained => {}
+            Event::Regained => false,
             Event::Snapshot(rows) => {
                 let first = !self.operators_known;
                 self.operators_known = true;
-                self.apply_operator_rows(&rows, first);
+                self.apply_operator_rows(&rows, first)
             }
             Event::Changes(rows) => self.apply_operator_rows(&rows, false),
         }
     }
 
-    fn apply_operator_rows(&mut self, rows: &[Row], at_start: bool) {
+    fn apply_operator_rows(&mut self, rows: &[Row], at_start: bool) -> bool {
         let now = clock::now();
+        let mut any_new = false;
         for row in rows {
             match decode_operator_row(row) {
                 Ok(OperatorRow::Configuration(configuration)) => {
                     self.adopt(*configuration);
                 }
                 Ok(OperatorRow::Version(declared)) => {
-                    let learnt_at = if at_start {
-                        MonoMs(now.0.saturating_sub(VERSION_AGE_AT_START_MS))
-                    } else {
-                        now
-                    };
-                    let timeline = self
-                        .versions
-                        .entry(declared.model.clone())
-                        .or_insert_with(|| VersionTimeline::new(self.in_force_ms));
-                    if timeline.declare(declared.version, learnt_at) {
-                        log::info!(
-                            event = "version.declared",
-                            model = declared.model.as_str(),
-                            weights = declared.version.0,
-                            found_at_start = at_start;
-                            "a version of the weights is declared"
-                        );
-                    }
+                    let age_ms = if at_start { VERSION_AGE_AT_START_MS } else { 0 };
+                    let learnt_at = MonoMs(now.0.saturating_sub(age_ms));
+                    any_new |= self.learn_version(&declared, learnt_at, "store");
                 }
                 Ok(OperatorRow::Other) => {}
                 Err(error) => log::warn!(
@@ -102,6 +90,50 @@
                 ),
             }
         }
+        any_new
+    }
+
+    /// Records a declared version that was learnt at the time given; returns
+    /// false when it is not newer than those known.
+    pub(crate) fn learn_version(
+        &mut self,
+        declared: &DeclaredVersion,
+        learnt_at: MonoMs,
+        from: &'static str,
+    ) -> bool {
+        let timeline = self
+            .versions
+            .entry(declared.model.clone())
+            .or_insert_with(|| VersionTimeline::new(self.in_force_ms));
+        if !timeline.declare(declared.version, learnt_at) {
+            return false;
+        }
+        log::info!(
+            event = "version.declared",
+            model = declared.model.as_str(),
+            weights = declared.version.0,
+            age_ms = clock::now().since_ms(learnt_at),
+            from = from;
+            "a version of the weights is declared"
+        );
+        true
+    }
+
+    /// Returns the newest declared version of each model with its age in milliseconds.
+    pub(crate) fn newest_versions(&self) -> Vec<(DeclaredVersion, u64)> {
+        let now = clock::now();
+        let mut newest = Vec::new();
+        for (model, timeline) in &self.versions {
+            let version = timeline.newest();
+            if let Some(learnt_at) = timeline.learnt_at(version) {
+                let declared = DeclaredVersion {
+                    model: model.clone(),
+                    version,
+                };
+                newest.push((declared, now.since_ms(learnt_at)));
+            }
+        }
+        newest
     }
 
     /// Takes over a configuration unless a newer one is in force.
