--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -5,14 +5,16 @@
 //! same readers for a piece without asking anyone; a reader that fails is
 //! passed over, and the origin is the last resort.
 
-use crate::ids::{RegionId, UpstreamId};
+use compact_str::CompactString;
+
+use crate::ids::RegionId;
 use crate::rendezvous;
 
 /// An agent that fetches or holds pieces.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerPieces {
-    /// Upstream beside which the agent runs.
-    pub id: UpstreamId,
+    /// Name of the agent that stays the same when it restarts.
+    pub name: CompactString,
     /// Region of its VM.
     pub region: RegionId,
     /// True when it holds every piece of the version.
@@ -31,8 +33,8 @@
 /// Readers of one version as one agent sees them.
 #[derive(Debug, Clone, Copy)]
 pub struct PieceSources<'a> {
-    /// Own upstream.
-    pub own: &'a UpstreamId,
+    /// Own name.
+    pub own: &'a str,
     /// Own region.
     pub region: &'a RegionId,
     /// Region of the origin, when known.
@@ -102,7 +104,7 @@
         filter: impl Fn(&PeerPieces) -> bool,
         skip: usize,
     ) -> Option<usize> {
-        let own_weight = rendezvous::weight(key, self.own.as_str());
+        let own_weight = rendezvous::weight(key, self.own);
         let ranked = self.weighted(key, filter);
         let (weight, index) = ranked.get(skip)?;
         (*weight > own_weight).then_some(*index)
@@ -113,7 +115,7 @@
         let mut weighted = Vec::new();
         for (index, peer) in self.peers.iter().enumerate() {
             if filter(peer) {
-                weighted.push((rendezvous::weight(key, peer.id.as_str()), index));
+                weighted.push((rendezvous::weight(key, &peer.name), index));
             }
         }
         weighted.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/masticdock-core/src/serving/returning.rs
+++ b/crates/masticdock-core/src/serving/returning.rs
@@ -1,35 +1,40 @@
 //! Tells callers that return after a rejection from new ones.
 //!
-//! Callers of a route mostly wait equally long, so the deadline that most
-//! requests carry is that of a first attempt. One that carries less has spent
-//! the rest on an earlier attempt. A few callers wait longer than most; they
-//! must not make all others look as if they returned.
+//! The deadlines of a route's callers differ by some 15 in 100. A request with
+//! far less than most has spent the rest on an earlier attempt and the delay
+//! that it was told. A few callers that wait longer than most must not make all
+//! others look as if they returned, so the measure is a high quantile and not
+//! the longest deadline.
 
-/// Votes that the usual deadline can save up; bounds how long another one that
-/// became usual takes to be believed.
-const VOTES_MAX: u32 = 50;
-/// Part of the usual deadline, as a divisor, by which a deadline may fall short
-/// before its caller counts as returning.
-const SHORTFALL_DIVISOR: u64 = 100;
+/// Quantile of the deadlines that counts as usual.
+const QUANTILE: f64 = 0.9;
+/// Part of the estimate by which one request moves it at most.
+const STEP: f64 = 0.02;
+/// Part of the usual deadline below which a caller counts as returning.
+const RETURNING_BELOW: f64 = 0.82;
 
-/// Usual deadline of the callers of one route, by majority vote.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// Usual deadline of the callers of one route, estimated request by request.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct UsualDeadline {
-    usual_ms: u64,
-    votes: u32,
+    usual_ms: f64,
 }
 
 impl UsualDeadline {
     /// Counts a request and returns true when its caller returns.
+    #[allow(clippy::cast_precision_loss)]
     pub fn is_returning(&mut self, deadline_ms: u64) -> bool {
-        if deadline_ms == self.usual_ms {
-            self.votes = (self.votes + 1).min(VOTES_MAX);
-        } else if self.votes > 0 {
-            self.votes -= 1;
-        } else {
+        let deadline_ms = deadline_ms as f64;
+        if self.usual_ms <= 0.0 {
             self.usual_ms = deadline_ms;
-            self.votes = 1;
         }
-        deadline_ms + self.usual_ms / SHORTFALL_DIVISOR < self.usual_ms
+        // Moves up for one request in ten and down for nine, so that it rests
+        // where nine in ten deadlines lie below.
+        let step_ms = self.usual_ms * STEP;
+        self.usual_ms += if deadline_ms > self.usual_ms {
+            (step_ms * QUANTILE).min(deadline_ms - self.usual_ms)
+        } else {
+            -step_ms * (1.0 - QUANTILE)
+        };
+        deadline_ms < self.usual_ms * RETURNING_BELOW
     }
 }
--- a/crates/masticdock-core/src/serving/switch_plan.rs
+++ b/crates/masticdock-core/src/serving/switch_plan.rs
@@ -18,8 +18,8 @@
     /// Start of the last turn, in milliseconds; no request begins on the older
     /// version after it.
     pub last_ms: u64,
-    /// Time to fetch and stage all pieces, in milliseconds.
-    pub staging_ms: u64,
+    /// Time for the last third of a newer version's pieces, in milliseconds.
+    pub newer_wait_ms: u64,
 }
 
 impl Default for SwitchTiming {
@@ -29,7 +29,7 @@
         Self {
             first_ms: 3_000,
             last_ms: 7_200,
-            staging_ms: 3_300,
+            newer_wait_ms: 1_000,
         }
     }
 }
@@ -58,17 +58,21 @@
         let first = learnt_at.plus_ms(self.timing.first_ms);
         let mut last = learnt_at.plus_ms(self.timing.last_ms);
         if let Some(deadline) = deadline {
-            // An older version that is still due is skipped by this change.
-            last = last.min(MonoMs(deadline.0.saturating_sub(1_000)));
+            // An older version may be due before this one.
+            last = last.min(MonoMs(deadline.0.saturating_sub(DUE_MARGIN_MS)));
         }
         let span_ms = last.since_ms(first);
         first.plus_ms(span_ms * position.unwrap_or(0) as u64 / count)
     }
 
-    /// Returns true when a newer version can replace one that is not loaded
-    /// yet before the older one's deadline.
+    /// Returns true when a change that is due at `due_at` can wait for the last
+    /// pieces of a newer version, which then replaces both.
     #[must_use]
-    pub const fn can_skip(&self, now: MonoMs, older_deadline: MonoMs) -> bool {
-        now.0 + self.timing.staging_ms + 1_000 <= older_deadline.0
+    pub const fn can_wait(&self, now: MonoMs, due_at: MonoMs) -> bool {
+        now.0 + self.timing.newer_wait_ms + DUE_MARGIN_MS <= due_at.0
     }
 }
+
+/// Time kept between the last turn and the moment at which a change is due, in
+/// milliseconds.
+const DUE_MARGIN_MS: u64 = 1_000;
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches the pieces of a version from peers and the origin.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
-use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{PieceSource, PieceSources, VersionNumber};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
@@ -47,6 +46,8 @@
     origin: OriginClient,
     origin_permits: Semaphore,
     peers: RefCell<HashMap<SocketAddr, Rc<HttpClient>>>,
+    /// Peers that lacked a piece although their row says that they hold all.
+    incomplete: RefCell<HashSet<SocketAddr>>,
     permits: Semaphore,
 }
 
@@ -55,11 +56,12 @@
     let sources = Rc::new(Sources {
         origin: OriginClient::new(goal.origin.address),
         origin_permits: Semaphore::new(ORIGIN_CONNECTIONS),
-        peers: RefCell::new(HashMap::new()),
+        peers: RefCell::default(),
+        incomplete: RefCell::default(),
         permits: Semaphore::new(PIECES_AT_ONCE),
     });
     let mut tasks = JoinSet::new();
-    for piece in fetch_order(agent, goal, pieces) {
+    for piece in fetch_order(agent, goal, pieces, &sources) {
         let (agent, goal) = (Rc::clone(agent), goal.clone());
         let (pieces, sources) = (Rc::clone(pieces), Rc::clone(&sources));
         tasks
@@ -79,29 +81,21 @@
 }
 
 /// Orders the missing pieces: those that others wait for first.
-fn fetch_order(agent: &Agent, goal: &ModelGoal, pieces: &Pieces) -> Vec<usize> {
+fn fetch_order(agent: &Agent, goal: &ModelGoal, pieces: &Pieces, sources: &Sources) -> Vec<usize> {
     let mut own_duty = Vec::new();
     let mut others = Vec::new();
     for piece in 0..pieces.count() {
         if pieces.get(piece).is_some() {
             continue;
         }
-        let from_near = match source(agent, goal, pieces.version, piece, 0) {
-            Some((PieceSource::Peer(_), peer)) => {
-                peer.is_some_and(|(region, _)| region == agent.settings.region)
-            }
-            _ => false,
-        };
-        if from_near {
-            others.push(piece);
-        } else {
-            own_duty.push(piece);
+        match source(agent, goal, pieces.version, sources, piece, 0) {
+            Some(peer) if !peer.far => others.push(piece),
+            _ => own_duty.push(piece),
         }
     }
     // Agents start at different pieces, so that none of them serves all at once.
-    let shift = agent.own_id().map_or(0, |id| {
-        masticdock_core::rendezvous::weight(b"shift", id.as_str())
-    });
+    let own = agent.settings.ip.to_string();
+    let shift = masticdock_core::rendezvous::weight(b"shift", &own);
     if !others.is_empty() {
         let count = others.len() as u64;
         others.rotate_left(usize::try_from(shift % count).unwrap_or(0));
@@ -110,32 +104,47 @@
     own_duty
 }
 
-type PeerAddress = (masticdock_core::ids::RegionId, SocketAddr);
+/// A peer to ask for a piece.
+#[derive(Debug, Clone, Copy)]
+struct PeerSource {
+    address: SocketAddr,
+    /// True when it is in another region.
+    far: bool,
+    /// True when it should hold the piece already.
+    holds: bool,
+}
 
-/// Chooses the source of a piece; `None` until the own upstream has registered.
+/// Chooses the source of a piece; `None` is the origin.
 fn source(
     agent: &Agent,
     goal: &ModelGoal,
     version: VersionNumber,
+    sources: &Sources,
     piece: usize,
     attempt: u32,
-) -> Option<(PieceSource, Option<PeerAddress>)> {
-    let own: UpstreamId = agent.own_id()?;
-    let peers = agent.peers(goal, version);
+) -> Option<PeerSource> {
+    let own = agent.settings.ip.to_string();
+    let mut peers = agent.peers(goal, version);
+    let incomplete = sources.incomplete.borrow();
+    for peer in &mut peers {
+        peer.pieces.complete &= !incomplete.contains(&peer.agent);
+    }
     let listed: Vec<_> = peers.iter().map(|peer| peer.pieces.clone()).collect();
     let origin_region = goal.origin.zone.as_ref().map(|zone| agent.region(zone));
-    let sources = PieceSources {
+    let ranking = PieceSources {
         own: &own,
         region: &agent.settings.region,
         origin_region: origin_region.as_ref(),
         peers: &listed,
     };
-    let source = sources.source(piece, attempt);
-    let peer = match source {
-        PieceSource::Peer(index) => Some((peers[index].pieces.region.clone(), peers[index].agent)),
-        PieceSource::Origin => None,
+    let PieceSource::Peer(index) = ranking.source(piece, attempt) else {
+        return None;
     };
-    Some((source, peer))
+    Some(PeerSource {
+        address: peers[index].agent,
+        far: listed[index].region != agent.settings.region,
+        holds: listed[index].complete,
+    })
 }
 
 async fn fetch_piece(
@@ -149,17 +158,13 @@
     let mut mismatches = 0;
     loop {
         let permit = sources.permits.acquire().await;
-        let chosen = source(agent, goal, pieces.version, piece, attempt);
-        let peer = chosen.and_then(|(_, peer)| peer);
-        let result = match &peer {
-            Some((region, address)) => {
-                let far = *region != agent.settings.region;
-                from_peer(sources, *address, pieces, piece, far).await
-            }
+        let peer = source(agent, goal, pieces.version, sources, piece, attempt);
+        let result = match peer {
+            Some(peer) => from_peer(sources, peer, pieces, piece).await,
             None => from_origin(sources, pieces, piece).await,
         };
         drop(permit);
-        let from = peer.map_or_else(|| "origin".to_owned(), |(_, address)| address.to_string());
+        let from = peer.map_or_else(|| "origin".to_owned(), |peer| peer.address.to_string());
         match result {
             Ok(Some(bytes)) => {
                 if pieces.insert(piece, bytes) {
@@ -175,7 +180,15 @@
                     "a piece does not match its digest; another source is asked"
                 );
             }
-            Ok(None) if from == "origin" => return Fetched::Obsolete,
+            Ok(None) if peer.is_none() => return Fetched::Obsolete,
+            Ok(None) if peer.is_some_and(|peer| peer.holds) => {
+                // Its row is older than its last restart.
+                sources
+                    .incomplete
+                    .borrow_mut()
+                    .extend(peer.map(|peer| peer.address));
+                continue;
+            }
             Ok(None) => log::info!(
                 event = "piece.absent",
                 piece = piece,
@@ -217,23 +230,23 @@
 
 async fn from_peer(
     sources: &Sources,
-    address: SocketAddr,
+    peer: PeerSource,
     pieces: &Pieces,
     piece: usize,
-    far: bool,
 ) -> Result<Option<Bytes>, CallError> {
     let client = Rc::clone(
         sources
             .peers
             .borrow_mut()
-            .entry(address)
-            .or_insert_with(|| Rc::new(HttpClient::new(address))),
+            .entry(peer.address)
+            .or_insert_with(|| Rc::new(HttpClient::new(peer.address))),
     );
     let wanted = PieceRequest {
         model: pieces.model.clone(),
         version: pieces.version,
         piece,
-        far,
+        far: peer.far,
+        wait: !peer.holds,
     };
     // Sending takes some 50 ms on an idle link and more while others read too.
     let timeout = PIECE_WAIT + Duration::from_millis(700);
--- a/crates/masticdock-node/src/agent/fetcher.rs
+++ b/crates/masticdock-node/src/agent/fetcher.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use masticdock_adapter::OriginClient;
-use masticdock_core::serving::{SwitchPlan, VersionNumber};
+use masticdock_core::serving::VersionNumber;
 use tokio::time::{sleep, timeout};
 
 use super::fetch::{Fetched, fetch};
@@ -52,17 +52,7 @@
         return false;
     };
     let started_at = clock::now();
-    let end = tokio::select! {
-        end = fetch(agent, goal, &pieces) => end,
-        () = replaced(agent, goal, version) => {
-            log::info!(
-                event = "fetch.replaced",
-                weights = version.0;
-                "a newer version replaces one that was not fetched yet"
-            );
-            return true;
-        }
-    };
+    let end = fetch(agent, goal, &pieces).await;
     if end == Fetched::Complete {
         log::info!(
             event = "version.fetched",
@@ -83,17 +73,6 @@
     false
 }
 
-/// Returns once a newer version is declared that can be fetched before this one is due.
-async fn replaced(agent: &Agent, goal: &ModelGoal, version: VersionNumber) {
-    let plan = SwitchPlan::default();
-    loop {
-        agent.changed.notified().await;
-        if agent.newest(goal) > version && agent.can_skip(goal, &plan) {
-            return;
-        }
-    }
-}
-
 /// Returns the pieces of `version`, with its manifest and what the stage holds already.
 async fn prepare(
     agent: &Rc<Agent>,
@@ -104,8 +83,6 @@
         return Some(pieces);
     }
     agent.read_upstreams().await;
-    // Until the upstream has registered, peers rank its pieces differently.
-    agent.own_id()?;
     let origin = OriginClient::new(goal.origin.address);
     let manifest = match origin
         .manifest(&goal.model, version, goal.engine.pieces)
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -17,7 +17,7 @@
 use crate::http_server::{respond, serve};
 
 /// Longest time that a request waits for a piece which is on its way here.
-pub(crate) const PIECE_WAIT: Duration = Duration::from_secs(2);
+pub(crate) const PIECE_WAIT: Duration = Duration::from_millis(1_600);
 
 /// Time for which a piece lets one for another region go first, in milliseconds.
 const YIELD_MS: u64 = 5;
@@ -44,14 +44,17 @@
     pub(crate) piece: usize,
     /// True when the agent that asks is in another region.
     pub(crate) far: bool,
+    /// True when the piece may still be on its way to the agent that is asked.
+    pub(crate) wait: bool,
 }
 
 impl PieceRequest {
     /// Returns the path under which the piece is asked for.
     pub(crate) fn path(&self) -> String {
         let distance = if self.far { "far" } else { "near" };
+        let wait = if self.wait { "wait" } else { "now" };
         format!(
-            "/pieces/{}/{}/{}/{distance}",
+            "/pieces/{}/{}/{}/{distance}/{wait}",
             self.model, self.version, self.piece
         )
     }
@@ -63,6 +66,7 @@
             version: parts.next()?.parse().ok()?,
             piece: parts.next()?.parse().ok()?,
             far: parts.next() == Some("far"),
+            wait: parts.next() == Some("wait"),
         })
     }
 }
@@ -124,6 +128,9 @@
             if let Some(bytes) = pieces.get(wanted.piece) {
                 return Some(bytes);
             }
+            if !wanted.wait {
+                return None;
+            }
             timeout_at(deadline, arrived).await.ok()?;
             continue;
         }
@@ -132,7 +139,7 @@
             return read.await.ok()?;
         }
         let goal = agent.model_goal()?;
-        if agent.newest(&goal) > wanted.version {
+        if agent.newest(&goal) > wanted.version || !wanted.wait {
             return None;
         }
         // The version may not be known or prepared here yet.
--- a/crates/masticdock-node/src/agent/pieces.rs
+++ b/crates/masticdock-node/src/agent/pieces.rs
@@ -61,6 +61,13 @@
         self.held.borrow().iter().all(Option::is_some)
     }
 
+    /// Returns true when two thirds of the pieces are held; the rest arrives
+    /// within about a second.
+    pub(crate) fn is_nearly_complete(&self) -> bool {
+        let held = self.held.borrow().iter().flatten().count();
+        held * 3 >= self.count() * 2
+    }
+
     /// Returns the number of pieces of the version.
     pub(crate) fn count(&self) -> usize {
         self.manifest.digests.len()
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -5,17 +5,17 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use compact_str::ToCompactString;
 use masticdock_adapter::{Engine, EngineReport, NodeSettings, Store, Table};
 use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, EngineProfile, Origin, PeerPieces, SwitchPlan, VersionNumber, VersionTimeline,
+    AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::LinkPacer;
 use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
 use super::pieces::Pieces;
-use crate::clock;
 use crate::tables::{Catalog, Event};
 
 /// Part of the VM's link that uploads may take: events of streams share the
@@ -155,17 +155,16 @@
             .begin_until(held)
     }
 
-    /// Returns true when the newest version can be fetched before an older one is due.
-    pub(crate) fn can_skip(&self, goal: &ModelGoal, plan: &SwitchPlan) -> bool {
-        self.due_at(goal)
-            .is_none_or(|due_at| plan.can_skip(clock::now(), due_at))
-    }
-
     /// Returns the pieces of a version in memory.
     pub(crate) fn pieces_of(&self, version: VersionNumber) -> Option<Rc<Pieces>> {
         self.pieces.borrow().get(&version).cloned()
     }
 
+    /// Returns the newest version of which pieces are in memory.
+    pub(crate) fn newest_in_memory(&self) -> Option<Rc<Pieces>> {
+        self.pieces.borrow().values().next_back().cloned()
+    }
+
     /// Returns the newest version of which all pieces are in memory.
     pub(crate) fn newest_fetched(&self) -> Option<Rc<Pieces>> {
         let pieces = self.pieces.borrow();
@@ -210,7 +209,7 @@
                 .and_then(|model| model.complete_version(goal.engine.layers));
             peers.push(Peer {
                 pieces: PeerPieces {
-                    id: upstream.id.clone(),
+                    name: upstream.address.ip().to_compact_string(),
                     region: self.region(&upstream.zone),
                     complete: held == Some(version),
                 },
--- a/crates/masticdock-node/src/agent/switcher.rs
+++ b/crates/masticdock-node/src/agent/switcher.rs
@@ -104,9 +104,14 @@
         if agent.held(goal).is_none() {
             return true;
         }
-        let skipped = agent.newest(goal) > version && agent.can_skip(goal, &plan);
         let turn = turn(agent, goal, version, &plan, now);
-        if now >= turn && !skipped {
+        let newer_soon = agent
+            .newest_in_memory()
+            .is_some_and(|newest| newest.version > version && newest.is_nearly_complete());
+        let can_wait = agent
+            .due_at(goal)
+            .is_some_and(|due_at| plan.can_wait(now, due_at));
+        if now >= turn && !(newer_soon && can_wait) {
             return true;
         }
         let wait = turn.since(now).clamp(PAUSE, LOOK_INTERVAL);
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -15,11 +15,11 @@
 const REPORT_AGE_MAX_MS: u64 = 2_500;
 /// Time before the end of an older version from which no request is sent to it, in
 /// milliseconds: a request may wait at an upstream before it begins.
-const BEGIN_MARGIN_MS: u64 = 1_500;
+const BEGIN_MARGIN_MS: u64 = 1_000;
 /// Time before the end of an older version at which a request that has not begun
 /// is taken back, in milliseconds; covers the way to the upstream and the age
 /// of the declaration when it was read.
-const TAKE_BACK_MARGIN_MS: u64 = 500;
+const TAKE_BACK_MARGIN_MS: u64 = 400;
 /// Delay that crossing to another availability zone is worth, in milliseconds.
 const OTHER_ZONE_MS: f64 = 40.0;
 /// Delay that crossing to another region is worth, in milliseconds.
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -31,9 +31,9 @@
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Time that a caller without a deadline waits, in milliseconds.
 const DEADLINE_DEFAULT_MS: u64 = 30_000;
-/// Advice to callers while a service has no usable upstream, in milliseconds;
-/// a process that crashed is back after some seconds.
-const NO_UPSTREAM_RETRY_MS: u64 = 700;
+/// Shortest and longest advice to callers while a service has no usable upstream,
+/// in milliseconds; a process that crashed is back after some seconds.
+const NO_UPSTREAM_RETRY_MS: (u64, u64) = (900, 1_900);
 
 /// A request with its route.
 #[derive(Debug)]
@@ -279,9 +279,11 @@
         return own(StatusCode::BAD_GATEWAY, None, in_use);
     }
     entry.record_admission(&call.service, true);
-    let (delay_ms, rejected_share) = match no_place.best_ms {
-        Some(_) => entry.retry_after(&call.service),
-        None => (NO_UPSTREAM_RETRY_MS, 1.0),
+    let (delay_ms, rejected_share) = if no_place.best_ms.is_some() {
+        entry.retry_after(&call.service)
+    } else {
+        let (shortest_ms, longest_ms) = NO_UPSTREAM_RETRY_MS;
+        (rand::random_range(shortest_ms..=longest_ms), 1.0)
     };
     log::info!(
         event = "request.rejected",
