--- /dev/null
+++ b/crates/masticdock-core/tests/serving_configuration.rs
@@ -0,0 +1,104 @@
+//! Matching of requests against the configuration.
+
+use masticdock_core::serving::{
+    Backend, Configuration, RequestKind, RequestLimits, Route, RouteMatch, Workspace,
+};
+
+fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        backends: vec![Backend {
+            service: "orders".parse().unwrap(),
+            weight: 1,
+        }],
+        timeout_ms: 800,
+        objective_ms: 300,
+        gap_objective_ms: None,
+        attempts_max: 2,
+        priority: 1,
+        anonymous,
+    }
+}
+
+fn configuration() -> Configuration {
+    let routes = vec![
+        route("short", "a.example", "/x/", false),
+        route("long", "a.example", "/x/y/", false),
+        route("open", "b.example", "/", true),
+    ];
+    let workspace = Workspace {
+        id: "alpenruh".parse().unwrap(),
+        priority: Some(0),
+    };
+    let keys = vec![("key-1".into(), workspace)];
+    Configuration::new(7, routes, Vec::new(), Some(keys), RequestLimits::default())
+}
+
+fn found(host: &str, path: &str, key: Option<&str>) -> String {
+    match configuration().find(host, path, key) {
+        RouteMatch::Route { route, workspace } => {
+            let workspace = workspace.map_or("-", |workspace| workspace.id.as_str());
+            format!("{} {workspace}", route.name)
+        }
+        RouteMatch::NoRoute => "no route".to_owned(),
+        RouteMatch::UnknownKey => "unknown key".to_owned(),
+    }
+}
+
+/// Guards against a shorter prefix that hides a longer one.
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    assert_eq!(found("a.example", "/x/y/z", Some("key-1")), "long alpenruh");
+    assert_eq!(found("a.example", "/x/z", Some("key-1")), "short alpenruh");
+    assert_eq!(
+        found("A.Example:8080", "/x/z", Some("key-1")),
+        "short alpenruh"
+    );
+    assert_eq!(found("a.example", "/x", Some("key-1")), "no route");
+    assert_eq!(found("c.example", "/x/y/", Some("key-1")), "no route");
+}
+
+/// Guards against requests that run without a key, or are refused on an anonymous route.
+#[test]
+fn keys_are_asked_for_except_on_anonymous_routes() {
+    assert_eq!(found("a.example", "/x/", None), "unknown key");
+    assert_eq!(found("a.example", "/x/", Some("key-2")), "unknown key");
+    assert_eq!(found("b.example", "/any", None), "open -");
+    assert_eq!(found("b.example", "/any", Some("key-2")), "open -");
+}
+
+/// Guards against a split that sends everything, or nothing, to one backend.
+#[test]
+fn backends_share_requests_by_weight() {
+    let mut split = route("split", "a.example", "/", true);
+    split.backends = vec![
+        Backend {
+            service: "new".parse().unwrap(),
+            weight: 10,
+        },
+        Backend {
+            service: "old".parse().unwrap(),
+            weight: 90,
+        },
+    ];
+    let mut new = 0;
+    for draw in 0..1_000 {
+        if split.choose_service(f64::from(draw) / 1_000.0).as_str() == "new" {
+            new += 1;
+        }
+    }
+    assert_eq!(new, 100);
+    assert_eq!(split.choose_service(1.0).as_str(), "old");
+}
+
+/// Guards against a stream that runs twice because it is a stream.
+#[test]
+fn only_idempotent_requests_and_resumable_streams_may_run_again() {
+    assert!(RequestKind::Idempotent.may_run_again());
+    assert!(RequestKind::Stream { resumable: true }.may_run_again());
+    assert!(!RequestKind::Stream { resumable: false }.may_run_again());
+    assert!(!RequestKind::NonIdempotent.may_run_again());
+}
--- /dev/null
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -0,0 +1,116 @@
+//! Upstreams while their rows come, change, lapse and vanish.
+
+use masticdock_core::ids::UpstreamId;
+use masticdock_core::serving::{
+    Directory, DirectoryChange, LayerSpan, ModelState, Upstream, VersionNumber,
+};
+use masticdock_core::units::MonoMs;
+
+const GRACE_MS: u64 = 2_000;
+
+fn upstream(id: &str, leaving: bool, started_at_ms: u64) -> Upstream {
+    Upstream {
+        id: id.parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "wien-a".parse().unwrap(),
+        slots: 16,
+        leaving,
+        models: Vec::new(),
+        started_at_ms: Some(started_at_ms),
+    }
+}
+
+fn id(id: &str) -> UpstreamId {
+    id.parse().unwrap()
+}
+
+/// Guards against requests to an upstream that announced its leave.
+#[test]
+fn an_upstream_joins_leaves_and_goes() {
+    let mut directory = Directory::new(GRACE_MS);
+    let row = upstream("u-1", false, 1);
+    assert_eq!(
+        directory.put(row.clone()),
+        Some(DirectoryChange::Joined(row.clone()))
+    );
+    assert_eq!(directory.put(row), None);
+    assert_eq!(
+        directory.put(upstream("u-1", true, 1)),
+        Some(DirectoryChange::Leaving(id("u-1")))
+    );
+    assert!(directory.get(&id("u-1")).unwrap().leaving);
+    assert_eq!(
+        directory.remove(&id("u-1"), MonoMs(10)),
+        Some(DirectoryChange::Gone(id("u-1")))
+    );
+    assert_eq!(directory.remove(&id("u-1"), MonoMs(10)), None);
+}
+
+/// Guards against the load and version of an earlier process under the same id.
+#[test]
+fn a_restart_under_the_same_id_counts_as_joining() {
+    let mut directory = Directory::new(GRACE_MS);
+    directory.put(upstream("u-1", false, 1));
+    let restarted = upstream("u-1", false, 2);
+    assert_eq!(
+        directory.put(restarted.clone()),
+        Some(DirectoryChange::Joined(restarted))
+    );
+}
+
+/// Guards against dropping all upstreams when the store was away for a while.
+#[test]
+fn rows_that_vanish_as_the_store_returns_lapse_and_come_back() {
+    let mut directory = Directory::new(GRACE_MS);
+    directory.put(upstream("u-1", false, 1));
+    directory.put(upstream("u-2", false, 1));
+    directory.store_regained(MonoMs(10_000));
+    let until = MonoMs(10_000 + GRACE_MS);
+    assert_eq!(
+        directory.replace(Vec::new(), MonoMs(10_050)),
+        [
+            DirectoryChange::Lapsed(id("u-1"), until),
+            DirectoryChange::Lapsed(id("u-2"), until)
+        ]
+    );
+    assert_eq!(directory.iter().count(), 2);
+    assert_eq!(directory.expire(MonoMs(11_999)), []);
+    directory.put(upstream("u-1", false, 1));
+    // The row that did not come back is gone for good.
+    assert_eq!(directory.expire(until), [DirectoryChange::Gone(id("u-2"))]);
+    assert_eq!(directory.iter().count(), 1);
+}
+
+/// Guards against a grace for upstreams that had announced their leave, or in calm times.
+#[test]
+fn leaving_upstreams_and_calm_times_have_no_grace() {
+    let mut directory = Directory::new(GRACE_MS);
+    directory.put(upstream("u-1", true, 1));
+    directory.put(upstream("u-2", false, 1));
+    directory.store_regained(MonoMs(10_000));
+    assert_eq!(
+        directory.remove(&id("u-1"), MonoMs(10_050)),
+        Some(DirectoryChange::Gone(id("u-1")))
+    );
+    assert_eq!(
+        directory.remove(&id("u-2"), MonoMs(10_000 + GRACE_MS)),
+        Some(DirectoryChange::Gone(id("u-2")))
+    );
+}
+
+/// Guards against an engine with some layers that is taken for a whole one.
+#[test]
+fn a_version_is_complete_only_with_all_layers() {
+    let state = |from, until| ModelState {
+        model: "m".parse().unwrap(),
+        layers: vec![LayerSpan {
+            from,
+            until,
+            version: VersionNumber(3),
+        }],
+    };
+    assert_eq!(state(0, 16).complete_version(16), Some(VersionNumber(3)));
+    assert_eq!(state(0, 15).complete_version(16), None);
+    assert_eq!(state(1, 16).complete_version(16), None);
+}
