Replay overload, burst and slow engines through placement against a naive rule

The engine model of the test reads prompts between passes; asserted is that more requests are in time than with least in flight and no rejection.

--- /dev/null
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -0,0 +1,326 @@
+//! Placement and admission under replayed loads, against a naive rule.
+//!
+//! The engines here are a small model of continuous batching: prompts are read
+//! one after another between the passes of the requests that decode. Asserted
+//! is an order between the rules, never a figure.
+
+use masticdock_core::serving::{
+    AgentReport, Candidate, EngineProfile, Placement, PlacementRules, RequestSize, UpstreamLoad,
+    place,
+};
+use masticdock_core::units::MonoMs;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TICK_MS: u64 = 5;
+const OBJECTIVE_MS: u64 = 400;
+
+fn profile() -> EngineProfile {
+    EngineProfile {
+        models: Vec::new(),
+        slots: 16,
+        steps_per_pass: 5,
+        step_ms: 9.27,
+        step_per_request_ms: 0.0232,
+        step_per_context_ms: 0.0322,
+        prefill_tokens_per_ms: 20.7,
+        prompt_tokens_mean: 979.0,
+        answer_tokens_mean: 92.0,
+        layers: 16,
+        pieces: 48,
+        piece_bytes: 49_152,
+    }
+}
+
+#[derive(Clone)]
+struct Job {
+    size: RequestSize,
+    arrived_ms: u64,
+    prefill_left_ms: f64,
+    passes_left: f64,
+    first_at_ms: Option<u64>,
+    entry: usize,
+}
+
+struct Engine {
+    jobs: Vec<Job>,
+    slow: f64,
+    /// While true nothing is accepted; requests that run go on.
+    draining: bool,
+}
+
+impl Engine {
+    /// Works for one tick and returns the jobs that ended.
+    fn work(&mut self, profile: &EngineProfile, now_ms: u64) -> Vec<Job> {
+        let slots = profile.slots as usize;
+        #[allow(clippy::cast_precision_loss)]
+        let mut budget_ms = TICK_MS as f64 / self.slow;
+        let decoding = |job: &Job| job.prefill_left_ms <= 0.0;
+        let running = self
+            .jobs
+            .iter()
+            .take(slots)
+            .filter(|job| decoding(job))
+            .count();
+        let running = u32::try_from(running).unwrap();
+        // Prompts take up to four fifths of the time while others decode.
+        let mut prefill_ms = if running > 0 {
+            budget_ms * 0.8
+        } else {
+            budget_ms
+        };
+        for job in self.jobs.iter_mut().take(slots) {
+            if job.prefill_left_ms > 0.0 && prefill_ms > 0.0 {
+                let used_ms = prefill_ms.min(job.prefill_left_ms);
+                job.prefill_left_ms -= used_ms;
+                prefill_ms -= used_ms;
+                budget_ms -= used_ms;
+            }
+        }
+        let passes = budget_ms / profile.pass_ms(running.max(1));
+        let mut ended = Vec::new();
+        let mut kept = Vec::new();
+        for (index, mut job) in std::mem::take(&mut self.jobs).into_iter().enumerate() {
+            if index < slots && job.prefill_left_ms <= 0.0 {
+                job.first_at_ms.get_or_insert(now_ms + 50);
+                job.passes_left -= passes;
+            }
+            if job.passes_left <= 0.0 {
+                ended.push(job);
+            } else {
+                kept.push(job);
+            }
+        }
+        self.jobs = kept;
+        ended
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Rule {
+    /// The product's placement and admission.
+    Predicted,
+    /// Least requests in flight, never rejects.
+    LeastInFlight,
+}
+
+struct Scenario {
+    upstreams: usize,
+    entries: usize,
+    /// Arrivals a second, by time.
+    per_s: fn(u64) -> f64,
+    slow: fn(usize) -> f64,
+    length_ms: u64,
+}
+
+/// Plays a scenario and returns the requests whose first event came in time.
+fn served_in_time(scenario: &Scenario, rule: Rule) -> usize {
+    let profile = profile();
+    let rules = PlacementRules::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut engines: Vec<Engine> = (0..scenario.upstreams)
+        .map(|index| Engine {
+            jobs: Vec::new(),
+            slow: (scenario.slow)(index),
+            draining: false,
+        })
+        .collect();
+    let mut views = vec![vec![UpstreamLoad::default(); scenario.upstreams]; scenario.entries];
+    let mut due = 0.0;
+    let mut in_time = 0;
+    for now_ms in (0..scenario.length_ms).step_by(usize::try_from(TICK_MS).unwrap()) {
+        let now = MonoMs(60_000 + now_ms);
+        #[allow(clippy::cast_precision_loss)]
+        let tick_s = TICK_MS as f64 / 1_000.0;
+        due += (scenario.per_s)(now_ms) * tick_s;
+        while due >= 1.0 {
+            due -= 1.0;
+            let entry = rng.random_range(0..scenario.entries);
+            let size = RequestSize {
+                prompt_tokens: rng.random_range(200..1_800),
+                answer_tokens: rng.random_range(20..180),
+            };
+            let candidates: Vec<Candidate> = views[entry]
+                .iter()
+                .map(|load| candidate(load, now, rng.random()))
+                .collect();
+            let Some(index) = choose(rule, &candidates, &profile, size, &rules) else {
+                continue;
+            };
+            views[entry][index].begin(size.prompt_tokens);
+            #[allow(clippy::cast_precision_loss)]
+            engines[index].jobs.push(Job {
+                size,
+                arrived_ms: now_ms,
+                prefill_left_ms: profile.prefill_ms(size.prompt_tokens as f64),
+                passes_left: size.answer_tokens as f64 / 5.0,
+                first_at_ms: None,
+                entry,
+            });
+        }
+        for (index, engine) in engines.iter_mut().enumerate() {
+            for job in engine.work(&profile, now_ms) {
+                let load = &mut views[job.entry][index];
+                load.first_event(job.size.prompt_tokens);
+                load.end();
+                let first_ms = job.first_at_ms.unwrap() - job.arrived_ms;
+                #[allow(clippy::cast_precision_loss)]
+                load.seen(first_ms as f64, 150.0, now);
+                if first_ms <= OBJECTIVE_MS {
+                    in_time += 1;
+                }
+            }
+            if now_ms.is_multiple_of(200) {
+                let running = u32::try_from(engine.jobs.len().min(16)).unwrap();
+                let queued = u32::try_from(engine.jobs.len()).unwrap() - running;
+                let report = AgentReport {
+                    running,
+                    queued,
+                    version: None,
+                    switching: engine.draining,
+                    reachable: true,
+                };
+                for view in &mut views {
+                    view[index].report(report.running, report.queued, now);
+                }
+            }
+        }
+    }
+    in_time
+}
+
+fn candidate(load: &UpstreamLoad, now: MonoMs, draw: f64) -> Candidate {
+    Candidate {
+        slots: 16,
+        total: load.total(now),
+        unread_tokens: load.unread_tokens,
+        others_unread: load.others_unread(now),
+        slowness: load.slowness(now),
+        switch_in_ms: None,
+        service_ms: 0.0,
+        distance_ms: 0.0,
+        draw,
+    }
+}
+
+fn choose(
+    rule: Rule,
+    candidates: &[Candidate],
+    profile: &EngineProfile,
+    size: RequestSize,
+    rules: &PlacementRules,
+) -> Option<usize> {
+    if rule == Rule::LeastInFlight {
+        return (0..candidates.len()).min_by_key(|index| candidates[*index].total);
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let objective_ms = OBJECTIVE_MS as f64;
+    match place(candidates, Some(profile), size, objective_ms, false, rules) {
+        Placement::Send { index, .. } => Some(index),
+        Placement::Full { .. } | Placement::NoCandidate => None,
+    }
+}
+
+/// Replays twice the load that eleven engines carry, for six seconds.
+/// Guards against a queue in which every request becomes late.
+#[test]
+fn an_overload_serves_more_in_time_than_queueing_everything() {
+    let scenario = Scenario {
+        upstreams: 11,
+        entries: 4,
+        per_s: |_| 200.0,
+        slow: |_| 1.0,
+        length_ms: 6_000,
+    };
+    let predicted = served_in_time(&scenario, Rule::Predicted);
+    let naive = served_in_time(&scenario, Rule::LeastInFlight);
+    assert!(predicted > naive, "{predicted} against {naive}");
+}
+
+/// Replays a burst of two seconds between calm times.
+/// Guards against a backlog that outlives its burst.
+#[test]
+fn after_a_burst_requests_are_in_time_again_sooner() {
+    let scenario = Scenario {
+        upstreams: 11,
+        entries: 4,
+        per_s: |now_ms| {
+            if (2_000..4_000).contains(&now_ms) {
+                260.0
+            } else {
+                70.0
+            }
+        },
+        slow: |_| 1.0,
+        length_ms: 9_000,
+    };
+    let predicted = served_in_time(&scenario, Rule::Predicted);
+    let naive = served_in_time(&scenario, Rule::LeastInFlight);
+    assert!(predicted > naive, "{predicted} against {naive}");
+}
+
+/// Replays an ordinary load beside two engines that are four times as slow.
+/// Guards against equal shares for engines of unequal speed.
+#[test]
+fn slow_upstreams_get_less_and_more_is_in_time() {
+    let scenario = Scenario {
+        upstreams: 11,
+        entries: 4,
+        per_s: |_| 75.0,
+        slow: |index| if index < 2 { 4.0 } else { 1.0 },
+        length_ms: 8_000,
+    };
+    let predicted = served_in_time(&scenario, Rule::Predicted);
+    let naive = served_in_time(&scenario, Rule::LeastInFlight);
+    assert!(predicted > naive, "{predicted} against {naive}");
+}
+
+fn idle() -> Candidate {
+    candidate(&UpstreamLoad::default(), MonoMs(60_000), 0.0)
+}
+
+fn decide(candidates: &[Candidate], answer_tokens: u64, returning: bool) -> Placement {
+    let size = RequestSize {
+        prompt_tokens: 500,
+        answer_tokens,
+    };
+    let rules = PlacementRules::default();
+    place(candidates, Some(&profile()), size, 400.0, returning, &rules)
+}
+
+/// Guards against a long answer that holds up the change of an upstream's weights.
+#[test]
+fn long_answers_avoid_upstreams_that_are_about_to_switch() {
+    let soon = Candidate {
+        switch_in_ms: Some(300.0),
+        ..idle()
+    };
+    let busier = Candidate { total: 8, ..idle() };
+    let index = |placement| match placement {
+        Placement::Send { index, .. } => index,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(index(decide(&[soon, busier], 250, false)), 1);
+    // A short answer ends before the switch and takes the idle upstream.
+    assert_eq!(index(decide(&[soon, busier], 10, false)), 0);
+}
+
+/// Guards against a caller that is rejected twice while some queue has room.
+#[test]
+fn returning_callers_find_room_where_new_ones_do_not() {
+    let full = Candidate {
+        total: 18,
+        ..idle()
+    };
+    assert!(matches!(decide(&[full], 50, false), Placement::Full { .. }));
+    assert!(matches!(decide(&[full], 50, true), Placement::Send { .. }));
+    let crowded = Candidate {
+        total: 40,
+        ..idle()
+    };
+    assert!(matches!(
+        decide(&[crowded], 50, true),
+        Placement::Full { .. }
+    ));
+    assert_eq!(decide(&[], 50, true), Placement::NoCandidate);
+}
