Announce a switch to entries and cut what still runs after 0.7 s

Cause found: an engine that switches waits for its longest stream, up to 3 s, with most slots idle, and requests sent meanwhile wait in its queue. Change: the agent announces the switch, waits 0.7 s, and cuts the rest where every stream of the engines can be resumed elsewhere (entries say so).

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -288,6 +288,25 @@
         }
     }
 
+    /// Returns true when every request that may reach an engine is a stream that
+    /// can be resumed elsewhere.
+    #[must_use]
+    pub fn engine_streams_resumable(&self) -> bool {
+        let reaches_engine = |route: &Route| {
+            route.backends.iter().any(|backend| {
+                let service = self.services.get(&backend.service);
+                service.is_some_and(|service| service.engine.is_some())
+            })
+        };
+        self.routes
+            .values()
+            .flatten()
+            .filter(|route| reaches_engine(route))
+            .all(|route| {
+                route.kind == RequestKind::Stream { resumable: true } && route.attempts_max > 1
+            })
+    }
+
     /// Returns the first origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<&Origin> {
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -47,11 +47,14 @@
         };
         let report = agent.report_for_entries();
         if let Some(Ok((length, entry))) = wake
-            && let Some(Datagram::Hello(versions)) = decode(&bytes[..length])
+            && let Some(Datagram::Hello(hello)) = decode(&bytes[..length])
         {
             let now = clock::now();
             agent.hello_at.set(now);
-            learn(&agent, &versions, now);
+            if !hello.resumable {
+                agent.unresumable_at.set(now);
+            }
+            learn(&agent, &hello.versions, now);
             if entries.insert(entry, now).is_none() {
                 send(&socket, entry, report).await;
             }
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -40,6 +40,10 @@
     pub(crate) staged: Cell<Option<VersionNumber>>,
     /// Version that the engine was ordered to load last.
     pub(crate) ordered: Cell<Option<VersionNumber>>,
+    /// True from the announcement of a switch until the engine shows it.
+    pub(crate) switching: Cell<bool>,
+    /// When an entry said last that some streams cannot be resumed elsewhere.
+    pub(crate) unresumable_at: Cell<MonoMs>,
     /// When an entry said hello last.
     pub(crate) hello_at: Cell<MonoMs>,
     /// Paces what is sent to other agents.
@@ -81,6 +85,8 @@
             pieces: RefCell::default(),
             staged: Cell::new(None),
             ordered: Cell::new(None),
+            switching: Cell::new(false),
+            unresumable_at: Cell::new(MonoMs(0)),
             hello_at: Cell::new(MonoMs(0)),
             uploads: RefCell::new(LinkPacer::new(upload_rate)),
             far_waiting: Cell::new(0),
@@ -236,7 +242,7 @@
             running: report.running,
             queued: report.queued,
             version: held,
-            switching: report.busy,
+            switching: report.busy || self.switching.get(),
             reachable: true,
         }
     }
--- a/crates/masticdock-node/src/agent/switcher.rs
+++ b/crates/masticdock-node/src/agent/switcher.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticdock_adapter::OrderAnswer;
+use masticdock_adapter::{OrderAnswer, OrderMode};
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{SwitchPlan, VersionNumber};
 use masticdock_core::units::MonoMs;
@@ -20,6 +20,18 @@
 /// Time for the engine to show an accepted order in its report.
 const ORDER_SHOWN: Duration = Duration::from_millis(400);
 
+/// Time between the announcement of a switch and the cut of the requests that
+/// still run, in milliseconds. Entries send nothing new meanwhile; short
+/// answers end, and cut streams are resumed elsewhere within the longest pause
+/// of an objective.
+const DRAIN_MS: u64 = 700;
+/// Time between two looks at the requests that run.
+const DRAIN_LOOK: Duration = Duration::from_millis(100);
+/// Age of the last hello from which no entry resumes streams, in milliseconds.
+const HELLO_AGE_MAX_MS: u64 = 2_500;
+/// Time for which a stream that cannot be resumed forbids cuts, in milliseconds.
+const UNRESUMABLE_MS: u64 = 10_000;
+
 /// Brings the engine to fetched versions for ever.
 pub(crate) async fn run(agent: Rc<Agent>) {
     loop {
@@ -58,7 +70,44 @@
     if !wait_for_turn(agent, goal, pieces.version).await {
         return true;
     }
-    read_back(agent, pieces).await && order(agent, goal, pieces.version).await
+    if !read_back(agent, pieces).await {
+        return false;
+    }
+    agent.switching.set(true);
+    agent.changed.notify_waiters();
+    let mode = drain(agent, goal).await;
+    let accepted = order(agent, goal, pieces.version, mode).await;
+    agent.switching.set(false);
+    agent.changed.notify_waiters();
+    accepted
+}
+
+/// Waits for requests to end after the switch was announced, and decides what
+/// becomes of the rest.
+async fn drain(agent: &Agent, goal: &ModelGoal) -> OrderMode {
+    if agent.held(goal).is_none() {
+        return OrderMode::AfterRequests;
+    }
+    let now = clock::now();
+    let heard = now.since_ms(agent.hello_at.get()) < HELLO_AGE_MAX_MS;
+    let resumable = now.since_ms(agent.unresumable_at.get()) > UNRESUMABLE_MS;
+    if !heard || !resumable {
+        return OrderMode::AfterRequests;
+    }
+    let until = now.plus_ms(DRAIN_MS);
+    loop {
+        sleep(DRAIN_LOOK).await;
+        let report = agent.report.borrow();
+        let left = report
+            .as_ref()
+            .map_or(0, |report| report.running + report.queued);
+        if left == 0 {
+            return OrderMode::AfterRequests;
+        }
+        if clock::now() >= until {
+            return OrderMode::CutRequests;
+        }
+    }
 }
 
 /// Stages all pieces; returns false when one could not be.
@@ -171,11 +220,14 @@
 }
 
 /// Orders the engine to load the stage; returns false when it is not known to load.
-async fn order(agent: &Agent, goal: &ModelGoal, version: VersionNumber) -> bool {
+async fn order(agent: &Agent, goal: &ModelGoal, version: VersionNumber, mode: OrderMode) -> bool {
     let Some(orders) = agent.report.borrow().as_ref().map(|report| report.orders) else {
         return false;
     };
-    let answer = agent.engine.load_staged(&goal.model, version, orders).await;
+    let answer = agent
+        .engine
+        .load_staged(&goal.model, version, orders, mode)
+        .await;
     let accepted = match &answer {
         Ok(answer) => matches!(answer, OrderAnswer::Accepted | OrderAnswer::InEffect),
         // The report shows whether the order was accepted.
@@ -185,6 +237,7 @@
         event = "order.sent",
         weights = version.0,
         orders = orders,
+        mode:? = mode,
         answer:? = answer;
         "the engine was ordered to load the stage"
     );
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -12,7 +12,7 @@
 
 use super::state::Entry;
 use crate::clock;
-use crate::peer::{Datagram, decode, encode};
+use crate::peer::{Datagram, Hello, decode, encode};
 
 /// Time between two rounds of hellos; an agent forgets an entry after three.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,11 +50,10 @@
             _ = look.tick() => {}
             () = entry.versions_changed.notified() => greeted.clear(),
         }
-        let versions = entry.catalog.borrow().newest_versions();
+        let hello = encode(&Datagram::Hello(hello(&entry)));
         for ip in engine_ips(&entry) {
             if greeted.insert(ip) {
                 let agent = SocketAddr::new(ip, entry.settings.peer_port);
-                let hello = encode(&Datagram::Hello(versions.clone()));
                 // A full send buffer loses one hello; the next round repeats it.
                 let _ = socket.try_send_to(&hello, agent);
             }
@@ -62,6 +61,17 @@
     }
 }
 
+fn hello(entry: &Entry) -> Hello {
+    let catalog = entry.catalog.borrow();
+    Hello {
+        resumable: catalog
+            .configuration
+            .as_ref()
+            .is_some_and(|configuration| configuration.engine_streams_resumable()),
+        versions: catalog.newest_versions(),
+    }
+}
+
 /// Returns the VMs of upstreams with an agent.
 fn engine_ips(entry: &Entry) -> Vec<IpAddr> {
     let catalog = entry.catalog.borrow();
--- a/crates/masticdock-node/src/peer/mod.rs
+++ b/crates/masticdock-node/src/peer/mod.rs
@@ -21,23 +21,33 @@
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Datagram {
-    /// An entry wants reports and knows these versions, each with its age in milliseconds.
-    Hello(Vec<(DeclaredVersion, u64)>),
+    /// An entry wants reports.
+    Hello(Hello),
     /// An agent reports its engine.
     Report(AgentReport),
 }
 
+/// What an entry tells agents.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Hello {
+    /// True when every stream of an engine can be resumed elsewhere.
+    pub(crate) resumable: bool,
+    /// Newest declared versions, each with its age in milliseconds.
+    pub(crate) versions: Vec<(DeclaredVersion, u64)>,
+}
+
 /// Encodes a datagram; versions that do not fit are left to the store.
 pub(crate) fn encode(datagram: &Datagram) -> Vec<u8> {
     match datagram {
-        Datagram::Hello(versions) => encode_hello(versions),
+        Datagram::Hello(hello) => encode_hello(hello),
         Datagram::Report(report) => encode_report(report),
     }
 }
 
-fn encode_hello(versions: &[(DeclaredVersion, u64)]) -> Vec<u8> {
+fn encode_hello(hello: &Hello) -> Vec<u8> {
     let mut bytes = HELLO.to_vec();
-    for (declared, age_ms) in versions {
+    bytes.push(u8::from(hello.resumable));
+    for (declared, age_ms) in &hello.versions {
         let name = declared.model.as_str().as_bytes();
         let Ok(length) = u8::try_from(name.len()) else {
             continue;
@@ -88,7 +98,8 @@
     }))
 }
 
-fn decode_hello(mut rest: &[u8]) -> Option<Vec<(DeclaredVersion, u64)>> {
+fn decode_hello(bytes: &[u8]) -> Option<Hello> {
+    let (resumable, mut rest) = bytes.split_first()?;
     let mut versions = Vec::new();
     while !rest.is_empty() {
         let (version, after) = rest.split_first_chunk::<8>()?;
@@ -102,5 +113,8 @@
         };
         versions.push((declared, u64::from_le_bytes(*age_ms)));
     }
-    Some(versions)
+    Some(Hello {
+        resumable: *resumable == 1,
+        versions,
+    })
 }
