--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -1,9 +1,10 @@
 //! Where an agent asks for a piece of a version.
 //!
 //! One copy leaves the origin for each piece, one crosses to each other region,
-//! and the agents of a region pass it on among themselves. Every agent ranks the
-//! same readers for a piece without asking anyone; a reader that fails is
-//! passed over, and the origin is the last resort.
+//! and the agents of a region pass it on along a tree. Every agent computes the
+//! same tree for a piece without asking anyone, and each piece has another one,
+//! so that all agents send about as much as they receive. A parent that fails
+//! is passed over, and the origin is the last resort.
 
 use compact_str::CompactString;
 
@@ -43,6 +44,10 @@
     pub peers: &'a [PeerPieces],
 }
 
+/// Agents that one agent passes a piece on to. A higher number makes the trees
+/// flatter, and each piece wait longer for its turn on the link.
+const CHILDREN: usize = 3;
+
 /// Attempts at peers after which a piece is read from the origin.
 const PEER_ATTEMPTS_MAX: u32 = 3;
 
@@ -59,8 +64,8 @@
         if let Some(index) = self.ranked(&key, |peer| near(peer) && peer.complete, skip) {
             return PieceSource::Peer(index);
         }
-        // Without a complete peer nearby, one agent of the region reads the piece.
-        if let Some(index) = self.ahead_of_own(&key, near, skip) {
+        // Without a complete peer nearby, the root of the region's tree reads the piece.
+        if let Some(index) = self.parent(&key, near, attempt) {
             return PieceSource::Peer(index);
         }
         if let Some(index) = self.ranked(&key, |peer| peer.complete, skip) {
@@ -76,38 +81,57 @@
             }
         }
         if self.origin_region.is_none()
-            && let Some(index) = self.ahead_of_own(&key, |_| true, skip)
+            && let Some(index) = self.parent(&key, |_| true, attempt)
         {
             return PieceSource::Peer(index);
         }
         PieceSource::Origin
     }
 
-    /// Returns the accepted peer of rank `skip`, counted round.
-    fn ranked(
+    /// Returns how many accepted peers rank before this agent for a piece; those
+    /// with a low rank are waited for by the others.
+    #[must_use]
+    pub fn rank(&self, piece: usize) -> usize {
+        let key = (piece as u64).to_le_bytes();
+        let own_weight = rendezvous::weight(&key, self.own);
+        self.weighted(&key, |peer| peer.region == *self.region)
+            .iter()
+            .filter(|(weight, _)| *weight > own_weight)
+            .count()
+    }
+
+    /// Returns the parent in the tree of the accepted peers; `None` at its root.
+    /// Each further attempt asks one step nearer to the root.
+    fn parent(
         &self,
         key: &[u8],
         filter: impl Fn(&PeerPieces) -> bool,
-        skip: usize,
+        attempt: u32,
     ) -> Option<usize> {
+        let own_weight = rendezvous::weight(key, self.own);
         let ranked = self.weighted(key, filter);
-        if ranked.is_empty() {
-            return None;
+        let mut rank = ranked
+            .iter()
+            .filter(|(weight, _)| *weight > own_weight)
+            .count();
+        for _ in 0..=attempt {
+            rank = rank.checked_sub(1)? / CHILDREN;
         }
-        Some(ranked[skip % ranked.len()].1)
+        Some(ranked[rank].1)
     }
 
-    /// Returns the accepted peer of rank `skip` when it ranks before this agent.
-    fn ahead_of_own(
+    /// Returns the accepted peer of rank `skip`, counted round.
+    fn ranked(
         &self,
         key: &[u8],
         filter: impl Fn(&PeerPieces) -> bool,
         skip: usize,
     ) -> Option<usize> {
-        let own_weight = rendezvous::weight(key, self.own);
         let ranked = self.weighted(key, filter);
-        let (weight, index) = ranked.get(skip)?;
-        (*weight > own_weight).then_some(*index)
+        if ranked.is_empty() {
+            return None;
+        }
+        Some(ranked[skip % ranked.len()].1)
     }
 
     /// Returns the accepted peers with their weights, highest first.
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -19,7 +19,7 @@
 use super::state::{Agent, ModelGoal};
 
 /// Pieces asked for at the same time; most wait at a peer for their arrival.
-const PIECES_AT_ONCE: usize = 12;
+const PIECES_AT_ONCE: usize = 20;
 /// Connections to the origin, which accepts some 48 from all agents together.
 const ORIGIN_CONNECTIONS: usize = 2;
 /// Pause after a failed attempt, in milliseconds; grows with each.
@@ -61,7 +61,7 @@
         permits: Semaphore::new(PIECES_AT_ONCE),
     });
     let mut tasks = JoinSet::new();
-    for piece in fetch_order(agent, goal, pieces, &sources) {
+    for piece in fetch_order(agent, goal, pieces) {
         let (agent, goal) = (Rc::clone(agent), goal.clone());
         let (pieces, sources) = (Rc::clone(pieces), Rc::clone(&sources));
         tasks
@@ -80,36 +80,28 @@
     Fetched::Complete
 }
 
-/// Orders the missing pieces: those that others wait for first.
-fn fetch_order(agent: &Agent, goal: &ModelGoal, pieces: &Pieces, sources: &Sources) -> Vec<usize> {
-    let mut own_duty = Vec::new();
-    let mut others = Vec::new();
-    for piece in 0..pieces.count() {
-        if pieces.get(piece).is_some() {
-            continue;
-        }
-        match source(agent, goal, pieces.version, sources, piece, 0) {
-            Some(peer) if !peer.far => others.push(piece),
-            _ => own_duty.push(piece),
-        }
-    }
-    // Agents start at different pieces, so that none of them serves all at once.
+/// Orders the missing pieces: those that most others wait for first.
+fn fetch_order(agent: &Agent, goal: &ModelGoal, pieces: &Pieces) -> Vec<usize> {
+    let mut missing: Vec<usize> = (0..pieces.count())
+        .filter(|piece| pieces.get(*piece).is_none())
+        .collect();
     let own = agent.settings.ip.to_string();
-    let shift = masticdock_core::rendezvous::weight(b"shift", &own);
-    if !others.is_empty() {
-        let count = others.len() as u64;
-        others.rotate_left(usize::try_from(shift % count).unwrap_or(0));
-    }
-    own_duty.extend(others);
-    own_duty
+    let peers = agent.peers(goal, pieces.version);
+    let listed: Vec<_> = peers.into_iter().map(|peer| peer.pieces).collect();
+    let ranking = PieceSources {
+        own: &own,
+        region: &agent.settings.region,
+        origin_region: None,
+        peers: &listed,
+    };
+    missing.sort_by_cached_key(|piece| ranking.rank(*piece));
+    missing
 }
 
 /// A peer to ask for a piece.
 #[derive(Debug, Clone, Copy)]
 struct PeerSource {
     address: SocketAddr,
-    /// True when it is in another region.
-    far: bool,
     /// True when it should hold the piece already.
     holds: bool,
 }
@@ -142,7 +134,6 @@
     };
     Some(PeerSource {
         address: peers[index].agent,
-        far: listed[index].region != agent.settings.region,
         holds: listed[index].complete,
     })
 }
@@ -160,7 +151,7 @@
         let permit = sources.permits.acquire().await;
         let peer = source(agent, goal, pieces.version, sources, piece, attempt);
         let result = match peer {
-            Some(peer) => from_peer(sources, peer, pieces, piece).await,
+            Some(peer) => from_peer(agent, sources, peer, pieces, piece).await,
             None => from_origin(sources, pieces, piece).await,
         };
         drop(permit);
@@ -229,6 +220,7 @@
 }
 
 async fn from_peer(
+    agent: &Agent,
     sources: &Sources,
     peer: PeerSource,
     pieces: &Pieces,
@@ -245,11 +237,11 @@
         model: pieces.model.clone(),
         version: pieces.version,
         piece,
-        far: peer.far,
+        region: agent.settings.region.clone(),
         wait: !peer.holds,
     };
     // Sending takes some 50 ms on an idle link and more while others read too.
-    let timeout = PIECE_WAIT + Duration::from_millis(700);
+    let timeout = PIECE_WAIT + Duration::from_millis(1_500);
     let reply = client
         .call(Method::GET, &wanted.path(), Bytes::new(), timeout)
         .await?;
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use masticdock_core::ids::ModelId;
+use masticdock_core::ids::{ModelId, RegionId};
 use masticdock_core::serving::VersionNumber;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -17,7 +17,7 @@
 use crate::http_server::{respond, serve};
 
 /// Longest time that a request waits for a piece which is on its way here.
-pub(crate) const PIECE_WAIT: Duration = Duration::from_millis(1_600);
+pub(crate) const PIECE_WAIT: Duration = Duration::from_millis(2_800);
 
 /// Time for which a piece lets one for another region go first, in milliseconds.
 const YIELD_MS: u64 = 5;
@@ -42,8 +42,8 @@
     pub(crate) model: ModelId,
     pub(crate) version: VersionNumber,
     pub(crate) piece: usize,
-    /// True when the agent that asks is in another region.
-    pub(crate) far: bool,
+    /// Region of the agent that asks.
+    pub(crate) region: RegionId,
     /// True when the piece may still be on its way to the agent that is asked.
     pub(crate) wait: bool,
 }
@@ -51,11 +51,10 @@
 impl PieceRequest {
     /// Returns the path under which the piece is asked for.
     pub(crate) fn path(&self) -> String {
-        let distance = if self.far { "far" } else { "near" };
         let wait = if self.wait { "wait" } else { "now" };
         format!(
-            "/pieces/{}/{}/{}/{distance}/{wait}",
-            self.model, self.version, self.piece
+            "/pieces/{}/{}/{}/{}/{wait}",
+            self.model, self.version, self.piece, self.region
         )
     }
 
@@ -65,7 +64,7 @@
             model: parts.next()?.parse().ok()?,
             version: parts.next()?.parse().ok()?,
             piece: parts.next()?.parse().ok()?,
-            far: parts.next() == Some("far"),
+            region: parts.next()?.parse().ok()?,
             wait: parts.next() == Some("wait"),
         })
     }
@@ -77,7 +76,7 @@
     };
     match find(&agent, &wanted).await {
         Some(bytes) => {
-            pace(&agent, bytes.len(), wanted.far).await;
+            pace(&agent, bytes.len(), &wanted.region).await;
             respond(StatusCode::OK, bytes)
         }
         None => respond(StatusCode::NOT_FOUND, Bytes::new()),
@@ -101,21 +100,31 @@
 }
 
 /// Waits until a piece may be sent without holding up events of streams.
-async fn pace(agent: &Agent, bytes: usize, far: bool) {
-    let _waiting = far.then(|| FarWaiting::begin(agent));
+async fn pace(agent: &Agent, bytes: usize, region: &RegionId) {
+    let far = *region != agent.settings.region;
+    // Set while only the VM's own link holds a piece for another region up.
+    let mut first_in_line = None;
     loop {
         let now = clock::now();
-        let yields = !far && agent.far_waiting.get() > 0;
-        let wait_ms = {
-            let mut uploads = agent.uploads.borrow_mut();
-            let wait_ms = uploads.wait_ms(now);
-            if wait_ms == 0 && !yields {
-                uploads.take(bytes as u64, now);
-                return;
+        let far_wait_ms = if far { agent.far_wait_ms(region, now) } else { 0 };
+        if far && far_wait_ms == 0 && first_in_line.is_none() {
+            first_in_line = Some(FarWaiting::begin(agent));
+        }
+        let mut wait_ms = agent.uploads.borrow().wait_ms(now).max(far_wait_ms);
+        if !far && agent.far_waiting.get() > 0 {
+            wait_ms = wait_ms.max(YIELD_MS);
+        }
+        if wait_ms == 0 {
+            agent.uploads.borrow_mut().take(bytes as u64, now);
+            if far {
+                agent.take_far(region, bytes as u64, now);
             }
-            wait_ms
-        };
-        sleep(Duration::from_millis(wait_ms.max(YIELD_MS))).await;
+            return;
+        }
+        if far_wait_ms > 0 {
+            first_in_line = None;
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
     }
 }
 
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -22,6 +22,10 @@
 /// link and are late after 120 ms, in which it sends three pieces.
 const UPLOAD_PERCENT: u64 = 85;
 
+/// Bytes a second that all agents of a region together send to another one: half
+/// of what the thinnest link between regions carries for all traffic (25 Mbit/s).
+const REGION_BYTES_PER_S: u64 = 1_560_000;
+
 /// State of the agent.
 #[derive(Debug)]
 pub(crate) struct Agent {
@@ -48,6 +52,8 @@
     pub(crate) hello_at: Cell<MonoMs>,
     /// Paces what is sent to other agents.
     pub(crate) uploads: RefCell<LinkPacer>,
+    /// Paces what is sent to each other region.
+    far_uploads: RefCell<BTreeMap<RegionId, LinkPacer>>,
     /// Pieces that agents of other regions wait for; each of them passes its
     /// piece on to a whole region and goes first.
     pub(crate) far_waiting: Cell<usize>,
@@ -89,6 +95,7 @@
             unresumable_at: Cell::new(MonoMs(0)),
             hello_at: Cell::new(MonoMs(0)),
             uploads: RefCell::new(LinkPacer::new(upload_rate)),
+            far_uploads: RefCell::default(),
             far_waiting: Cell::new(0),
             changed: Notify::new(),
         }
@@ -225,6 +232,32 @@
         peers
     }
 
+    /// Returns the time until a piece may be sent to another region, in milliseconds.
+    pub(crate) fn far_wait_ms(&self, region: &RegionId, now: MonoMs) -> u64 {
+        let pacers = self.far_uploads.borrow();
+        pacers.get(region).map_or(0, |pacer| pacer.wait_ms(now))
+    }
+
+    /// Takes the time of a piece that is sent to another region now.
+    pub(crate) fn take_far(&self, region: &RegionId, bytes: u64, now: MonoMs) {
+        let catalog = self.catalog.borrow();
+        let own_region = &self.settings.region;
+        let senders = catalog
+            .directory
+            .iter()
+            .filter(|upstream| {
+                Some(&upstream.service) == self.settings.service.as_ref()
+                    && self.region(&upstream.zone) == *own_region
+            })
+            .count()
+            .max(1) as u64;
+        let mut pacers = self.far_uploads.borrow_mut();
+        let pacer = pacers
+            .entry(region.clone())
+            .or_insert_with(|| LinkPacer::new(BytesPerSecond(REGION_BYTES_PER_S / senders)));
+        pacer.take(bytes, now);
+    }
+
     /// Returns what entries are told of the engine.
     pub(crate) fn report_for_entries(&self) -> AgentReport {
         let held = self.model_goal().and_then(|goal| self.held(&goal));
