--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -106,7 +106,11 @@
     let mut first_in_line = None;
     loop {
         let now = clock::now();
-        let far_wait_ms = if far { agent.far_wait_ms(region, now) } else { 0 };
+        let far_wait_ms = if far {
+            agent.far_wait_ms(region, now)
+        } else {
+            0
+        };
         if far && far_wait_ms == 0 && first_in_line.is_none() {
             first_in_line = Some(FarWaiting::begin(agent));
         }
--- a/crates/masticdock-node/src/http_server/mod.rs
+++ b/crates/masticdock-node/src/http_server/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -19,13 +19,30 @@
 /// Pause after a failed accept, for descriptors to be freed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves `answer` at `address` for ever.
-pub(crate) async fn serve<F, R>(address: SocketAddr, answer: F) -> std::io::Result<()>
+/// Serves `answer` at `address` for ever, on the current thread's task set.
+///
+/// # Errors
+///
+/// Reports an address that is not to be had.
+pub async fn serve<F, R, B>(address: SocketAddr, answer: F) -> std::io::Result<()>
 where
     F: Fn(Request<Incoming>) -> R + 'static,
-    R: Future<Output = Response<Full<Bytes>>> + 'static,
+    R: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_on(TcpListener::bind(address).await?, answer).await;
+    Ok(())
+}
+
+/// Serves `answer` on a listener for ever, on the current thread's task set.
+pub async fn serve_on<F, R, B>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let listener = TcpListener::bind(address).await?;
     let answer = Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
@@ -55,7 +72,8 @@
 }
 
 /// Makes a response of a status and a body.
-pub(crate) fn respond(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+#[must_use]
+pub fn respond(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
     response
