--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -16,12 +16,20 @@
 
 use super::peer_server::{PIECE_WAIT, PieceRequest};
 use super::pieces::Pieces;
-use super::state::{Agent, ModelGoal};
+use super::state::{Agent, ModelGoal, Peer};
 
 /// Pieces asked for at the same time; most wait at a peer for their arrival.
 const PIECES_AT_ONCE: usize = 20;
 /// Connections to the origin, which accepts some 48 from all agents together.
 const ORIGIN_CONNECTIONS: usize = 2;
+/// Time for the body of a piece above which a link is slow: six times that of
+/// an idle one.
+const SLOW_BODY: Duration = Duration::from_millis(250);
+/// Slow peers from which on the own link is taken for the slow one.
+const SLOW_PEERS_MAX: usize = 3;
+/// Pieces asked for at the same time over a slow link: requests of callers wait
+/// behind each of them.
+const PIECES_AT_ONCE_SLOW: usize = 2;
 /// Pause after a failed attempt, in milliseconds; grows with each.
 const PAUSE_MS: u64 = 50;
 /// Longest pause after failed attempts, in milliseconds.
@@ -48,9 +56,41 @@
     peers: RefCell<HashMap<SocketAddr, Rc<HttpClient>>>,
     /// Peers that lacked a piece although their row says that they hold all.
     incomplete: RefCell<HashSet<SocketAddr>>,
+    links: RefCell<Links>,
     permits: Semaphore,
 }
 
+/// Which links are slow, as the bodies of pieces showed.
+#[derive(Debug, Default)]
+struct Links {
+    slow_peers: HashSet<SocketAddr>,
+    fast_peers: HashSet<SocketAddr>,
+    own_is_slow: bool,
+}
+
+impl Links {
+    /// Notes how long the body of a piece of `peer` took.
+    fn note(&mut self, peer: SocketAddr, took: Duration) {
+        if took < SLOW_BODY {
+            self.fast_peers.insert(peer);
+            return;
+        }
+        self.slow_peers.insert(peer);
+        // Many slow peers and few fast ones: what they share is this VM's link.
+        let fast = self.fast_peers.difference(&self.slow_peers).count();
+        if self.slow_peers.len() >= SLOW_PEERS_MAX && self.slow_peers.len() > fast {
+            log::info!(
+                event = "link.slow",
+                slow_peers = self.slow_peers.len(),
+                fast_peers = fast;
+                "the link of this VM is slow; fewer pieces are asked for at once"
+            );
+            self.own_is_slow = true;
+            self.slow_peers.clear();
+        }
+    }
+}
+
 /// Fetches every missing piece.
 pub(crate) async fn fetch(agent: &Rc<Agent>, goal: &ModelGoal, pieces: &Rc<Pieces>) -> Fetched {
     let sources = Rc::new(Sources {
@@ -58,6 +98,7 @@
         origin_permits: Semaphore::new(ORIGIN_CONNECTIONS),
         peers: RefCell::default(),
         incomplete: RefCell::default(),
+        links: RefCell::default(),
         permits: Semaphore::new(PIECES_AT_ONCE),
     });
     let mut tasks = JoinSet::new();
@@ -117,6 +158,11 @@
 ) -> Option<PeerSource> {
     let own = agent.settings.ip.to_string();
     let mut peers = agent.peers(goal, version);
+    let links = sources.links.borrow();
+    let is_fast = |peer: &Peer| !links.slow_peers.contains(&peer.agent);
+    if !links.own_is_slow && peers.iter().any(is_fast) {
+        peers.retain(is_fast);
+    }
     let incomplete = sources.incomplete.borrow();
     for peer in &mut peers {
         peer.pieces.complete &= !incomplete.contains(&peer.agent);
@@ -148,7 +194,13 @@
     let mut attempt = 0;
     let mut mismatches = 0;
     loop {
-        let permit = sources.permits.acquire().await;
+        let permits = if sources.links.borrow().own_is_slow {
+            PIECES_AT_ONCE / PIECES_AT_ONCE_SLOW
+        } else {
+            1
+        };
+        let permits = u32::try_from(permits).unwrap_or(1);
+        let permit = sources.permits.acquire_many(permits).await;
         let peer = source(agent, goal, pieces.version, sources, piece, attempt);
         let result = match peer {
             Some(peer) => from_peer(agent, sources, peer, pieces, piece).await,
@@ -246,7 +298,11 @@
         .call(Method::GET, &wanted.path(), Bytes::new(), timeout)
         .await?;
     match reply.status {
-        StatusCode::OK => Ok(Some(reply.body)),
+        StatusCode::OK => {
+            let mut links = sources.links.borrow_mut();
+            links.note(peer.address, reply.body_took);
+            Ok(Some(reply.body))
+        }
         StatusCode::NOT_FOUND => Ok(None),
         status => Err(CallError::Unexpected(status.to_string())),
     }
