Read pieces rarest first from whoever holds them nearby

Cause: a squeezed agent held up every piece whose tree it stood in. Change: agents of a region tell each other what they hold; one reads a piece from afar, the others from any holder, one read at a time from each; a reader that does not bring its piece within 2.2 s is followed by the next.

--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -1,10 +1,9 @@
-//! Where an agent asks for a piece of a version.
+//! Which agent brings a piece of a version into its region, and from where.
 //!
-//! One copy leaves the origin for each piece, one crosses to each other region,
-//! and the agents of a region pass it on along a tree. Every agent computes the
-//! same tree for a piece without asking anyone, and each piece has another one,
-//! so that all agents send about as much as they receive. A parent that fails
-//! is passed over, and the origin is the last resort.
+//! One copy of each piece leaves the origin and one crosses to each other
+//! region; inside a region agents read from whoever holds a piece. Every agent
+//! ranks the same readers for a piece without asking anyone. A reader that fails
+//! is followed by the next one, and the origin is the last resort.
 
 use compact_str::CompactString;
 
@@ -44,52 +43,41 @@
     pub peers: &'a [PeerPieces],
 }
 
-/// Agents that one agent passes a piece on to. A higher number makes the trees
-/// flatter, and each piece wait longer for its turn on the link.
-const CHILDREN: usize = 3;
-
 /// Attempts at peers after which a piece is read from the origin.
 const PEER_ATTEMPTS_MAX: u32 = 3;
 
 impl PieceSources<'_> {
-    /// Returns the source of a piece for the attempt with this number, from 0.
+    /// Returns where the reader of this region asks for a piece, for the attempt
+    /// with this number, from 0.
     #[must_use]
-    pub fn source(&self, piece: usize, attempt: u32) -> PieceSource {
+    pub fn far_source(&self, piece: usize, attempt: u32) -> PieceSource {
         if attempt >= PEER_ATTEMPTS_MAX {
             return PieceSource::Origin;
         }
         let key = (piece as u64).to_le_bytes();
         let skip = attempt as usize;
-        let near = |peer: &PeerPieces| peer.region == *self.region;
-        if let Some(index) = self.ranked(&key, |peer| near(peer) && peer.complete, skip) {
-            return PieceSource::Peer(index);
-        }
-        // Without a complete peer nearby, the root of the region's tree reads the piece.
-        if let Some(index) = self.parent(&key, near, attempt) {
-            return PieceSource::Peer(index);
-        }
-        if let Some(index) = self.ranked(&key, |peer| peer.complete, skip) {
+        let far = |peer: &PeerPieces| peer.region != *self.region;
+        if let Some(index) = self.ranked(&key, |peer| far(peer) && peer.complete, skip) {
             return PieceSource::Peer(index);
         }
-        if self
-            .origin_region
-            .is_some_and(|region| region != self.region)
-        {
-            let beside_origin = |peer: &PeerPieces| Some(&peer.region) == self.origin_region;
-            if let Some(index) = self.ranked(&key, beside_origin, skip) {
-                return PieceSource::Peer(index);
-            }
-        }
-        if self.origin_region.is_none()
-            && let Some(index) = self.parent(&key, |_| true, attempt)
+        let Some(origin_region) = self.origin_region else {
+            // The first of all agents reads from the origin.
+            let own_weight = rendezvous::weight(&key, self.own);
+            return match self.weighted(&key, |_| true).get(skip) {
+                Some((weight, index)) if *weight > own_weight => PieceSource::Peer(*index),
+                _ => PieceSource::Origin,
+            };
+        };
+        let beside_origin = |peer: &PeerPieces| peer.region == *origin_region;
+        if *origin_region != *self.region
+            && let Some(index) = self.ranked(&key, beside_origin, skip)
         {
             return PieceSource::Peer(index);
         }
         PieceSource::Origin
     }
 
-    /// Returns how many accepted peers rank before this agent for a piece; those
-    /// with a low rank are waited for by the others.
+    /// Returns how many agents of the region come before this one as readers of a piece.
     #[must_use]
     pub fn rank(&self, piece: usize) -> usize {
         let key = (piece as u64).to_le_bytes();
@@ -100,26 +88,6 @@
             .count()
     }
 
-    /// Returns the parent in the tree of the accepted peers; `None` at its root.
-    /// Each further attempt asks one step nearer to the root.
-    fn parent(
-        &self,
-        key: &[u8],
-        filter: impl Fn(&PeerPieces) -> bool,
-        attempt: u32,
-    ) -> Option<usize> {
-        let own_weight = rendezvous::weight(key, self.own);
-        let ranked = self.weighted(key, filter);
-        let mut rank = ranked
-            .iter()
-            .filter(|(weight, _)| *weight > own_weight)
-            .count();
-        for _ in 0..=attempt {
-            rank = rank.checked_sub(1)? / CHILDREN;
-        }
-        Some(ranked[rank].1)
-    }
-
     /// Returns the accepted peer of rank `skip`, counted round.
     fn ranked(
         &self,
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -1,4 +1,9 @@
 //! Fetches the pieces of a version from peers and the origin.
+//!
+//! For each piece one agent of a region reads it from afar; the others read it
+//! from whoever holds it nearby, the rarest piece first. A slow or dead peer is
+//! asked for little, and a reader that does not bring its piece is followed by
+//! the next one.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -9,33 +14,45 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
-use masticdock_core::serving::{PieceSource, PieceSources, VersionNumber};
-use tokio::sync::Semaphore;
+use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources, VersionNumber};
+use masticdock_core::transfer::{ChunkSet, Fault, Penalties, Sender, Tier, pick};
+use masticdock_core::units::MonoMs;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
 
 use super::peer_server::{PIECE_WAIT, PieceRequest};
 use super::pieces::Pieces;
 use super::state::{Agent, ModelGoal, Peer};
+use crate::clock;
 
-/// Pieces asked for at the same time; most wait at a peer for their arrival.
-const PIECES_AT_ONCE: usize = 20;
-/// Connections to the origin, which accepts some 48 from all agents together.
-const ORIGIN_CONNECTIONS: usize = 2;
+/// Pieces read nearby at the same time: requests of callers share the link and
+/// wait behind them.
+const NEAR_AT_ONCE: usize = 8;
+/// Pieces read nearby at the same time over a slow link.
+const NEAR_AT_ONCE_SLOW: usize = 1;
+/// Pieces read from one peer at the same time.
+const PEER_AT_ONCE: usize = 1;
+/// Pieces read from afar at the same time; most wait there for their arrival.
+const FAR_AT_ONCE: usize = 8;
+/// Pieces read from the origin at the same time; it accepts some 48 connections
+/// from all agents together.
+const ORIGIN_AT_ONCE: usize = 2;
+/// Time that each reader of a piece has before the next one takes over, in milliseconds.
+const TAKEOVER_MS: u64 = 2_200;
+/// Time for a piece from a peer that holds it: its link sends one to each agent
+/// of a region within about a second.
+const NEAR_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for a piece from afar, which may have to arrive there first, and which
+/// waits for its pace between regions.
+const FAR_TIMEOUT: Duration = PIECE_WAIT.saturating_add(Duration::from_millis(1_500));
 /// Time for the body of a piece above which a link is slow: six times that of
 /// an idle one.
 const SLOW_BODY: Duration = Duration::from_millis(250);
 /// Slow peers from which on the own link is taken for the slow one.
 const SLOW_PEERS_MAX: usize = 3;
-/// Pieces asked for at the same time over a slow link: requests of callers wait
-/// behind each of them.
-const PIECES_AT_ONCE_SLOW: usize = 2;
-/// Pause after a failed attempt, in milliseconds; grows with each.
-const PAUSE_MS: u64 = 50;
-/// Longest pause after failed attempts, in milliseconds.
-const PAUSE_MAX_MS: u64 = 500;
-/// Wrong digests of one piece after which the manifest is doubted.
-const MISMATCHES_MAX: u32 = 3;
+/// Longest wait before turns and pauses are looked at again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+/// Wrong digests after which the manifest is doubted.
+const MISMATCHES_MAX: u32 = 6;
 
 /// How fetching a version ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,22 +61,10 @@
     Complete,
     /// The origin no longer has the version.
     Obsolete,
-    /// No source holds pieces with the digests of the manifest.
+    /// Sources do not hold pieces with the digests of the manifest.
     Mismatch,
 }
 
-/// Clients that fetching keeps between pieces.
-#[derive(Debug)]
-struct Sources {
-    origin: OriginClient,
-    origin_permits: Semaphore,
-    peers: RefCell<HashMap<SocketAddr, Rc<HttpClient>>>,
-    /// Peers that lacked a piece although their row says that they hold all.
-    incomplete: RefCell<HashSet<SocketAddr>>,
-    links: RefCell<Links>,
-    permits: Semaphore,
-}
-
 /// Which links are slow, as the bodies of pieces showed.
 #[derive(Debug, Default)]
 struct Links {
@@ -73,236 +78,322 @@
     fn note(&mut self, peer: SocketAddr, took: Duration) {
         if took < SLOW_BODY {
             self.fast_peers.insert(peer);
+            self.slow_peers.remove(&peer);
             return;
         }
         self.slow_peers.insert(peer);
         // Many slow peers and few fast ones: what they share is this VM's link.
         let fast = self.fast_peers.difference(&self.slow_peers).count();
         if self.slow_peers.len() >= SLOW_PEERS_MAX && self.slow_peers.len() > fast {
-            log::info!(
-                event = "link.slow",
-                slow_peers = self.slow_peers.len(),
-                fast_peers = fast;
-                "the link of this VM is slow; fewer pieces are asked for at once"
-            );
             self.own_is_slow = true;
-            self.slow_peers.clear();
         }
     }
 }
 
+/// A read that ended.
+struct Ended {
+    piece: usize,
+    /// The peer that was asked; `None` for the origin.
+    peer: Option<SocketAddr>,
+    near: bool,
+    result: Result<Option<(Bytes, Duration)>, CallError>,
+}
+
+/// A fetch of one version.
+struct Fetch {
+    agent: Rc<Agent>,
+    goal: ModelGoal,
+    pieces: Rc<Pieces>,
+    clients: RefCell<HashMap<SocketAddr, Rc<HttpClient>>>,
+    origin: Rc<OriginClient>,
+    requested: ChunkSet,
+    /// Reads that run, by peer.
+    outstanding: HashMap<SocketAddr, usize>,
+    near: usize,
+    far: usize,
+    from_origin: usize,
+    /// Failed reads from afar, by piece.
+    far_attempts: HashMap<usize, u32>,
+    /// Peers that lacked a piece although their row says that they hold all.
+    incomplete: HashSet<SocketAddr>,
+    penalties: Penalties,
+    links: Links,
+    mismatches: u32,
+    started_at: MonoMs,
+    reads: JoinSet<Ended>,
+}
+
 /// Fetches every missing piece.
 pub(crate) async fn fetch(agent: &Rc<Agent>, goal: &ModelGoal, pieces: &Rc<Pieces>) -> Fetched {
-    let sources = Rc::new(Sources {
-        origin: OriginClient::new(goal.origin.address),
-        origin_permits: Semaphore::new(ORIGIN_CONNECTIONS),
-        peers: RefCell::default(),
-        incomplete: RefCell::default(),
-        links: RefCell::default(),
-        permits: Semaphore::new(PIECES_AT_ONCE),
-    });
-    let mut tasks = JoinSet::new();
-    for piece in fetch_order(agent, goal, pieces) {
-        let (agent, goal) = (Rc::clone(agent), goal.clone());
-        let (pieces, sources) = (Rc::clone(pieces), Rc::clone(&sources));
-        tasks
-            .spawn_local(async move { fetch_piece(&agent, &goal, &pieces, &sources, piece).await });
-    }
-    while let Some(result) = tasks.join_next().await {
-        match result {
-            Ok(Fetched::Complete) => {}
-            Ok(end) => return end,
-            Err(error) => {
-                log::error!(event = "fetch.failed", error:% = error; "a fetch task ended early");
-                return Fetched::Mismatch;
+    let mut fetch = Fetch {
+        agent: Rc::clone(agent),
+        goal: goal.clone(),
+        pieces: Rc::clone(pieces),
+        clients: RefCell::default(),
+        origin: Rc::new(OriginClient::new(goal.origin.address)),
+        requested: ChunkSet::new(pieces.count()),
+        outstanding: HashMap::new(),
+        near: 0,
+        far: 0,
+        from_origin: 0,
+        far_attempts: HashMap::new(),
+        incomplete: HashSet::new(),
+        penalties: Penalties::default(),
+        links: Links::default(),
+        mismatches: 0,
+        started_at: clock::now(),
+        reads: JoinSet::new(),
+    };
+    while !pieces.is_complete() {
+        fetch.start_reads();
+        let ended = tokio::select! {
+            ended = fetch.reads.join_next(), if !fetch.reads.is_empty() => ended,
+            () = agent.peers_changed.notified() => None,
+            () = tokio::time::sleep(LOOK_INTERVAL) => None,
+        };
+        match ended {
+            Some(Ok(ended)) => {
+                if let Some(end) = fetch.take(ended) {
+                    return end;
+                }
+            }
+            Some(Err(error)) => {
+                log::error!(event = "fetch.failed", error:% = error; "a read ended early");
             }
+            None => {}
         }
     }
     Fetched::Complete
 }
 
-/// Orders the missing pieces: those that most others wait for first.
-fn fetch_order(agent: &Agent, goal: &ModelGoal, pieces: &Pieces) -> Vec<usize> {
-    let mut missing: Vec<usize> = (0..pieces.count())
-        .filter(|piece| pieces.get(*piece).is_none())
-        .collect();
-    let own = agent.settings.ip.to_string();
-    let peers = agent.peers(goal, pieces.version);
-    let listed: Vec<_> = peers.into_iter().map(|peer| peer.pieces).collect();
-    let ranking = PieceSources {
-        own: &own,
-        region: &agent.settings.region,
-        origin_region: None,
-        peers: &listed,
-    };
-    missing.sort_by_cached_key(|piece| ranking.rank(*piece));
-    missing
-}
+impl Fetch {
+    fn version(&self) -> VersionNumber {
+        self.pieces.version
+    }
 
-/// A peer to ask for a piece.
-#[derive(Debug, Clone, Copy)]
-struct PeerSource {
-    address: SocketAddr,
-    /// True when it should hold the piece already.
-    holds: bool,
-}
+    /// Returns the peers, without the belief that an incomplete one is complete.
+    fn peers(&self) -> Vec<Peer> {
+        let mut peers = self.agent.peers(&self.goal, self.version());
+        for peer in &mut peers {
+            peer.pieces.complete &= !self.incomplete.contains(&peer.agent);
+        }
+        peers
+    }
 
-/// Chooses the source of a piece; `None` is the origin.
-fn source(
-    agent: &Agent,
-    goal: &ModelGoal,
-    version: VersionNumber,
-    sources: &Sources,
-    piece: usize,
-    attempt: u32,
-) -> Option<PeerSource> {
-    let own = agent.settings.ip.to_string();
-    let mut peers = agent.peers(goal, version);
-    let links = sources.links.borrow();
-    let is_fast = |peer: &Peer| !links.slow_peers.contains(&peer.agent);
-    if !links.own_is_slow && peers.iter().any(is_fast) {
-        peers.retain(is_fast);
+    /// Starts as many reads as are allowed now.
+    fn start_reads(&mut self) {
+        let peers = self.peers();
+        let region = self.agent.settings.region.clone();
+        let is_near = |peer: &&Peer| peer.pieces.region == region;
+        let near: Vec<Peer> = peers.iter().filter(is_near).cloned().collect();
+        let held_nearby = self.held_nearby(&near);
+        self.start_far(&peers, &held_nearby);
+        self.start_near(&near, &held_nearby);
     }
-    let incomplete = sources.incomplete.borrow();
-    for peer in &mut peers {
-        peer.pieces.complete &= !incomplete.contains(&peer.agent);
+
+    /// Returns what each peer of the region holds.
+    fn held_nearby(&self, near: &[Peer]) -> Vec<ChunkSet> {
+        let count = self.pieces.count();
+        let told = self.agent.peer_pieces.borrow();
+        let mut held = Vec::with_capacity(near.len());
+        for peer in near {
+            let mut set = ChunkSet::new(count);
+            if peer.pieces.complete {
+                for piece in 0..count {
+                    set.insert(piece);
+                }
+            } else if let Some((version, pieces)) = told.get(&peer.agent.ip())
+                && *version == self.version()
+                && pieces.capacity() == count
+            {
+                set.union_with(pieces);
+            }
+            held.push(set);
+        }
+        held
     }
-    let listed: Vec<_> = peers.iter().map(|peer| peer.pieces.clone()).collect();
-    let origin_region = goal.origin.zone.as_ref().map(|zone| agent.region(zone));
-    let ranking = PieceSources {
-        own: &own,
-        region: &agent.settings.region,
-        origin_region: origin_region.as_ref(),
-        peers: &listed,
-    };
-    let PieceSource::Peer(index) = ranking.source(piece, attempt) else {
-        return None;
-    };
-    Some(PeerSource {
-        address: peers[index].agent,
-        holds: listed[index].complete,
-    })
-}
 
-async fn fetch_piece(
-    agent: &Agent,
-    goal: &ModelGoal,
-    pieces: &Pieces,
-    sources: &Sources,
-    piece: usize,
-) -> Fetched {
-    let mut attempt = 0;
-    let mut mismatches = 0;
-    loop {
-        let permits = if sources.links.borrow().own_is_slow {
-            PIECES_AT_ONCE / PIECES_AT_ONCE_SLOW
+    /// Reads from afar the pieces whose turn it is here and that nobody nearby holds.
+    fn start_far(&mut self, peers: &[Peer], held_nearby: &[ChunkSet]) {
+        let mut known = self.pieces.held_set();
+        known.union_with(&self.requested);
+        for held in held_nearby {
+            known.union_with(held);
+        }
+        let own = self.agent.settings.ip.to_string();
+        let listed: Vec<PeerPieces> = peers.iter().map(|peer| peer.pieces.clone()).collect();
+        let origin_zone = self.goal.origin.zone.as_ref();
+        let origin_region = origin_zone.map(|zone| self.agent.region(zone));
+        let region = self.agent.settings.region.clone();
+        let sources = PieceSources {
+            own: &own,
+            region: &region,
+            origin_region: origin_region.as_ref(),
+            peers: &listed,
+        };
+        let elapsed_ms = clock::now().since_ms(self.started_at);
+        let missing: Vec<usize> = known.iter_missing().collect();
+        for piece in missing {
+            if elapsed_ms < TAKEOVER_MS * sources.rank(piece) as u64 {
+                continue;
+            }
+            let attempt = self.far_attempts.get(&piece).copied().unwrap_or(0);
+            match sources.far_source(piece, attempt) {
+                PieceSource::Peer(index) if self.far < FAR_AT_ONCE => {
+                    self.far += 1;
+                    self.read_peer(piece, peers[index].agent, false);
+                }
+                PieceSource::Origin if self.from_origin < ORIGIN_AT_ONCE => {
+                    self.from_origin += 1;
+                    self.read_origin(piece);
+                }
+                PieceSource::Peer(_) | PieceSource::Origin => {}
+            }
+        }
+    }
+
+    /// Reads the rarest pieces from the peers nearby that hold them.
+    fn start_near(&mut self, near: &[Peer], held_nearby: &[ChunkSet]) {
+        let at_once = if self.links.own_is_slow {
+            NEAR_AT_ONCE_SLOW
         } else {
-            1
+            NEAR_AT_ONCE
         };
-        let permits = u32::try_from(permits).unwrap_or(1);
-        let permit = sources.permits.acquire_many(permits).await;
-        let peer = source(agent, goal, pieces.version, sources, piece, attempt);
-        let result = match peer {
-            Some(peer) => from_peer(agent, sources, peer, pieces, piece).await,
-            None => from_origin(sources, pieces, piece).await,
+        let now = clock::now();
+        while self.near < at_once {
+            let mut senders = Vec::with_capacity(near.len());
+            for (peer, have) in near.iter().zip(held_nearby) {
+                let outstanding = self.outstanding.get(&peer.agent).copied().unwrap_or(0);
+                let slow = self.links.slow_peers.contains(&peer.agent) && !self.links.own_is_slow;
+                senders.push(Sender {
+                    have,
+                    tier: Tier::Region,
+                    available: outstanding < PEER_AT_ONCE
+                        && !slow
+                        && self.penalties.allows(&peer.pieces.name, now),
+                    outstanding,
+                });
+            }
+            let held = self.pieces.held_set();
+            let Some(pick) = pick(&held, &self.requested, &senders, &mut rand::rng()) else {
+                return;
+            };
+            self.near += 1;
+            self.read_peer(pick.chunk, near[pick.sender].agent, true);
+        }
+    }
+
+    fn read_peer(&mut self, piece: usize, peer: SocketAddr, near: bool) {
+        self.requested.insert(piece);
+        *self.outstanding.entry(peer).or_default() += 1;
+        let client = Rc::clone(
+            self.clients
+                .borrow_mut()
+                .entry(peer)
+                .or_insert_with(|| Rc::new(HttpClient::new(peer))),
+        );
+        let wanted = PieceRequest {
+            model: self.pieces.model.clone(),
+            version: self.version(),
+            piece,
+            region: self.agent.settings.region.clone(),
+            wait: !near,
         };
-        drop(permit);
-        let from = peer.map_or_else(|| "origin".to_owned(), |peer| peer.address.to_string());
-        match result {
-            Ok(Some(bytes)) => {
-                if pieces.insert(piece, bytes) {
-                    return Fetched::Complete;
-                }
-                mismatches += 1;
-                log::warn!(
-                    event = "piece.corrupt",
-                    piece = piece,
-                    weights = pieces.version.0,
-                    from = from.as_str(),
-                    attempt = attempt;
-                    "a piece does not match its digest; another source is asked"
-                );
+        self.reads.spawn_local(async move {
+            Ended {
+                piece,
+                peer: Some(peer),
+                near,
+                result: from_peer(&client, &wanted).await,
             }
-            Ok(None) if peer.is_none() => return Fetched::Obsolete,
-            Ok(None) if peer.is_some_and(|peer| peer.holds) => {
-                // Its row is older than its last restart.
-                sources
-                    .incomplete
-                    .borrow_mut()
-                    .extend(peer.map(|peer| peer.address));
-                continue;
+        });
+    }
+
+    fn read_origin(&mut self, piece: usize) {
+        self.requested.insert(piece);
+        let (origin, pieces) = (Rc::clone(&self.origin), Rc::clone(&self.pieces));
+        self.reads.spawn_local(async move {
+            let result = origin.piece(&pieces.model, pieces.version, piece).await;
+            Ended {
+                piece,
+                peer: None,
+                near: false,
+                result: result.map(|bytes| bytes.map(|bytes| (bytes, Duration::ZERO))),
             }
-            Ok(None) => log::info!(
-                event = "piece.absent",
-                piece = piece,
-                weights = pieces.version.0,
-                from = from.as_str(),
-                attempt = attempt;
-                "a peer does not hold a piece; another source is asked"
-            ),
-            Err(error) => log::warn!(
-                event = "piece.failed",
-                piece = piece,
-                weights = pieces.version.0,
-                from = from.as_str(),
-                attempt = attempt,
-                error:% = error;
-                "a piece could not be fetched; another source is asked"
-            ),
+        });
+    }
+
+    /// Takes over what a read brought; returns why the fetch ends, if it does.
+    fn take(&mut self, ended: Ended) -> Option<Fetched> {
+        let piece = ended.piece;
+        self.requested.remove(piece);
+        match (ended.peer, ended.near) {
+            (None, _) => self.from_origin -= 1,
+            (Some(_), true) => self.near -= 1,
+            (Some(_), false) => self.far -= 1,
         }
-        if mismatches >= MISMATCHES_MAX {
-            return Fetched::Mismatch;
+        if let Some(peer) = ended.peer
+            && let Some(outstanding) = self.outstanding.get_mut(&peer)
+        {
+            *outstanding = outstanding.saturating_sub(1);
         }
-        attempt += 1;
-        let pause_ms = (PAUSE_MS * u64::from(attempt)).min(PAUSE_MAX_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
+        let fault = match ended.result {
+            Ok(Some((bytes, took))) => {
+                if let Some(peer) = ended.peer {
+                    self.links.note(peer, took);
+                }
+                if self.pieces.insert(piece, bytes) {
+                    self.agent.changed.notify_waiters();
+                    return None;
+                }
+                self.mismatches += 1;
+                Fault::Corrupt
+            }
+            Ok(None) if ended.peer.is_none() => return Some(Fetched::Obsolete),
+            Ok(None) => {
+                self.incomplete.extend(ended.peer);
+                Fault::Busy
+            }
+            Err(CallError::Silent(_)) => Fault::Stalled,
+            Err(_) => Fault::Unreachable,
+        };
+        self.failed(ended.peer, ended.near, piece, fault);
+        (self.mismatches >= MISMATCHES_MAX).then_some(Fetched::Mismatch)
     }
-}
 
-async fn from_origin(
-    sources: &Sources,
-    pieces: &Pieces,
-    piece: usize,
-) -> Result<Option<Bytes>, CallError> {
-    let _permit = sources.origin_permits.acquire().await;
-    sources
-        .origin
-        .piece(&pieces.model, pieces.version, piece)
-        .await
+    fn failed(&mut self, peer: Option<SocketAddr>, near: bool, piece: usize, fault: Fault) {
+        let from = peer.map_or_else(|| "origin".to_owned(), |peer| peer.ip().to_string());
+        if near {
+            self.penalties.punish(&from, fault, clock::now());
+        } else {
+            *self.far_attempts.entry(piece).or_default() += 1;
+        }
+        log::warn!(
+            event = "piece.failed",
+            piece = piece,
+            weights = self.version().0,
+            from = from.as_str(),
+            near = near,
+            fault:? = fault;
+            "a piece could not be fetched; another source is asked"
+        );
+    }
 }
 
 async fn from_peer(
-    agent: &Agent,
-    sources: &Sources,
-    peer: PeerSource,
-    pieces: &Pieces,
-    piece: usize,
-) -> Result<Option<Bytes>, CallError> {
-    let client = Rc::clone(
-        sources
-            .peers
-            .borrow_mut()
-            .entry(peer.address)
-            .or_insert_with(|| Rc::new(HttpClient::new(peer.address))),
-    );
-    let wanted = PieceRequest {
-        model: pieces.model.clone(),
-        version: pieces.version,
-        piece,
-        region: agent.settings.region.clone(),
-        wait: !peer.holds,
+    client: &HttpClient,
+    wanted: &PieceRequest,
+) -> Result<Option<(Bytes, Duration)>, CallError> {
+    let limit = if wanted.wait {
+        FAR_TIMEOUT
+    } else {
+        NEAR_TIMEOUT
     };
-    // Sending takes some 50 ms on an idle link and more while others read too.
-    let timeout = PIECE_WAIT + Duration::from_millis(1_500);
     let reply = client
-        .call(Method::GET, &wanted.path(), Bytes::new(), timeout)
+        .call(Method::GET, &wanted.path(), Bytes::new(), limit)
         .await?;
     match reply.status {
-        StatusCode::OK => {
-            let mut links = sources.links.borrow_mut();
-            links.note(peer.address, reply.body_took);
-            Ok(Some(reply.body))
-        }
+        StatusCode::OK => Ok(Some((reply.body, reply.body_took))),
         StatusCode::NOT_FOUND => Ok(None),
         status => Err(CallError::Unexpected(status.to_string())),
     }
--- a/crates/masticdock-node/src/agent/pieces.rs
+++ b/crates/masticdock-node/src/agent/pieces.rs
@@ -7,6 +7,7 @@
 use masticdock_adapter::Manifest;
 use masticdock_core::ids::ModelId;
 use masticdock_core::serving::VersionNumber;
+use masticdock_core::transfer::ChunkSet;
 use sha2::{Digest, Sha256};
 use tokio::sync::Notify;
 
@@ -56,6 +57,18 @@
         self.manifest.digests.get(piece) == Some(&digest)
     }
 
+    /// Returns the numbers of the pieces that are held.
+    pub(crate) fn held_set(&self) -> ChunkSet {
+        let held = self.held.borrow();
+        let mut set = ChunkSet::new(held.len());
+        for (piece, bytes) in held.iter().enumerate() {
+            if bytes.is_some() {
+                set.insert(piece);
+            }
+        }
+        set
+    }
+
     /// Returns true when every piece is held.
     pub(crate) fn is_complete(&self) -> bool {
         self.held.borrow().iter().all(Option::is_some)
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use masticdock_adapter::DeclaredVersion;
-use masticdock_core::serving::AgentReport;
+use masticdock_core::serving::{AgentReport, VersionNumber};
+use masticdock_core::transfer::ChunkSet;
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, timeout_at};
@@ -38,13 +39,16 @@
     let mut entries: BTreeMap<SocketAddr, MonoMs> = BTreeMap::new();
     let mut told: Option<AgentReport> = None;
     let mut load_due = Instant::now();
+    let mut announcer = Announcer::new();
     let mut bytes = [0; DATAGRAM_BYTES_MAX];
     loop {
         let wake = tokio::select! {
             received = socket.recv_from(&mut bytes) => Some(received),
             () = agent.changed.notified() => None,
             () = tokio::time::sleep_until(load_due), if load_due > Instant::now() => None,
+            () = announcer.due() => None,
         };
+        announcer.run(&agent, &socket);
         let report = agent.report_for_entries();
         if let Some(Ok((length, entry))) = wake
             && let Some(Datagram::Hello(hello)) = decode(&bytes[..length])
@@ -59,6 +63,13 @@
                 send(&socket, entry, report).await;
             }
             entries.retain(|_, hello_at| now.since_ms(*hello_at) < SUBSCRIPTION_MS);
+        } else if let Some(Ok((length, peer))) = wake
+            && let Some(Datagram::Have(version, held)) = decode(&bytes[..length])
+        {
+            let mut peers = agent.peer_pieces.borrow_mut();
+            peers.insert(peer.ip(), (version, held));
+            agent.peers_changed.notify_one();
+            continue;
         }
         let urgent = told.is_none_or(|told| {
             told.version != report.version
@@ -77,6 +88,61 @@
     }
 }
 
+/// Shortest time between two announcements of pieces.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(60);
+/// Time after which an announcement is repeated, since datagrams get lost.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
+
+/// Tells the agents of the region which pieces of the newest version are here.
+struct Announcer {
+    told: Option<(VersionNumber, ChunkSet)>,
+    told_at: Instant,
+}
+
+impl Announcer {
+    fn new() -> Self {
+        Self {
+            told: None,
+            told_at: Instant::now(),
+        }
+    }
+
+    /// Waits until an announcement may be due; for ever while nothing is fetched.
+    async fn due(&self) {
+        if self.told.is_none() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep_until(self.told_at + ANNOUNCE_INTERVAL).await;
+    }
+
+    fn run(&mut self, agent: &Agent, socket: &UdpSocket) {
+        let Some(pieces) = agent.newest_in_memory() else {
+            self.told = None;
+            return;
+        };
+        let now = (pieces.version, pieces.held_set());
+        let elapsed = self.told_at.elapsed();
+        let changed = self.told.as_ref() != Some(&now);
+        if self.told.is_some() && elapsed < ANNOUNCE_INTERVAL
+            || !changed && elapsed < ANNOUNCE_AGAIN
+        {
+            return;
+        }
+        let Some(goal) = agent.model_goal() else {
+            return;
+        };
+        let bytes = encode(&Datagram::Have(now.0, now.1.clone()));
+        for peer in agent.peers(&goal, now.0) {
+            if peer.pieces.region == agent.settings.region {
+                // A lost datagram is repeated.
+                let _ = socket.try_send_to(&bytes, peer.agent);
+            }
+        }
+        self.told = Some(now);
+        self.told_at = Instant::now();
+    }
+}
+
 /// Takes over versions that an entry knows.
 fn learn(agent: &Agent, versions: &[(DeclaredVersion, u64)], now: MonoMs) {
     let mut catalog = agent.catalog.borrow_mut();
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -1,8 +1,8 @@
 //! State that the tasks of an agent share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use compact_str::ToCompactString;
@@ -11,7 +11,7 @@
 use masticdock_core::serving::{
     AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber, VersionTimeline,
 };
-use masticdock_core::transfer::LinkPacer;
+use masticdock_core::transfer::{ChunkSet, LinkPacer};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
@@ -50,6 +50,10 @@
     pub(crate) unresumable_at: Cell<MonoMs>,
     /// When an entry said hello last.
     pub(crate) hello_at: Cell<MonoMs>,
+    /// Pieces that agents of the region said they hold, of one version each.
+    pub(crate) peer_pieces: RefCell<HashMap<IpAddr, (VersionNumber, ChunkSet)>>,
+    /// Told when an agent of the region holds further pieces.
+    pub(crate) peers_changed: Notify,
     /// Paces what is sent to other agents.
     pub(crate) uploads: RefCell<LinkPacer>,
     /// Paces what is sent to each other region.
@@ -94,6 +98,8 @@
             switching: Cell::new(false),
             unresumable_at: Cell::new(MonoMs(0)),
             hello_at: Cell::new(MonoMs(0)),
+            peer_pieces: RefCell::default(),
+            peers_changed: Notify::new(),
             uploads: RefCell::new(LinkPacer::new(upload_rate)),
             far_uploads: RefCell::default(),
             far_waiting: Cell::new(0),
--- a/crates/masticdock-node/src/peer/mod.rs
+++ b/crates/masticdock-node/src/peer/mod.rs
@@ -6,9 +6,12 @@
 
 use masticdock_adapter::DeclaredVersion;
 use masticdock_core::serving::{AgentReport, VersionNumber};
+use masticdock_core::transfer::ChunkSet;
 
 /// First bytes of a hello; the last one is the version of the format.
 const HELLO: [u8; 4] = *b"mdh1";
+/// First bytes of a list of pieces.
+const HAVE: [u8; 4] = *b"mdp1";
 /// First bytes of a report.
 const REPORT: [u8; 4] = *b"mdr1";
 /// Length of a report without its first bytes.
@@ -25,6 +28,8 @@
     Hello(Hello),
     /// An agent reports its engine.
     Report(AgentReport),
+    /// An agent tells the agents of its region which pieces it holds.
+    Have(VersionNumber, ChunkSet),
 }
 
 /// What an entry tells agents.
@@ -41,6 +46,7 @@
     match datagram {
         Datagram::Hello(hello) => encode_hello(hello),
         Datagram::Report(report) => encode_report(report),
+        Datagram::Have(version, pieces) => encode_have(*version, pieces),
     }
 }
 
@@ -63,6 +69,25 @@
     bytes
 }
 
+fn encode_have(version: VersionNumber, pieces: &ChunkSet) -> Vec<u8> {
+    let mut bytes = HAVE.to_vec();
+    bytes.extend_from_slice(&version.0.to_le_bytes());
+    let count = u16::try_from(pieces.capacity()).unwrap_or(u16::MAX);
+    bytes.extend_from_slice(&count.to_le_bytes());
+    bytes.extend_from_slice(&pieces.to_bytes());
+    bytes
+}
+
+fn decode_have(bytes: &[u8]) -> Option<Datagram> {
+    let (version, rest) = bytes.split_first_chunk::<8>()?;
+    let (count, rest) = rest.split_first_chunk::<2>()?;
+    let pieces = ChunkSet::from_bytes(u16::from_le_bytes(*count).into(), rest);
+    Some(Datagram::Have(
+        VersionNumber(u64::from_le_bytes(*version)),
+        pieces,
+    ))
+}
+
 fn encode_report(report: &AgentReport) -> Vec<u8> {
     let mut bytes = REPORT.to_vec();
     let narrow = |number: u32| u16::try_from(number).unwrap_or(u16::MAX);
@@ -87,6 +112,9 @@
     if let Some(rest) = bytes.strip_prefix(&HELLO) {
         return decode_hello(rest).map(Datagram::Hello);
     }
+    if let Some(rest) = bytes.strip_prefix(&HAVE) {
+        return decode_have(rest);
+    }
     let rest: &[u8; REPORT_LEN] = bytes.strip_prefix(&REPORT)?.try_into().ok()?;
     let version = u64::from_le_bytes(rest[4..12].try_into().ok()?);
     Some(Datagram::Report(AgentReport {
