--- a/crates/masticdock-core/tests/serving_repeat.rs
+++ b/crates/masticdock-core/tests/serving_repeat.rs
@@ -97,7 +97,8 @@
                 let spent = repeats.iter().filter(within).count();
                 // Requests of the window, and of the bucket that it begins in.
                 let counted = requests.iter().filter(|at| now.since_ms(**at) <= 10_500).count();
-                prop_assert!(spent as f64 <= 0.2 * counted as f64 + 5.0);
+                // Five times both sides: the ratio is a fifth and the slack 5.
+                prop_assert!(spent * 5 <= counted + 25);
             }
         }
     }
--- a/crates/masticdock-core/tests/serving_streams.rs
+++ b/crates/masticdock-core/tests/serving_streams.rs
@@ -26,7 +26,7 @@
 #[test]
 fn an_event_without_an_end_is_refused() {
     let mut splitter = EventSplitter::default();
-    let bytes = [b'x'; 64 * 1_024];
+    let bytes = vec![b'x'; 64 * 1_024];
     let refused = (0..8).any(|_| splitter.push(&bytes).is_none());
     assert!(refused);
 }
