--- a/crates/masticdock-cli/src/cli/args.rs
+++ b/crates/masticdock-cli/src/cli/args.rs
@@ -75,6 +75,8 @@
     /// Watches and steers rollouts
     #[command(subcommand)]
     Rollout(RolloutCommand),
+    /// Prints the way of one request from the logs of entries
+    Trace(TraceArgs),
     /// Lists, labels and drains VMs
     #[command(subcommand)]
     Vm(VmCommand),
@@ -206,3 +208,11 @@
     #[arg(long, value_name = "FILE")]
     pub(crate) to: PathBuf,
 }
+
+#[derive(Debug, Args)]
+pub(crate) struct TraceArgs {
+    /// Id of the request, as in its `X-Request-Id`
+    pub(crate) request_id: CompactString,
+    /// Log files; standard input when there are none
+    pub(crate) files: Vec<PathBuf>,
+}
--- a/crates/masticdock-cli/src/cli/mod.rs
+++ b/crates/masticdock-cli/src/cli/mod.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use args::{
     Access, ApplyArgs, AuditArgs, Cli, Command, ManifestArgs, OutputFormat, ResourceArgs,
-    RolloutCommand, StatusArgs, VmCommand,
+    RolloutCommand, StatusArgs, TraceArgs, VmCommand,
 };
 
 use clap::Parser;
--- a/crates/masticdock-cli/src/command/mod.rs
+++ b/crates/masticdock-cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod manifest;
 mod resource;
 mod rollout;
+mod trace;
 mod vm;
 
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
     match &cli.command {
         Command::Explain { number } => return explain::run(*number),
         Command::Manifest(args) => return manifest::run(args),
+        Command::Trace(args) => return trace::run(args),
         Command::Completions { shell } => {
             let mut command = Cli::command();
             clap_complete::generate(*shell, &mut command, "masticdock", &mut std::io::stdout());
@@ -42,8 +44,9 @@
         Command::Rollout(command) => rollout::run(&client, format, command),
         Command::Vm(command) => vm::run(&client, format, command),
         Command::Audit(args) => audit::run(&client, format, args),
-        Command::Explain { .. } | Command::Manifest(_) | Command::Completions { .. } => {
-            Ok(ExitCode::SUCCESS)
-        }
+        Command::Explain { .. }
+        | Command::Manifest(_)
+        | Command::Trace(_)
+        | Command::Completions { .. } => Ok(ExitCode::SUCCESS),
     }
 }
--- a/crates/masticdock-cli/tests/output.rs
+++ b/crates/masticdock-cli/tests/output.rs
@@ -175,3 +175,28 @@
         insta::assert_snapshot!(manifest_of("many", &"x".repeat(10_000), "1B"));
     }
 }
+
+mod trace {
+    use super::{file, masticdock, transcript};
+
+    const LOG: &str = r#"not a line of ours
+{"event":"request.ended","level":"info","mono_ms":61300,"node":"front-1","outcome":"answered","request_id":"r-1","status":200,"text":"a request ended","unix_ms":1300,"upstream":"i-2"}
+{"event":"attempt.broken","level":"warn","mono_ms":61100,"node":"front-1","reason":"reset","request_id":"r-1","text":"a response broke off or is not one","unix_ms":1100,"upstream":"i-1"}
+{"event":"request.ended","level":"info","mono_ms":61200,"node":"front-1","request_id":"r-2","text":"a request ended","unix_ms":1200}
+"#;
+
+    /// Guards against lines of other requests, or lines out of order.
+    #[test]
+    fn the_way_of_one_request_in_order() {
+        let log = file("entry.log", LOG);
+        let log = log.to_str().expect("UTF-8");
+        insta::assert_snapshot!(transcript(&masticdock(&["trace", "r-1", log]), ""));
+    }
+
+    #[test]
+    fn an_id_that_no_line_names() {
+        let log = file("other.log", LOG);
+        let log = log.to_str().expect("UTF-8");
+        insta::assert_snapshot!(transcript(&masticdock(&["trace", "r-9", log]), ""));
+    }
+}
