--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -201,6 +201,10 @@
             expected_version = target.version.map_or(0, |version| version.0);
             "an upstream did not run a request"
         );
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            // Another process has the address, or other weights: a row or report is old.
+            entry.with_load(&target.id, |load| load.failed(clock::now()));
+        }
         // The connection can be used again once the short body was read.
         let body = Limited::new(body, RESPONSE_BYTES_MAX).collect();
         if timeout_at(call.deadline, body)
