Rank the readers of a version once

Cause: each datagram about held pieces recomputed the ranks of all missing pieces over all peers, some thousand hashes, hundreds of times a second on a large site.

--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
+use masticdock_core::ids::RegionId;
 use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources, VersionNumber};
 use masticdock_core::transfer::{ChunkSet, Fault, Penalties, Sender, Tier, pick};
 use masticdock_core::units::MonoMs;
@@ -102,8 +103,14 @@
 /// A fetch of one version.
 struct Fetch {
     agent: Rc<Agent>,
-    goal: ModelGoal,
     pieces: Rc<Pieces>,
+    /// The other agents as the list of upstreams had them at the start.
+    peers: Vec<Peer>,
+    /// Peers of the own region.
+    near_peers: Vec<Peer>,
+    /// How many agents of the region come before this one, by piece.
+    ranks: Vec<usize>,
+    origin_region: Option<RegionId>,
     clients: RefCell<HashMap<SocketAddr, Rc<HttpClient>>>,
     origin: Rc<OriginClient>,
     requested: ChunkSet,
@@ -125,10 +132,16 @@
 
 /// Fetches every missing piece.
 pub(crate) async fn fetch(agent: &Rc<Agent>, goal: &ModelGoal, pieces: &Rc<Pieces>) -> Fetched {
+    let peers = agent.peers(goal, pieces.version);
+    let region = &agent.settings.region;
+    let is_near = |peer: &&Peer| peer.pieces.region == *region;
     let mut fetch = Fetch {
         agent: Rc::clone(agent),
-        goal: goal.clone(),
         pieces: Rc::clone(pieces),
+        near_peers: peers.iter().filter(is_near).cloned().collect(),
+        ranks: Vec::new(),
+        origin_region: goal.origin.zone.as_ref().map(|zone| agent.region(zone)),
+        peers,
         clients: RefCell::default(),
         origin: Rc::new(OriginClient::new(goal.origin.address)),
         requested: ChunkSet::new(pieces.count()),
@@ -144,6 +157,11 @@
         started_at: clock::now(),
         reads: JoinSet::new(),
     };
+    fetch.ranks = fetch.with_sources(|sources| {
+        (0..pieces.count())
+            .map(|piece| sources.rank(piece))
+            .collect()
+    });
     while !pieces.is_complete() {
         fetch.start_reads();
         let ended = tokio::select! {
@@ -171,34 +189,32 @@
         self.pieces.version
     }
 
-    /// Returns the peers, without the belief that an incomplete one is complete.
-    fn peers(&self) -> Vec<Peer> {
-        let mut peers = self.agent.peers(&self.goal, self.version());
-        for peer in &mut peers {
-            peer.pieces.complete &= !self.incomplete.contains(&peer.agent);
-        }
-        peers
+    /// Hands the ranking of readers to `ask`.
+    fn with_sources<T>(&self, ask: impl FnOnce(&PieceSources<'_>) -> T) -> T {
+        let listed: Vec<PeerPieces> = self.peers.iter().map(|peer| peer.pieces.clone()).collect();
+        ask(&PieceSources {
+            own: &self.agent.settings.ip.to_string(),
+            region: &self.agent.settings.region,
+            origin_region: self.origin_region.as_ref(),
+            peers: &listed,
+        })
     }
 
     /// Starts as many reads as are allowed now.
     fn start_reads(&mut self) {
-        let peers = self.peers();
-        let region = self.agent.settings.region.clone();
-        let is_near = |peer: &&Peer| peer.pieces.region == region;
-        let near: Vec<Peer> = peers.iter().filter(is_near).cloned().collect();
-        let held_nearby = self.held_nearby(&near);
-        self.start_far(&peers, &held_nearby);
-        self.start_near(&near, &held_nearby);
+        let held_nearby = self.held_nearby();
+        self.start_far(&held_nearby);
+        self.start_near(&held_nearby);
     }
 
     /// Returns what each peer of the region holds.
-    fn held_nearby(&self, near: &[Peer]) -> Vec<ChunkSet> {
+    fn held_nearby(&self) -> Vec<ChunkSet> {
         let count = self.pieces.count();
         let told = self.agent.peer_pieces.borrow();
-        let mut held = Vec::with_capacity(near.len());
-        for peer in near {
+        let mut held = Vec::with_capacity(self.near_peers.len());
+        for peer in &self.near_peers {
             let mut set = ChunkSet::new(count);
-            if peer.pieces.complete {
+            if peer.pieces.complete && !self.incomplete.contains(&peer.agent) {
                 for piece in 0..count {
                     set.insert(piece);
                 }
@@ -214,34 +230,26 @@
     }
 
     /// Reads from afar the pieces whose turn it is here and that nobody nearby holds.
-    fn start_far(&mut self, peers: &[Peer], held_nearby: &[ChunkSet]) {
+    fn start_far(&mut self, held_nearby: &[ChunkSet]) {
         let mut known = self.pieces.held_set();
         known.union_with(&self.requested);
         for held in held_nearby {
             known.union_with(held);
         }
-        let own = self.agent.settings.ip.to_string();
-        let listed: Vec<PeerPieces> = peers.iter().map(|peer| peer.pieces.clone()).collect();
-        let origin_zone = self.goal.origin.zone.as_ref();
-        let origin_region = origin_zone.map(|zone| self.agent.region(zone));
-        let region = self.agent.settings.region.clone();
-        let sources = PieceSources {
-            own: &own,
-            region: &region,
-            origin_region: origin_region.as_ref(),
-            peers: &listed,
-        };
         let elapsed_ms = clock::now().since_ms(self.started_at);
-        let missing: Vec<usize> = known.iter_missing().collect();
-        for piece in missing {
-            if elapsed_ms < TAKEOVER_MS * sources.rank(piece) as u64 {
-                continue;
+        let due: Vec<usize> = known
+            .iter_missing()
+            .filter(|piece| elapsed_ms >= TAKEOVER_MS * self.ranks[*piece] as u64)
+            .collect();
+        for piece in due {
+            if self.far >= FAR_AT_ONCE && self.from_origin >= ORIGIN_AT_ONCE {
+                return;
             }
             let attempt = self.far_attempts.get(&piece).copied().unwrap_or(0);
-            match sources.far_source(piece, attempt) {
+            match self.with_sources(|sources| sources.far_source(piece, attempt)) {
                 PieceSource::Peer(index) if self.far < FAR_AT_ONCE => {
                     self.far += 1;
-                    self.read_peer(piece, peers[index].agent, false);
+                    self.read_peer(piece, self.peers[index].agent, false);
                 }
                 PieceSource::Origin if self.from_origin < ORIGIN_AT_ONCE => {
                     self.from_origin += 1;
@@ -253,7 +261,7 @@
     }
 
     /// Reads the rarest pieces from the peers nearby that hold them.
-    fn start_near(&mut self, near: &[Peer], held_nearby: &[ChunkSet]) {
+    fn start_near(&mut self, held_nearby: &[ChunkSet]) {
         let at_once = if self.links.own_is_slow {
             NEAR_AT_ONCE_SLOW
         } else {
@@ -261,8 +269,8 @@
         };
         let now = clock::now();
         while self.near < at_once {
-            let mut senders = Vec::with_capacity(near.len());
-            for (peer, have) in near.iter().zip(held_nearby) {
+            let mut senders = Vec::with_capacity(held_nearby.len());
+            for (peer, have) in self.near_peers.iter().zip(held_nearby) {
                 let outstanding = self.outstanding.get(&peer.agent).copied().unwrap_or(0);
                 let slow = self.links.slow_peers.contains(&peer.agent) && !self.links.own_is_slow;
                 senders.push(Sender {
@@ -279,7 +287,7 @@
                 return;
             };
             self.near += 1;
-            self.read_peer(pick.chunk, near[pick.sender].agent, true);
+            self.read_peer(pick.chunk, self.near_peers[pick.sender].agent, true);
         }
     }
 
