--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -97,6 +97,7 @@
 struct Announcer {
     told: Option<(VersionNumber, ChunkSet)>,
     told_at: Instant,
+    next_at: Instant,
 }
 
 impl Announcer {
@@ -104,6 +105,7 @@
         Self {
             told: None,
             told_at: Instant::now(),
+            next_at: Instant::now(),
         }
     }
 
@@ -112,7 +114,7 @@
         if self.told.is_none() {
             return std::future::pending().await;
         }
-        tokio::time::sleep_until(self.told_at + ANNOUNCE_INTERVAL).await;
+        tokio::time::sleep_until(self.next_at).await;
     }
 
     fn run(&mut self, agent: &Agent, socket: &UdpSocket) {
@@ -121,12 +123,17 @@
             return;
         };
         let now = (pieces.version, pieces.held_set());
-        let elapsed = self.told_at.elapsed();
-        let changed = self.told.as_ref() != Some(&now);
-        if self.told.is_some() && elapsed < ANNOUNCE_INTERVAL
-            || !changed && elapsed < ANNOUNCE_AGAIN
-        {
-            return;
+        if self.told.is_some() {
+            let changed = self.told.as_ref() != Some(&now);
+            let interval = if changed {
+                ANNOUNCE_INTERVAL
+            } else {
+                ANNOUNCE_AGAIN
+            };
+            self.next_at = self.told_at + interval;
+            if Instant::now() < self.next_at {
+                return;
+            }
         }
         let Some(goal) = agent.model_goal() else {
             return;
@@ -140,6 +147,7 @@
         }
         self.told = Some(now);
         self.told_at = Instant::now();
+        self.next_at = self.told_at + ANNOUNCE_AGAIN;
     }
 }
 
