Remove fields and functions that nothing uses

Connections to an upstream stay below its limit because placement bounds the requests there; the pause of an objective, the size of a piece and the version required at a time had no reader (the test of the last one keeps its checks of when a version ends).

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -61,8 +61,6 @@
     pub timeout_ms: u64,
     /// Latency objective, in milliseconds; streams: until the first event.
     pub objective_ms: u64,
-    /// Longest pause between two events within the objective, in milliseconds.
-    pub gap_objective_ms: Option<u64>,
     /// Most upstreams that one request may be sent to.
     pub attempts_max: u32,
     /// Rank of the requests; 0 is the most urgent.
@@ -96,8 +94,6 @@
     pub layers: u32,
     /// Pieces that the weights of one version are cut into.
     pub pieces: usize,
-    /// Size of a piece, in bytes.
-    pub piece_bytes: usize,
 }
 
 impl EngineProfile {
@@ -139,8 +135,6 @@
     pub address: SocketAddr,
     /// Availability zone of the origin, when known.
     pub zone: Option<ZoneId>,
-    /// Connections that the origin accepts from all callers together.
-    pub connections_max: usize,
 }
 
 /// A service of the configuration.
@@ -148,8 +142,6 @@
 pub struct Service {
     /// Name of the service.
     pub id: ServiceId,
-    /// Connections that one upstream accepts from all callers together.
-    pub connections_max: usize,
     /// Parameters of the engines, when upstreams run a model.
     pub engine: Option<EngineProfile>,
     /// Source of weights, when the service is one.
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -62,19 +62,6 @@
             .map_or(FIRST_VERSION, |(version, _)| *version)
     }
 
-    /// Returns the oldest version on which a request may still begin `ahead_ms` from now.
-    #[must_use]
-    pub fn required(&self, now: MonoMs, ahead_ms: u64) -> VersionNumber {
-        let at = now.plus_ms(ahead_ms);
-        let mut required = FIRST_VERSION;
-        for (version, learnt_at) in &self.learnt {
-            if at.since_ms(*learnt_at) >= self.in_force_ms {
-                required = *version;
-            }
-        }
-        required
-    }
-
     /// Returns when a declared version was learnt.
     #[must_use]
     pub fn learnt_at(&self, version: VersionNumber) -> Option<MonoMs> {
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -28,7 +28,6 @@
         answer_tokens_mean: 92.0,
         layers: 16,
         pieces: 48,
-        piece_bytes: 49_152,
     }
 }
 
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -18,9 +18,6 @@
     assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(9_000)));
     assert_eq!(timeline.begin_until(VersionNumber(2)), Some(MonoMs(11_000)));
     assert_eq!(timeline.begin_until(VersionNumber(4)), None);
-    assert_eq!(timeline.required(MonoMs(8_999), 0), VersionNumber(1));
-    assert_eq!(timeline.required(MonoMs(8_999), 1), VersionNumber(2));
-    assert_eq!(timeline.required(MonoMs(11_000), 0), VersionNumber(4));
 }
 
 /// Guards against a late read that brings an older version back.
