--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -25,15 +25,15 @@
 use super::state::{Agent, ModelGoal, Peer};
 use crate::clock;
 
-/// Pieces read nearby at the same time: requests of callers share the link and
-/// wait behind them.
+/// Pieces read nearby at the same time at first: a link that turns out to be
+/// slow holds up requests of callers behind each of them.
+const NEAR_AT_FIRST: usize = 2;
+/// Pieces read nearby at the same time once reads were fast.
 const NEAR_AT_ONCE: usize = 8;
-/// Pieces read nearby at the same time over a slow link.
-const NEAR_AT_ONCE_SLOW: usize = 1;
 /// Pieces read from one peer at the same time.
 const PEER_AT_ONCE: usize = 1;
 /// Pieces read from afar at the same time; most wait there for their arrival.
-const FAR_AT_ONCE: usize = 8;
+const FAR_AT_ONCE: usize = 4;
 /// Pieces read from the origin at the same time; it accepts some 48 connections
 /// from all agents together.
 const ORIGIN_AT_ONCE: usize = 2;
@@ -72,6 +72,8 @@
     slow_peers: HashSet<SocketAddr>,
     fast_peers: HashSet<SocketAddr>,
     own_is_slow: bool,
+    /// Fast reads in a row.
+    fast_reads: usize,
 }
 
 impl Links {
@@ -80,15 +82,25 @@
         if took < SLOW_BODY {
             self.fast_peers.insert(peer);
             self.slow_peers.remove(&peer);
+            self.fast_reads += 1;
             return;
         }
         self.slow_peers.insert(peer);
+        self.fast_reads = 0;
         // Many slow peers and few fast ones: what they share is this VM's link.
         let fast = self.fast_peers.difference(&self.slow_peers).count();
         if self.slow_peers.len() >= SLOW_PEERS_MAX && self.slow_peers.len() > fast {
             self.own_is_slow = true;
         }
     }
+
+    /// Returns how many pieces may be read nearby at the same time.
+    fn near_at_once(&self) -> usize {
+        if self.own_is_slow && self.fast_reads == 0 {
+            return 1;
+        }
+        (NEAR_AT_FIRST + self.fast_reads).min(NEAR_AT_ONCE)
+    }
 }
 
 /// A read that ended.
@@ -262,11 +274,7 @@
 
     /// Reads the rarest pieces from the peers nearby that hold them.
     fn start_near(&mut self, held_nearby: &[ChunkSet]) {
-        let at_once = if self.links.own_is_slow {
-            NEAR_AT_ONCE_SLOW
-        } else {
-            NEAR_AT_ONCE
-        };
+        let at_once = self.links.near_at_once();
         let now = clock::now();
         while self.near < at_once {
             let mut senders = Vec::with_capacity(held_nearby.len());
