Spread manifests among agents, keep reads off callers' way, and let entries begin in turns

Pieces between regions were paced by an equal split, so an agent that reads six pieces held its region up for 4 s. Eight pieces at once delayed requests of callers on the agents' links by 330 ms. All entries filled an engine that came back within 100 ms.

Ruled out: the origin's link (two copies sent), lost pieces (11 of 4,656 reads).

Change: two agents read the manifest from the origin, two of each region from these; a window follows the time of bodies; agents answer busy beyond ten waiting pieces; reports carry the link's delay, the number of entries and each entry's turn; entries count what the others are likely to have sent.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -17,6 +17,12 @@
     pub switching: bool,
     /// False when the engine did not answer its agent.
     pub reachable: bool,
+    /// Entries that the agent reports to.
+    pub entries: u32,
+    /// Time until the entry that is told begins to send, in milliseconds.
+    pub wait_ms: u32,
+    /// Delay of requests on the VM's link behind pieces of weights, in milliseconds.
+    pub link_delay_ms: u32,
 }
 
 /// Shortest pause of an upstream after a failure, in milliseconds: a crashed
@@ -31,6 +37,13 @@
 /// Age at which a load report no longer counts, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 3_000;
 
+/// Sends since a report from which nothing is concluded about other entries: one
+/// happens by chance, more show that the upstream is the best one to send to.
+const SENDS_BY_CHANCE: u32 = 1;
+/// Requests up to which an upstream counts as empty; that it is the best one to
+/// send to shows without any send.
+const EMPTY_MAX: u32 = 2;
+
 /// A report of an upstream's whole load, beside what was the entry's own part.
 #[derive(Debug, Clone, Copy)]
 struct Reported {
@@ -58,6 +71,8 @@
     /// Own requests that have not produced their first event.
     pub unread: u32,
     reported: Option<Reported>,
+    /// Other entries that send requests there.
+    other_entries: u32,
     /// Seen times to the first event over predicted ones, smoothed, and when
     /// the last one was seen.
     slowness: Option<(f64, MonoMs)>,
@@ -68,6 +83,17 @@
     service_ms: f64,
 }
 
+impl Reported {
+    /// Sends since the report from which nothing is concluded about other entries.
+    const fn by_chance(self) -> u32 {
+        if self.total <= EMPTY_MAX {
+            0
+        } else {
+            SENDS_BY_CHANCE
+        }
+    }
+}
+
 impl UpstreamLoad {
     /// Counts a request sent with `prompt_tokens`.
     pub fn begin(&mut self, prompt_tokens: u64) {
@@ -98,6 +124,11 @@
         });
     }
 
+    /// Notes how many entries, this one included, send requests to the upstream.
+    pub fn note_entries(&mut self, entries: u32) {
+        self.other_entries = entries.saturating_sub(1);
+    }
+
     /// Compares a seen time to the first event with the predicted one.
     pub fn seen(&mut self, first_ms: f64, predicted_ms: f64, now: MonoMs) {
         let (low, high) = SLOWNESS_RANGE;
@@ -123,7 +154,10 @@
     pub fn others_unread(&self, now: MonoMs) -> u32 {
         match self.reported {
             Some(reported) if now.since_ms(reported.at) < REPORT_AGE_MAX_MS => {
-                reported.queued.saturating_sub(reported.own_unread)
+                let unseen = self
+                    .unread
+                    .saturating_sub(reported.own_unread + reported.by_chance());
+                reported.queued.saturating_sub(reported.own_unread) + self.other_entries * unseen
             }
             _ => 0,
         }
@@ -183,12 +217,17 @@
         now < self.paused_until
     }
 
-    /// Returns the requests at the upstream, those of other entries included.
+    /// Returns the requests at the upstream, those of other entries included. An
+    /// upstream that looks good to one entry looks good to all, so the others are
+    /// taken to have sent as many requests since its report as this one.
     #[must_use]
     pub fn total(&self, now: MonoMs) -> u32 {
         let others = match self.reported {
             Some(reported) if now.since_ms(reported.at) < REPORT_AGE_MAX_MS => {
-                reported.total.saturating_sub(reported.own)
+                let unseen = self
+                    .in_flight
+                    .saturating_sub(reported.own + reported.by_chance());
+                reported.total.saturating_sub(reported.own) + self.other_entries * unseen
             }
             _ => 0,
         };
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod directory;
+mod entry_turns;
 mod events;
 mod load;
 mod piece_sources;
@@ -18,6 +19,7 @@
     Service, Workspace,
 };
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
+pub use entry_turns::EntryTurns;
 pub use events::{EventSplitter, StreamEvent};
 pub use load::{AgentReport, UpstreamLoad};
 pub use piece_sources::{PeerPieces, PieceSource, PieceSources};
--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -43,8 +43,13 @@
     pub peers: &'a [PeerPieces],
 }
 
-/// Attempts at peers after which a piece is read from the origin.
+/// Attempts at peers after which a piece or a manifest is read from the origin.
 const PEER_ATTEMPTS_MAX: u32 = 3;
+/// Agents that read the manifest of a version from the origin, and agents of a
+/// region that ask these; one of them may be slow or dead.
+const MANIFEST_READERS: usize = 2;
+/// Key of the manifest in the ranking of readers; pieces have their number.
+const MANIFEST_KEY: &[u8] = b"manifest";
 
 impl PieceSources<'_> {
     /// Returns where the reader of this region asks for a piece, for the attempt
@@ -77,6 +82,33 @@
         PieceSource::Origin
     }
 
+    /// Returns where the manifest is asked for, for the attempt with this number,
+    /// from 0. The origin accepts fewer connections than there are agents and
+    /// sends pieces as soon as the first agent knows the manifest, so two agents
+    /// ask it, two of each region ask these, and the others ask their region's.
+    #[must_use]
+    pub fn manifest_source(&self, attempt: u32) -> PieceSource {
+        let attempt = attempt % (PEER_ATTEMPTS_MAX + 1);
+        if attempt == PEER_ATTEMPTS_MAX {
+            return PieceSource::Origin;
+        }
+        let own_weight = rendezvous::weight(MANIFEST_KEY, self.own);
+        let reader = |readers: &[(u64, usize)]| {
+            let readers = &readers[..readers.len().min(MANIFEST_READERS)];
+            let before_own = |(weight, _): &&(u64, usize)| *weight > own_weight;
+            if readers.iter().filter(before_own).count() < MANIFEST_READERS {
+                return None;
+            }
+            Some(PieceSource::Peer(
+                readers[attempt as usize % MANIFEST_READERS].1,
+            ))
+        };
+        let near = self.weighted(MANIFEST_KEY, |peer| peer.region == *self.region);
+        reader(&near)
+            .or_else(|| reader(&self.weighted(MANIFEST_KEY, |_| true)))
+            .unwrap_or(PieceSource::Origin)
+    }
+
     /// Returns how many agents of the region come before this one as readers of a piece.
     #[must_use]
     pub fn rank(&self, piece: usize) -> usize {
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -31,6 +31,8 @@
     pub others_unread: u32,
     /// Factor by which it is slower than predicted.
     pub slowness: f64,
+    /// Delay on its link behind pieces of weights, in milliseconds.
+    pub link_delay_ms: f64,
     /// Time until it stops to change its weights, in milliseconds.
     pub switch_in_ms: Option<f64>,
     /// Smoothed time of a plain request, in milliseconds; 0 when unknown.
@@ -161,7 +163,7 @@
     // A request joins at the end of the current pass and its first event comes
     // at the end of the one after its prompt was read.
     let first_ms = slot_wait_ms + read_ms + 1.5 * engine.pass_ms(running);
-    candidate.slowness * first_ms + f64::from(running)
+    candidate.slowness * first_ms + candidate.link_delay_ms + f64::from(running)
 }
 
 /// Returns by how long a request would hold up the change of the weights, in milliseconds.
--- a/crates/masticdock-core/src/transfer/mod.rs
+++ b/crates/masticdock-core/src/transfer/mod.rs
@@ -8,6 +8,7 @@
 mod pacing;
 mod penalty;
 mod schedule;
+mod window;
 
 pub use chunk_set::ChunkSet;
 pub use estimate::{Estimate, hedge_after_ms, takeover_after_ms};
@@ -16,3 +17,4 @@
 pub use pacing::{LinkPacer, TokenBucket};
 pub use penalty::{Fault, Penalties};
 pub use schedule::{Pick, Sender, pick};
+pub use window::{ReadWindow, ReadWindowSettings};
--- a/crates/masticdock-core/tests/serving_pieces.rs
+++ b/crates/masticdock-core/tests/serving_pieces.rs
@@ -151,3 +151,41 @@
     let alone = Fleet::new(&[("wien", 1)], &[]);
     assert_eq!(alone.far(0, None, 0, 0), None);
 }
+
+/// Counts who asks the origin for the manifest, for one attempt of every agent.
+fn manifest_readers(fleet: &Fleet, attempt: u32) -> usize {
+    (0..fleet.peers.len())
+        .filter(|own| {
+            fleet.with(*own, None, |sources| sources.manifest_source(attempt))
+                == PieceSource::Origin
+        })
+        .count()
+}
+
+/// Guards against a hundred agents that ask an origin of 48 connections at once.
+#[test]
+fn few_agents_read_the_manifest_from_the_origin() {
+    let fleet = Fleet::new(&[("a", 25), ("b", 25), ("c", 24), ("d", 24)], &[]);
+    for attempt in 0..3 {
+        assert_eq!(manifest_readers(&fleet, attempt), 2, "attempt {attempt}");
+    }
+    // Readers may be dead, so each agent asks the origin once in a while.
+    assert_eq!(manifest_readers(&fleet, 3), 98);
+}
+
+/// Guards against agents that wait for each other's manifest in a circle.
+#[test]
+fn every_way_to_the_manifest_ends_at_the_origin() {
+    let fleet = Fleet::new(&[("a", 9), ("b", 3), ("c", 1)], &[]);
+    for first in 0..fleet.peers.len() {
+        let mut own = first;
+        for hop in 0.. {
+            assert!(hop <= 2, "agent {first}");
+            match fleet.with(own, None, |sources| sources.manifest_source(0)) {
+                PieceSource::Origin => break,
+                PieceSource::Peer(index) if index < own => own = index,
+                PieceSource::Peer(index) => own = index + 1,
+            }
+        }
+    }
+}
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -44,8 +44,6 @@
 struct Engine {
     jobs: Vec<Job>,
     slow: f64,
-    /// While true nothing is accepted; requests that run go on.
-    draining: bool,
 }
 
 impl Engine {
@@ -109,6 +107,10 @@
     /// Arrivals a second, by time.
     per_s: fn(u64) -> f64,
     slow: fn(usize) -> f64,
+    /// True while an engine is away, as all entries know.
+    away: fn(usize, u64) -> bool,
+    /// True when entries know how many of them there are.
+    entries_known: bool,
     length_ms: u64,
 }
 
@@ -121,9 +123,9 @@
         .map(|index| Engine {
             jobs: Vec::new(),
             slow: (scenario.slow)(index),
-            draining: false,
         })
         .collect();
+    let entries = u32::try_from(scenario.entries).unwrap();
     let mut views = vec![vec![UpstreamLoad::default(); scenario.upstreams]; scenario.entries];
     let mut due = 0.0;
     let mut in_time = 0;
@@ -139,13 +141,17 @@
                 prompt_tokens: rng.random_range(200..1_800),
                 answer_tokens: rng.random_range(20..180),
             };
-            let candidates: Vec<Candidate> = views[entry]
+            let usable: Vec<usize> = (0..scenario.upstreams)
+                .filter(|index| !(scenario.away)(*index, now_ms))
+                .collect();
+            let candidates: Vec<Candidate> = usable
                 .iter()
-                .map(|load| candidate(load, now, rng.random()))
+                .map(|index| candidate(&views[entry][*index], now, rng.random()))
                 .collect();
-            let Some(index) = choose(rule, &candidates, &profile, size, &rules) else {
+            let Some(chosen) = choose(rule, &candidates, &profile, size, &rules) else {
                 continue;
             };
+            let index = usable[chosen];
             views[entry][index].begin(size.prompt_tokens);
             #[allow(clippy::cast_precision_loss)]
             engines[index].jobs.push(Job {
@@ -176,10 +182,16 @@
                     running,
                     queued,
                     version: None,
-                    switching: engine.draining,
+                    switching: false,
                     reachable: true,
+                    link_delay_ms: 0,
+                    entries: 0,
+                    wait_ms: 0,
                 };
                 for view in &mut views {
+                    if scenario.entries_known {
+                        view[index].note_entries(entries);
+                    }
                     view[index].report(report.running, report.queued, now);
                 }
             }
@@ -195,6 +207,7 @@
         unread_tokens: load.unread_tokens,
         others_unread: load.others_unread(now),
         slowness: load.slowness(now),
+        link_delay_ms: 0.0,
         switch_in_ms: None,
         service_ms: 0.0,
         distance_ms: 0.0,
@@ -229,6 +242,8 @@
         entries: 4,
         per_s: |_| 200.0,
         slow: |_| 1.0,
+        away: |_, _| false,
+        entries_known: true,
         length_ms: 6_000,
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
@@ -251,6 +266,8 @@
             }
         },
         slow: |_| 1.0,
+        away: |_, _| false,
+        entries_known: true,
         length_ms: 9_000,
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
@@ -267,6 +284,8 @@
         entries: 4,
         per_s: |_| 75.0,
         slow: |index| if index < 2 { 4.0 } else { 1.0 },
+        away: |_, _| false,
+        entries_known: true,
         length_ms: 8_000,
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
@@ -274,6 +293,29 @@
     assert!(predicted > naive, "{predicted} against {naive}");
 }
 
+/// Replays engines that come back one after another, a few at a time, after a
+/// loss of all: each is empty while eight entries have callers for it.
+fn served_while_engines_return(entries_known: bool) -> usize {
+    let scenario = Scenario {
+        upstreams: 40,
+        entries: 8,
+        per_s: |_| 420.0,
+        slow: |_| 1.0,
+        away: |index, now_ms| now_ms < 100 * index as u64,
+        entries_known,
+        length_ms: 5_000,
+    };
+    served_in_time(&scenario, Rule::Predicted)
+}
+
+/// Guards against entries that all send to the upstream that just came back.
+#[test]
+fn entries_that_count_each_other_serve_more_while_engines_return() {
+    let known = served_while_engines_return(true);
+    let unknown = served_while_engines_return(false);
+    assert!(known > unknown, "{known} against {unknown}");
+}
+
 fn idle() -> Candidate {
     candidate(&UpstreamLoad::default(), MonoMs(60_000), 0.0)
 }
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -25,11 +25,6 @@
 use super::state::{Agent, ModelGoal, Peer};
 use crate::clock;
 
-/// Pieces read nearby at the same time at first: a link that turns out to be
-/// slow holds up requests of callers behind each of them.
-const NEAR_AT_FIRST: usize = 2;
-/// Pieces read nearby at the same time once reads were fast.
-const NEAR_AT_ONCE: usize = 8;
 /// Pieces read from one peer at the same time.
 const PEER_AT_ONCE: usize = 1;
 /// Pieces read from afar at the same time; most wait there for their arrival.
@@ -39,9 +34,9 @@
 const ORIGIN_AT_ONCE: usize = 2;
 /// Time that each reader of a piece has before the next one takes over, in milliseconds.
 const TAKEOVER_MS: u64 = 2_200;
-/// Time for a piece from a peer that holds it: its link sends one to each agent
-/// of a region within about a second.
-const NEAR_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for a piece from a peer that holds it: half a second in its line, as
+/// long as it takes anyone in, and as much again on both links.
+const NEAR_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a piece from afar, which may have to arrive there first, and which
 /// waits for its pace between regions.
 const FAR_TIMEOUT: Duration = PIECE_WAIT.saturating_add(Duration::from_millis(1_500));
@@ -72,8 +67,6 @@
     slow_peers: HashSet<SocketAddr>,
     fast_peers: HashSet<SocketAddr>,
     own_is_slow: bool,
-    /// Fast reads in a row.
-    fast_reads: usize,
 }
 
 impl Links {
@@ -82,25 +75,15 @@
         if took < SLOW_BODY {
             self.fast_peers.insert(peer);
             self.slow_peers.remove(&peer);
-            self.fast_reads += 1;
             return;
         }
         self.slow_peers.insert(peer);
-        self.fast_reads = 0;
         // Many slow peers and few fast ones: what they share is this VM's link.
         let fast = self.fast_peers.difference(&self.slow_peers).count();
         if self.slow_peers.len() >= SLOW_PEERS_MAX && self.slow_peers.len() > fast {
             self.own_is_slow = true;
         }
     }
-
-    /// Returns how many pieces may be read nearby at the same time.
-    fn near_at_once(&self) -> usize {
-        if self.own_is_slow && self.fast_reads == 0 {
-            return 1;
-        }
-        (NEAR_AT_FIRST + self.fast_reads).min(NEAR_AT_ONCE)
-    }
 }
 
 /// A read that ended.
@@ -109,7 +92,17 @@
     /// The peer that was asked; `None` for the origin.
     peer: Option<SocketAddr>,
     near: bool,
-    result: Result<Option<(Bytes, Duration)>, CallError>,
+    result: Result<Brought, CallError>,
+}
+
+/// What a source answered.
+enum Brought {
+    /// The piece, and how long its body took.
+    Piece(Bytes, Duration),
+    /// The source does not hold the piece.
+    Missing,
+    /// Too many others wait there.
+    Busy,
 }
 
 /// A fetch of one version.
@@ -138,6 +131,10 @@
     penalties: Penalties,
     links: Links,
     mismatches: u32,
+    /// Peers that had no room or lacked the piece, for the log.
+    busy: u32,
+    /// When each quarter of the pieces was in memory, for the log.
+    quarters: Vec<MonoMs>,
     started_at: MonoMs,
     reads: JoinSet<Ended>,
 }
@@ -166,6 +163,8 @@
         penalties: Penalties::default(),
         links: Links::default(),
         mismatches: 0,
+        busy: 0,
+        quarters: Vec::new(),
         started_at: clock::now(),
         reads: JoinSet::new(),
     };
@@ -193,10 +192,31 @@
             None => {}
         }
     }
+    fetch.log_complete();
     Fetched::Complete
 }
 
 impl Fetch {
+    fn log_complete(&self) {
+        let quarter = |index: usize| {
+            let at = self.quarters.get(index).copied();
+            at.map_or(0, |at| at.since_ms(self.started_at))
+        };
+        log::info!(
+            event = "version.fetched",
+            weights = self.version().0,
+            took_ms = clock::now().since_ms(self.started_at),
+            first_ms = quarter(0),
+            quarter_ms = quarter(1),
+            half_ms = quarter(2),
+            three_quarters_ms = quarter(3),
+            busy = self.busy,
+            failed_from_afar = self.far_attempts.values().sum::<u32>(),
+            reads_at_once = self.agent.reads.borrow().reads();
+            "all pieces of a version are in memory"
+        );
+    }
+
     fn version(&self) -> VersionNumber {
         self.pieces.version
     }
@@ -274,7 +294,7 @@
 
     /// Reads the rarest pieces from the peers nearby that hold them.
     fn start_near(&mut self, held_nearby: &[ChunkSet]) {
-        let at_once = self.links.near_at_once();
+        let at_once = self.agent.reads.borrow().reads();
         let now = clock::now();
         while self.near < at_once {
             let mut senders = Vec::with_capacity(held_nearby.len());
@@ -334,7 +354,10 @@
                 piece,
                 peer: None,
                 near: false,
-                result: result.map(|bytes| bytes.map(|bytes| (bytes, Duration::ZERO))),
+                result: result.map(|bytes| match bytes {
+                    Some(bytes) => Brought::Piece(bytes, Duration::ZERO),
+                    None => Brought::Missing,
+                }),
             }
         });
     }
@@ -354,22 +377,28 @@
             *outstanding = outstanding.saturating_sub(1);
         }
         let fault = match ended.result {
-            Ok(Some((bytes, took))) => {
+            Ok(Brought::Piece(bytes, took)) => {
                 if let Some(peer) = ended.peer {
-                    self.links.note(peer, took);
+                    self.note_body(peer, took);
                 }
                 if self.pieces.insert(piece, bytes) {
+                    if self.pieces.held_set().count() * 4
+                        > self.quarters.len() * self.pieces.count()
+                    {
+                        self.quarters.push(clock::now());
+                    }
                     self.agent.changed.notify_waiters();
                     return None;
                 }
                 self.mismatches += 1;
                 Fault::Corrupt
             }
-            Ok(None) if ended.peer.is_none() => return Some(Fetched::Obsolete),
-            Ok(None) => {
+            Ok(Brought::Missing) if ended.peer.is_none() => return Some(Fetched::Obsolete),
+            Ok(Brought::Missing) => {
                 self.incomplete.extend(ended.peer);
                 Fault::Busy
             }
+            Ok(Brought::Busy) => Fault::Busy,
             Err(CallError::Silent(_)) => Fault::Stalled,
             Err(_) => Fault::Unreachable,
         };
@@ -377,6 +406,16 @@
         (self.mismatches >= MISMATCHES_MAX).then_some(Fetched::Mismatch)
     }
 
+    /// Notes how long the body of a piece took.
+    fn note_body(&mut self, peer: SocketAddr, took: Duration) {
+        self.links.note(peer, took);
+        // The link of a single slow peer says nothing of the own one.
+        if took < SLOW_BODY || self.links.own_is_slow {
+            let mut reads = self.agent.reads.borrow_mut();
+            reads.note(took.as_secs_f64() * 1_000.0, clock::now());
+        }
+    }
+
     fn failed(&mut self, peer: Option<SocketAddr>, near: bool, piece: usize, fault: Fault) {
         let from = peer.map_or_else(|| "origin".to_owned(), |peer| peer.ip().to_string());
         if near {
@@ -384,6 +423,11 @@
         } else {
             *self.far_attempts.entry(piece).or_default() += 1;
         }
+        if fault == Fault::Busy {
+            // Usual while a region fetches; others hold the piece soon.
+            self.busy += 1;
+            return;
+        }
         log::warn!(
             event = "piece.failed",
             piece = piece,
@@ -396,10 +440,7 @@
     }
 }
 
-async fn from_peer(
-    client: &HttpClient,
-    wanted: &PieceRequest,
-) -> Result<Option<(Bytes, Duration)>, CallError> {
+async fn from_peer(client: &HttpClient, wanted: &PieceRequest) -> Result<Brought, CallError> {
     let limit = if wanted.wait {
         FAR_TIMEOUT
     } else {
@@ -409,8 +450,9 @@
         .call(Method::GET, &wanted.path(), Bytes::new(), limit)
         .await?;
     match reply.status {
-        StatusCode::OK => Ok(Some((reply.body, reply.body_took))),
-        StatusCode::NOT_FOUND => Ok(None),
+        StatusCode::OK => Ok(Brought::Piece(reply.body, reply.body_took)),
+        StatusCode::NOT_FOUND => Ok(Brought::Missing),
+        StatusCode::SERVICE_UNAVAILABLE => Ok(Brought::Busy),
         status => Err(CallError::Unexpected(status.to_string())),
     }
 }
--- a/crates/masticdock-node/src/agent/fetcher.rs
+++ b/crates/masticdock-node/src/agent/fetcher.rs
@@ -3,17 +3,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticdock_adapter::OriginClient;
-use masticdock_core::serving::VersionNumber;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use masticdock_adapter::{CallError, HttpClient, Manifest, OriginClient};
+use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources, VersionNumber};
 use tokio::time::{sleep, timeout};
 
 use super::fetch::{Fetched, fetch};
+use super::peer_server::manifest_path;
 use super::pieces::Pieces;
 use super::state::{Agent, ModelGoal};
-use crate::clock;
 
 /// Longest wait for a change before the state is looked at again.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for the manifest from a peer, which may have to arrive there first.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause after a step that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -51,15 +55,8 @@
     let Some(pieces) = prepare(agent, goal, version).await else {
         return false;
     };
-    let started_at = clock::now();
     let end = fetch(agent, goal, &pieces).await;
     if end == Fetched::Complete {
-        log::info!(
-            event = "version.fetched",
-            weights = version.0,
-            took_ms = clock::now().since_ms(started_at);
-            "all pieces of a version are in memory"
-        );
         agent.changed.notify_waiters();
         return true;
     }
@@ -70,6 +67,7 @@
         "the version cannot be fetched; it is tried anew"
     );
     agent.pieces.borrow_mut().remove(&version);
+    agent.manifest.replace(None);
     false
 }
 
@@ -83,11 +81,8 @@
         return Some(pieces);
     }
     agent.read_upstreams().await;
-    let origin = OriginClient::new(goal.origin.address);
-    let manifest = match origin
-        .manifest(&goal.model, version, goal.engine.pieces)
-        .await
-    {
+    let attempt = agent.next_manifest_attempt(version);
+    let manifest = match read_manifest(agent, goal, version, attempt).await {
         Ok(Some(manifest)) => manifest,
         Ok(None) => {
             log::warn!(
@@ -101,12 +96,14 @@
             log::warn!(
                 event = "manifest.failed",
                 weights = version.0,
+                attempt = attempt,
                 error:% = error;
                 "the manifest could not be read; it is tried again"
             );
             return None;
         }
     };
+    agent.manifest.replace(Some((version, manifest.clone())));
     let pieces = Pieces::new(goal.model.clone(), version, manifest);
     adopt_staged(agent, &pieces).await;
     log::info!(
@@ -123,6 +120,44 @@
     Some(pieces)
 }
 
+/// Reads the manifest from where it is this agent's turn to ask; `None` when
+/// the origin no longer has the version.
+async fn read_manifest(
+    agent: &Agent,
+    goal: &ModelGoal,
+    version: VersionNumber,
+    attempt: u32,
+) -> Result<Option<Manifest>, CallError> {
+    let peers = agent.peers(goal, version);
+    let listed: Vec<PeerPieces> = peers.iter().map(|peer| peer.pieces.clone()).collect();
+    let sources = PieceSources {
+        own: &agent.settings.ip.to_string(),
+        region: &agent.settings.region,
+        origin_region: None,
+        peers: &listed,
+    };
+    if let PieceSource::Peer(index) = sources.manifest_source(attempt) {
+        let path = manifest_path(&goal.model, version);
+        let reply = HttpClient::new(peers[index].agent)
+            .call(Method::GET, &path, Bytes::new(), MANIFEST_TIMEOUT)
+            .await?;
+        let manifest = Manifest::from_bytes(&reply.body, goal.engine.pieces);
+        match (reply.status, manifest) {
+            (StatusCode::OK, Some(manifest)) => return Ok(Some(manifest)),
+            // The peer's engine held the version before its agent started.
+            (StatusCode::NOT_FOUND, _) => {}
+            (status, _) => {
+                let name = &peers[index].pieces.name;
+                return Err(CallError::Unexpected(format!("{status} from {name}")));
+            }
+        }
+    }
+    let origin = OriginClient::new(goal.origin.address);
+    origin
+        .manifest(&goal.model, version, goal.engine.pieces)
+        .await
+}
+
 /// Takes over staged pieces whose digest is right, for example after a crash of the engine.
 async fn adopt_staged(agent: &Agent, pieces: &Pieces) {
     let staged = match agent.engine.staged(&pieces.model).await {
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -1,5 +1,6 @@
 //! Passes pieces on to other agents.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use masticdock_adapter::Manifest;
 use masticdock_core::ids::{ModelId, RegionId};
 use masticdock_core::serving::VersionNumber;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -19,6 +21,11 @@
 /// Longest time that a request waits for a piece which is on its way here.
 pub(crate) const PIECE_WAIT: Duration = Duration::from_millis(2_800);
 
+/// Longest time that a request waits for a manifest that is on its way here.
+const MANIFEST_WAIT: Duration = Duration::from_millis(900);
+/// Pieces for agents of the region that wait to be sent; the link carries them
+/// in half a second, and who asks beyond them finds others sooner.
+const NEAR_WAITING_MAX: usize = 10;
 /// Time for which a piece lets one for another region go first, in milliseconds.
 const YIELD_MS: u64 = 5;
 
@@ -71,11 +78,22 @@
 }
 
 async fn answer(agent: Rc<Agent>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if let Some((model, version)) = parse_manifest(request.uri().path()) {
+        return match find_manifest(&agent, &model, version).await {
+            Ok(manifest) => respond(StatusCode::OK, manifest.to_bytes()),
+            Err(status) => respond(status, Bytes::new()),
+        };
+    }
     let Some(wanted) = PieceRequest::parse(request.uri().path()) else {
         return respond(StatusCode::NOT_FOUND, Bytes::new());
     };
+    let near = wanted.region == agent.settings.region;
+    if near && agent.near_waiting.get() >= NEAR_WAITING_MAX {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     match find(&agent, &wanted).await {
         Some(bytes) => {
+            let _waiting = near.then(|| Waiting::begin(&agent.near_waiting));
             pace(&agent, bytes.len(), &wanted.region).await;
             respond(StatusCode::OK, bytes)
         }
@@ -83,19 +101,19 @@
     }
 }
 
-/// Counts a piece that an agent of another region waits for.
-struct FarWaiting<'a>(&'a Agent);
+/// Counts a piece that waits to be sent until it is dropped.
+struct Waiting<'a>(&'a Cell<usize>);
 
-impl<'a> FarWaiting<'a> {
-    fn begin(agent: &'a Agent) -> Self {
-        agent.far_waiting.set(agent.far_waiting.get() + 1);
-        Self(agent)
+impl<'a> Waiting<'a> {
+    fn begin(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
     }
 }
 
-impl Drop for FarWaiting<'_> {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.0.far_waiting.set(self.0.far_waiting.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -112,7 +130,7 @@
             0
         };
         if far && far_wait_ms == 0 && first_in_line.is_none() {
-            first_in_line = Some(FarWaiting::begin(agent));
+            first_in_line = Some(Waiting::begin(&agent.far_waiting));
         }
         let mut wait_ms = agent.uploads.borrow().wait_ms(now).max(far_wait_ms);
         if !far && agent.far_waiting.get() > 0 {
@@ -132,6 +150,41 @@
     }
 }
 
+/// Returns the path under which the manifest of a version is asked for.
+pub(crate) fn manifest_path(model: &ModelId, version: VersionNumber) -> String {
+    format!("/manifests/{model}/{version}")
+}
+
+fn parse_manifest(path: &str) -> Option<(ModelId, VersionNumber)> {
+    let (model, version) = path.strip_prefix("/manifests/")?.split_once('/')?;
+    Some((model.parse().ok()?, version.parse().ok()?))
+}
+
+/// Finds a manifest in memory, or waits for it to arrive. The status tells
+/// whether it may still come or never will.
+async fn find_manifest(
+    agent: &Agent,
+    model: &ModelId,
+    version: VersionNumber,
+) -> Result<Manifest, StatusCode> {
+    let deadline = Instant::now() + MANIFEST_WAIT;
+    loop {
+        let changed = agent.changed.notified();
+        let Some(goal) = agent.model_goal().filter(|goal| goal.model == *model) else {
+            return Err(StatusCode::NOT_FOUND);
+        };
+        if let Some(manifest) = agent.manifest_of(version) {
+            return Ok(manifest);
+        }
+        if agent.held(&goal) >= Some(version) || agent.newest(&goal) > version {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        if timeout_at(deadline, changed).await.is_err() {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+}
+
 /// Finds a piece in memory or in the stage, or waits for it to arrive.
 async fn find(agent: &Agent, wanted: &PieceRequest) -> Option<Bytes> {
     let deadline = Instant::now() + PIECE_WAIT;
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::{CompactString, ToCompactString};
 use masticdock_adapter::DeclaredVersion;
-use masticdock_core::serving::{AgentReport, VersionNumber};
+use masticdock_core::serving::{AgentReport, EntryTurns, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
@@ -19,7 +20,7 @@
 /// Time after its last hello in which an entry is told, in milliseconds.
 const SUBSCRIPTION_MS: u64 = 3_500;
 /// Shortest time between two reports of load alone.
-const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Tells entries for ever.
 pub(crate) async fn run(agent: Rc<Agent>) {
@@ -38,6 +39,7 @@
     };
     let mut entries: BTreeMap<SocketAddr, MonoMs> = BTreeMap::new();
     let mut told: Option<AgentReport> = None;
+    let mut turns: Option<EntryTurns> = None;
     let mut load_due = Instant::now();
     let mut announcer = Announcer::new();
     let mut bytes = [0; DATAGRAM_BYTES_MAX];
@@ -60,9 +62,11 @@
             }
             learn(&agent, &hello.versions, now);
             if entries.insert(entry, now).is_none() {
-                send(&socket, entry, report).await;
+                send(&socket, entry, report, turns.as_ref()).await;
             }
             entries.retain(|_, hello_at| now.since_ms(*hello_at) < SUBSCRIPTION_MS);
+            let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+            agent.entries.set(count);
         } else if let Some(Ok((length, peer))) = wake
             && let Some(Datagram::Have(version, held)) = decode(&bytes[..length])
         {
@@ -80,8 +84,11 @@
         if !urgent && !due {
             continue;
         }
+        if is_usable(&report) && !told.as_ref().is_some_and(is_usable) {
+            turns = order_entries(&agent, &entries);
+        }
         for entry in entries.keys() {
-            send(&socket, *entry, report).await;
+            send(&socket, *entry, report, turns.as_ref()).await;
         }
         told = Some(report);
         load_due = Instant::now() + LOAD_INTERVAL;
@@ -165,7 +172,33 @@
     }
 }
 
-async fn send(socket: &UdpSocket, entry: SocketAddr, report: AgentReport) {
+/// Returns true when entries may send to the engine.
+const fn is_usable(report: &AgentReport) -> bool {
+    report.reachable && !report.switching && report.version.is_some()
+}
+
+/// Orders the entries that are told; `None` before the engine's speed is known.
+fn order_entries(agent: &Agent, entries: &BTreeMap<SocketAddr, MonoMs>) -> Option<EntryTurns> {
+    let engine = agent.model_goal()?.engine;
+    let names: Vec<CompactString> = entries
+        .keys()
+        .map(ToCompactString::to_compact_string)
+        .collect();
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let step_ms = engine.prefill_ms(engine.prompt_tokens_mean) as u64;
+    Some(EntryTurns::new(&names, step_ms, clock::now()))
+}
+
+async fn send(
+    socket: &UdpSocket,
+    entry: SocketAddr,
+    mut report: AgentReport,
+    turns: Option<&EntryTurns>,
+) {
+    let wait_ms = turns.map_or(0, |turns| {
+        turns.wait_ms(&entry.to_compact_string(), clock::now())
+    });
+    report.wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
     let bytes = encode(&Datagram::Report(report));
     let sent = timeout_at(
         Instant::now() + Duration::from_millis(20),
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -6,16 +6,17 @@
 use std::rc::Rc;
 
 use compact_str::ToCompactString;
-use masticdock_adapter::{Engine, EngineReport, NodeSettings, Store, Table};
+use masticdock_adapter::{Engine, EngineReport, Manifest, NodeSettings, Store, Table};
 use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
 use masticdock_core::serving::{
     AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber, VersionTimeline,
 };
-use masticdock_core::transfer::{ChunkSet, LinkPacer};
+use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
 use super::pieces::Pieces;
+use crate::clock;
 use crate::tables::{Catalog, Event};
 
 /// Part of the VM's link that uploads may take: events of streams share the
@@ -25,6 +26,19 @@
 /// Bytes a second that all agents of a region together send to another one: half
 /// of what the thinnest link between regions carries for all traffic (25 Mbit/s).
 const REGION_BYTES_PER_S: u64 = 1_560_000;
+/// Part of that which one agent may take, in shares of an equal split: some
+/// agents read twice as many pieces from the origin as others.
+const REGION_SHARES: u64 = 2;
+/// Least rate of one agent, in bytes a second: four pieces of 49 KB. The origin
+/// (15 Mbit/s) keeps the sum of many agents below the link's rate.
+const FAR_BYTES_PER_S_MIN: u64 = 200_000;
+
+/// Age up to which the list of upstreams is good enough for another attempt at a
+/// version, in milliseconds; every read of the store is priced.
+const UPSTREAMS_AGE_MAX_MS: u64 = 5_000;
+/// Step in which a delay of the link is told, in milliseconds: a pass of an
+/// engine takes some tens.
+const LINK_DELAY_STEP_MS: u32 = 20;
 
 /// State of the agent.
 #[derive(Debug)]
@@ -39,6 +53,8 @@
     pub(crate) report: RefCell<Option<EngineReport>>,
     /// Pieces by version, of those that the engine does not hold yet.
     pub(crate) pieces: RefCell<BTreeMap<VersionNumber, Rc<Pieces>>>,
+    /// Manifest that was read last.
+    pub(crate) manifest: RefCell<Option<(VersionNumber, Manifest)>>,
     /// Version of all staged pieces, once they were staged by this process or
     /// found beside the same version at start.
     pub(crate) staged: Cell<Option<VersionNumber>>,
@@ -54,6 +70,16 @@
     pub(crate) peer_pieces: RefCell<HashMap<IpAddr, (VersionNumber, ChunkSet)>>,
     /// Told when an agent of the region holds further pieces.
     pub(crate) peers_changed: Notify,
+    /// Entries that are told the engine's state.
+    pub(crate) entries: Cell<u32>,
+    /// How many pieces are read nearby at the same time.
+    pub(crate) reads: RefCell<ReadWindow>,
+    /// Agents of the region that wait for a piece to be sent.
+    pub(crate) near_waiting: Cell<usize>,
+    /// Version whose manifest was asked for last, and how often.
+    manifest_attempts: Cell<(VersionNumber, u32)>,
+    /// When the list of upstreams was read last.
+    upstreams_read_at: Cell<Option<MonoMs>>,
     /// Paces what is sent to other agents.
     pub(crate) uploads: RefCell<LinkPacer>,
     /// Paces what is sent to each other region.
@@ -93,6 +119,7 @@
             catalog: RefCell::new(Catalog::new(in_force_ms)),
             report: RefCell::new(None),
             pieces: RefCell::default(),
+            manifest: RefCell::new(None),
             staged: Cell::new(None),
             ordered: Cell::new(None),
             switching: Cell::new(false),
@@ -100,6 +127,11 @@
             hello_at: Cell::new(MonoMs(0)),
             peer_pieces: RefCell::default(),
             peers_changed: Notify::new(),
+            entries: Cell::new(0),
+            reads: RefCell::default(),
+            near_waiting: Cell::new(0),
+            manifest_attempts: Cell::new((VersionNumber(0), 0)),
+            upstreams_read_at: Cell::new(None),
             uploads: RefCell::new(LinkPacer::new(upload_rate)),
             far_uploads: RefCell::default(),
             far_waiting: Cell::new(0),
@@ -107,13 +139,19 @@
         }
     }
 
-    /// Reads the list of upstreams; an agent needs it only before it fetches, so
-    /// it does not follow every change.
+    /// Reads the list of upstreams, unless it was read just before; an agent needs
+    /// it only when it fetches, so it does not follow every change.
     pub(crate) async fn read_upstreams(&self) {
+        let now = clock::now();
+        let read_at = self.upstreams_read_at.get();
+        if read_at.is_some_and(|read_at| now.since_ms(read_at) < UPSTREAMS_AGE_MAX_MS) {
+            return;
+        }
         match self.store.read(Table::Upstreams).await {
             Ok(snapshot) => {
                 let event = Event::Snapshot(snapshot.rows);
                 self.catalog.borrow_mut().apply_upstreams(event);
+                self.upstreams_read_at.set(Some(now));
             }
             Err(error) => log::warn!(
                 event = "store.read_failed",
@@ -124,6 +162,14 @@
         }
     }
 
+    /// Counts an attempt at the manifest of a version and returns its number, from 0.
+    pub(crate) fn next_manifest_attempt(&self, version: VersionNumber) -> u32 {
+        let (last, made) = self.manifest_attempts.get();
+        let attempt = if last == version { made } else { 0 };
+        self.manifest_attempts.set((version, attempt + 1));
+        attempt
+    }
+
     /// Returns the model to serve once the configuration names it.
     pub(crate) fn model_goal(&self) -> Option<ModelGoal> {
         let catalog = self.catalog.borrow();
@@ -179,6 +225,16 @@
         self.pieces.borrow().get(&version).cloned()
     }
 
+    /// Returns the manifest of a version, if it was read.
+    pub(crate) fn manifest_of(&self, version: VersionNumber) -> Option<Manifest> {
+        if let Some(pieces) = self.pieces_of(version) {
+            return Some(pieces.manifest.clone());
+        }
+        let manifest = self.manifest.borrow();
+        let (_, manifest) = manifest.as_ref().filter(|(read, _)| *read == version)?;
+        Some(manifest.clone())
+    }
+
     /// Returns the newest version of which pieces are in memory.
     pub(crate) fn newest_in_memory(&self) -> Option<Rc<Pieces>> {
         self.pieces.borrow().values().next_back().cloned()
@@ -258,15 +314,25 @@
             .count()
             .max(1) as u64;
         let mut pacers = self.far_uploads.borrow_mut();
-        let pacer = pacers
-            .entry(region.clone())
-            .or_insert_with(|| LinkPacer::new(BytesPerSecond(REGION_BYTES_PER_S / senders)));
+        let pacer = pacers.entry(region.clone()).or_insert_with(|| {
+            let share = REGION_BYTES_PER_S * REGION_SHARES / senders;
+            LinkPacer::new(BytesPerSecond(share.max(FAR_BYTES_PER_S_MIN)))
+        });
         pacer.take(bytes, now);
     }
 
+    /// Returns the delay of requests behind pieces on the link, in milliseconds,
+    /// in steps that are worth telling.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn link_delay_ms(&self) -> u32 {
+        let delay_ms = self.reads.borrow().delay_ms(clock::now());
+        delay_ms as u32 / LINK_DELAY_STEP_MS * LINK_DELAY_STEP_MS
+    }
+
     /// Returns what entries are told of the engine.
     pub(crate) fn report_for_entries(&self) -> AgentReport {
         let held = self.model_goal().and_then(|goal| self.held(&goal));
+        let link_delay_ms = self.link_delay_ms();
         let report = self.report.borrow();
         let Some(report) = report.as_ref() else {
             return AgentReport {
@@ -275,6 +341,9 @@
                 version: None,
                 switching: false,
                 reachable: false,
+                entries: self.entries.get(),
+                wait_ms: 0,
+                link_delay_ms,
             };
         };
         AgentReport {
@@ -283,6 +352,9 @@
             version: held,
             switching: report.busy || self.switching.get(),
             reachable: true,
+            entries: self.entries.get(),
+            wait_ms: 0,
+            link_delay_ms,
         }
     }
 }
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -152,9 +152,10 @@
     let reports = entry.reports.borrow();
     let report = reports
         .get(&upstream.id)
-        .filter(|(_, at)| now.since_ms(*at) < REPORT_AGE_MAX_MS)
-        .map(|(report, _)| report);
-    if report.is_some_and(|report| report.switching || !report.reachable) {
+        .filter(|(_, at)| now.since_ms(*at) < REPORT_AGE_MAX_MS);
+    if let Some((report, at)) = report
+        && (report.switching || !report.reachable || now.since_ms(*at) < u64::from(report.wait_ms))
+    {
         return None;
     }
     let by_row = upstream
@@ -163,7 +164,7 @@
         .find(|model| engine.models.contains(&model.model))
         .and_then(|model| model.complete_version(engine.layers));
     let held = match report {
-        Some(report) => report.version,
+        Some((report, _)) => report.version,
         None => by_row,
     }?;
     let Some(timeline) = timeline else {
@@ -193,6 +194,7 @@
         unread_tokens: load.unread_tokens,
         others_unread: load.others_unread(now),
         slowness: load.slowness(now),
+        link_delay_ms: link_delay_ms(entry, &upstream.id, now),
         switch_in_ms: None,
         service_ms: load.service_ms(),
         distance_ms: distance_ms(entry, &upstream.zone),
@@ -200,6 +202,16 @@
     })
 }
 
+/// Returns the delay on an upstream's link that its agent reported, in milliseconds.
+fn link_delay_ms(entry: &Entry, id: &UpstreamId, now: MonoMs) -> f64 {
+    match entry.reports.borrow().get(id) {
+        Some((report, at)) if now.since_ms(*at) < REPORT_AGE_MAX_MS => {
+            f64::from(report.link_delay_ms)
+        }
+        _ => 0.0,
+    }
+}
+
 /// Returns the time until an upstream's turn to change to the newest version, in
 /// milliseconds; its agent computes the same turn.
 #[allow(clippy::cast_precision_loss)]
--- a/crates/masticdock-node/src/peer/mod.rs
+++ b/crates/masticdock-node/src/peer/mod.rs
@@ -13,9 +13,9 @@
 /// First bytes of a list of pieces.
 const HAVE: [u8; 4] = *b"mdp1";
 /// First bytes of a report.
-const REPORT: [u8; 4] = *b"mdr1";
+const REPORT: [u8; 4] = *b"mdr2";
 /// Length of a report without its first bytes.
-const REPORT_LEN: usize = 13;
+const REPORT_LEN: usize = 19;
 const SWITCHING: u8 = 1;
 const REACHABLE: u8 = 2;
 /// Longest datagram, in bytes; one packet carries it.
@@ -104,6 +104,9 @@
         flags |= REACHABLE;
     }
     bytes.push(flags);
+    bytes.extend_from_slice(&narrow(report.link_delay_ms).to_le_bytes());
+    bytes.extend_from_slice(&narrow(report.entries).to_le_bytes());
+    bytes.extend_from_slice(&narrow(report.wait_ms).to_le_bytes());
     bytes
 }
 
@@ -123,6 +126,9 @@
         version: (version > 0).then_some(VersionNumber(version)),
         switching: rest[12] & SWITCHING != 0,
         reachable: rest[12] & REACHABLE != 0,
+        link_delay_ms: u16::from_le_bytes([rest[13], rest[14]]).into(),
+        entries: u16::from_le_bytes([rest[15], rest[16]]).into(),
+        wait_ms: u16::from_le_bytes([rest[17], rest[18]]).into(),
     }))
 }
 
