Count prompts of other entries that an engine has not read

Cause: an engine's report counts a request as running as soon as it is in the batch, so prompts of other entries that are still being read were invisible, and the first event was predicted at 140 ms where it came after 400.

Change: agents report the requests that came since their look before as unread; entries let them fade at the speed at which the engine reads.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -118,13 +118,19 @@
         prompt_tokens / self.prefill_tokens_per_ms
     }
 
+    /// Returns the time to read a mean prompt, in milliseconds.
+    #[must_use]
+    pub fn prompt_ms(&self) -> f64 {
+        self.prefill_ms(self.prompt_tokens_mean)
+    }
+
     /// Returns the time of a mean request in a full batch, in milliseconds.
     #[must_use]
     pub fn service_ms(&self) -> f64 {
         let steps = self.answer_tokens_mean / f64::from(self.steps_per_pass.max(1));
         let decode_ms = steps * self.pass_ms(self.slots);
         // Prompts of the other requests are read between the steps.
-        decode_ms + f64::from(self.slots) * self.prefill_ms(self.prompt_tokens_mean)
+        decode_ms + f64::from(self.slots) * self.prompt_ms()
     }
 }
 
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -11,6 +11,9 @@
     pub running: u32,
     /// Requests that wait for a slot.
     pub queued: u32,
+    /// Requests whose prompts are likely not read yet: those that wait and those
+    /// that came since the agent's look before.
+    pub unread: u32,
     /// Version whose layers are all held, if any.
     pub version: Option<VersionNumber>,
     /// True while the engine loads weights and accepts no request.
@@ -48,7 +51,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Reported {
     total: u32,
-    queued: u32,
+    unread: u32,
     own: u32,
     own_unread: u32,
     at: MonoMs,
@@ -113,11 +116,12 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Takes over a report of the upstream's whole load.
-    pub fn report(&mut self, running: u32, queued: u32, now: MonoMs) {
+    /// Takes over a report of the upstream's whole load: its requests, and how
+    /// many of them have not had their prompt read.
+    pub fn report(&mut self, total: u32, unread: u32, now: MonoMs) {
         self.reported = Some(Reported {
-            total: running + queued,
-            queued,
+            total,
+            unread,
             own: self.in_flight,
             own_unread: self.unread,
             at: now,
@@ -149,18 +153,24 @@
         1.0 + (slowness - 1.0) * fade
     }
 
-    /// Returns the requests of other entries that wait for their first event.
+    /// Returns the requests of other entries whose prompts are not read yet;
+    /// `prompt_ms` is the time in which the upstream reads one.
     #[must_use]
-    pub fn others_unread(&self, now: MonoMs) -> u32 {
-        match self.reported {
-            Some(reported) if now.since_ms(reported.at) < REPORT_AGE_MAX_MS => {
-                let unseen = self
-                    .unread
-                    .saturating_sub(reported.own_unread + reported.by_chance());
-                reported.queued.saturating_sub(reported.own_unread) + self.other_entries * unseen
-            }
-            _ => 0,
+    #[allow(clippy::cast_precision_loss)]
+    pub fn others_unread(&self, prompt_ms: f64, now: MonoMs) -> f64 {
+        let Some(reported) = self.reported else {
+            return 0.0;
+        };
+        let age_ms = now.since_ms(reported.at);
+        if age_ms >= REPORT_AGE_MAX_MS {
+            return 0.0;
         }
+        let read_since = age_ms as f64 / prompt_ms.max(1.0);
+        let reported_unread = f64::from(reported.unread.saturating_sub(reported.own_unread));
+        let unseen = self
+            .unread
+            .saturating_sub(reported.own_unread + reported.by_chance());
+        (reported_unread - read_since).max(0.0) + f64::from(self.other_entries * unseen)
     }
 
     /// Notes that the upstream sent something.
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -28,7 +28,7 @@
     /// Prompt tokens of own requests without a first event.
     pub unread_tokens: u64,
     /// Requests of other entries without a first event.
-    pub others_unread: u32,
+    pub others_unread: f64,
     /// Factor by which it is slower than predicted.
     pub slowness: f64,
     /// Delay on its link behind pieces of weights, in milliseconds.
@@ -158,7 +158,7 @@
     let running = candidate.total.min(slots);
     let slot_wait_ms = f64::from(ahead) * engine.service_ms() / f64::from(slots);
     let own_tokens = (candidate.unread_tokens + size.prompt_tokens) as f64;
-    let others_tokens = f64::from(candidate.others_unread) * engine.prompt_tokens_mean;
+    let others_tokens = candidate.others_unread * engine.prompt_tokens_mean;
     let read_ms = engine.prefill_ms(own_tokens + others_tokens);
     // A request joins at the end of the current pass and its first event comes
     // at the end of the one after its prompt was read.
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -178,9 +178,11 @@
             if now_ms.is_multiple_of(200) {
                 let running = u32::try_from(engine.jobs.len().min(16)).unwrap();
                 let queued = u32::try_from(engine.jobs.len()).unwrap() - running;
+                let unread = engine.jobs.iter().filter(|job| job.prefill_left_ms > 0.0);
                 let report = AgentReport {
                     running,
                     queued,
+                    unread: u32::try_from(unread.count()).unwrap(),
                     version: None,
                     switching: false,
                     reachable: true,
@@ -192,7 +194,7 @@
                     if scenario.entries_known {
                         view[index].note_entries(entries);
                     }
-                    view[index].report(report.running, report.queued, now);
+                    view[index].report(report.running + report.queued, report.unread, now);
                 }
             }
         }
@@ -205,7 +207,7 @@
         slots: 16,
         total: load.total(now),
         unread_tokens: load.unread_tokens,
-        others_unread: load.others_unread(now),
+        others_unread: load.others_unread(profile().prompt_ms(), now),
         slowness: load.slowness(now),
         link_delay_ms: 0.0,
         switch_in_ms: None,
--- a/crates/masticdock-node/src/agent/engine_watch.rs
+++ b/crates/masticdock-node/src/agent/engine_watch.rs
@@ -5,6 +5,8 @@
 
 use tokio::time::sleep;
 
+use masticdock_adapter::EngineReport;
+
 use super::state::Agent;
 
 /// Time between two reads; entries learn a change at most this late.
@@ -49,7 +51,9 @@
             agent.staged.set(None);
             agent.ordered.set(None);
         }
-        if previous != report {
+        let in_batch = |report: &Option<EngineReport>| report.as_ref().map_or(0, |r| r.running);
+        let arrived = in_batch(&report).saturating_sub(in_batch(&previous));
+        if agent.arrived.replace(arrived) != arrived || previous != report {
             *agent.report.borrow_mut() = report;
             agent.changed.notify_waiters();
         }
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -185,7 +185,7 @@
         .map(ToCompactString::to_compact_string)
         .collect();
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let step_ms = engine.prefill_ms(engine.prompt_tokens_mean) as u64;
+    let step_ms = engine.prompt_ms() as u64;
     Some(EntryTurns::new(&names, step_ms, clock::now()))
 }
 
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -70,6 +70,8 @@
     pub(crate) peer_pieces: RefCell<HashMap<IpAddr, (VersionNumber, ChunkSet)>>,
     /// Told when an agent of the region holds further pieces.
     pub(crate) peers_changed: Notify,
+    /// Requests that came to the engine between the last two looks.
+    pub(crate) arrived: Cell<u32>,
     /// Entries that are told the engine's state.
     pub(crate) entries: Cell<u32>,
     /// How many pieces are read nearby at the same time.
@@ -127,6 +129,7 @@
             hello_at: Cell::new(MonoMs(0)),
             peer_pieces: RefCell::default(),
             peers_changed: Notify::new(),
+            arrived: Cell::new(0),
             entries: Cell::new(0),
             reads: RefCell::default(),
             near_waiting: Cell::new(0),
@@ -338,6 +341,7 @@
             return AgentReport {
                 running: 0,
                 queued: 0,
+                unread: 0,
                 version: None,
                 switching: false,
                 reachable: false,
@@ -349,6 +353,7 @@
         AgentReport {
             running: report.running,
             queued: report.queued,
+            unread: report.queued + self.arrived.get(),
             version: held,
             switching: report.busy || self.switching.get(),
             reachable: true,
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -343,7 +343,7 @@
     entry.with_load(&target.id, |load| {
         load.heard(now);
         if let Some((running, waiting)) = head.load {
-            load.report(running, waiting, now);
+            load.report(running + waiting, waiting, now);
         }
     });
 }
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -84,7 +84,7 @@
         let Some(usable) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
             continue;
         };
-        let Some(mut candidate) = candidate(entry, upstream, now) else {
+        let Some(mut candidate) = candidate(entry, upstream, wanted.engine, now) else {
             continue;
         };
         if usable.begin_until.is_some()
@@ -182,7 +182,13 @@
     })
 }
 
-fn candidate(entry: &Entry, upstream: &Upstream, now: MonoMs) -> Option<Candidate> {
+fn candidate(
+    entry: &Entry,
+    upstream: &Upstream,
+    engine: Option<&EngineProfile>,
+    now: MonoMs,
+) -> Option<Candidate> {
+    let prompt_ms = engine.map_or(0.0, EngineProfile::prompt_ms);
     let mut loads = entry.loads.borrow_mut();
     let load = loads.entry(upstream.id.clone()).or_default();
     if load.is_paused(now) {
@@ -192,7 +198,7 @@
         slots: upstream.slots,
         total: load.total(now),
         unread_tokens: load.unread_tokens,
-        others_unread: load.others_unread(now),
+        others_unread: load.others_unread(prompt_ms, now),
         slowness: load.slowness(now),
         link_delay_ms: link_delay_ms(entry, &upstream.id, now),
         switch_in_ms: None,
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -107,7 +107,7 @@
     let previous = entry.reports.borrow_mut().insert(id.clone(), (report, now));
     entry.with_load(&id, |load| {
         load.note_entries(report.entries);
-        load.report(report.running, report.queued, now);
+        load.report(report.running + report.queued, report.unread, now);
         let was_away = previous.is_some_and(|(previous, _)| !previous.reachable);
         if report.reachable && was_away {
             load.recovered(now);
--- a/crates/masticdock-node/src/peer/mod.rs
+++ b/crates/masticdock-node/src/peer/mod.rs
@@ -15,7 +15,7 @@
 /// First bytes of a report.
 const REPORT: [u8; 4] = *b"mdr2";
 /// Length of a report without its first bytes.
-const REPORT_LEN: usize = 19;
+const REPORT_LEN: usize = 21;
 const SWITCHING: u8 = 1;
 const REACHABLE: u8 = 2;
 /// Longest datagram, in bytes; one packet carries it.
@@ -107,6 +107,7 @@
     bytes.extend_from_slice(&narrow(report.link_delay_ms).to_le_bytes());
     bytes.extend_from_slice(&narrow(report.entries).to_le_bytes());
     bytes.extend_from_slice(&narrow(report.wait_ms).to_le_bytes());
+    bytes.extend_from_slice(&narrow(report.unread).to_le_bytes());
     bytes
 }
 
@@ -129,6 +130,7 @@
         link_delay_ms: u16::from_le_bytes([rest[13], rest[14]]).into(),
         entries: u16::from_le_bytes([rest[15], rest[16]]).into(),
         wait_ms: u16::from_le_bytes([rest[17], rest[18]]).into(),
+        unread: u16::from_le_bytes([rest[19], rest[20]]).into(),
     }))
 }
 
