Take late pieces over early and give hopeless versions up

Pieces that only a squeezed agent held counted as known, so nobody else read them, and 24 agents at once asked it for them in vain. A version declared 0.1 s after another one waited 5 s for the older one's pieces.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -22,7 +22,7 @@
 pub use entry_turns::EntryTurns;
 pub use events::{EventSplitter, StreamEvent};
 pub use load::{AgentReport, UpstreamLoad};
-pub use piece_sources::{PeerPieces, PieceSource, PieceSources};
+pub use piece_sources::{PeerPieces, PieceSource, PieceSources, is_mostly_known, is_readers_turn};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
 pub use repeat::{
     Attempt, AttemptEnd, FinalAnswer, NextStep, RepeatBudget, RepeatBudgetSettings, next_step,
--- a/crates/masticdock-core/src/serving/piece_sources.rs
+++ b/crates/masticdock-core/src/serving/piece_sources.rs
@@ -45,6 +45,36 @@
 
 /// Attempts at peers after which a piece or a manifest is read from the origin.
 const PEER_ATTEMPTS_MAX: u32 = 3;
+/// Time that each reader of a piece has before the next one takes over, in
+/// milliseconds: the origin sends one copy in 1.3 s.
+const TAKEOVER_MS: u64 = 2_200;
+/// Part of the pieces from which the rest counts as late.
+const MOSTLY_KNOWN: (usize, usize) = (5, 6);
+/// Time that each reader of a late piece has before the next one takes over, in
+/// milliseconds: twice that of a piece on a busy link.
+const LATE_TAKEOVER_MS: u64 = 500;
+
+/// Returns true when a region holds so many of its pieces that the readers of
+/// the others are slow or dead.
+#[must_use]
+pub const fn is_mostly_known(known: usize, pieces: usize) -> bool {
+    let (part, whole) = MOSTLY_KNOWN;
+    known * whole >= pieces * part
+}
+
+/// Returns true when the reader with this rank reads a piece that nobody nearby
+/// holds; `late_ms` is the time since the region held most of the others.
+#[must_use]
+pub const fn is_readers_turn(rank: usize, elapsed_ms: u64, late_ms: Option<u64>) -> bool {
+    if elapsed_ms >= TAKEOVER_MS * rank as u64 {
+        return true;
+    }
+    match late_ms {
+        Some(late_ms) => late_ms >= LATE_TAKEOVER_MS * rank as u64,
+        None => false,
+    }
+}
+
 /// Agents that read the manifest of a version from the origin, and agents of a
 /// region that ask these; one of them may be slow or dead.
 const MANIFEST_READERS: usize = 2;
@@ -53,14 +83,16 @@
 
 impl PieceSources<'_> {
     /// Returns where the reader of this region asks for a piece, for the attempt
-    /// with this number, from 0.
+    /// with this number, from 0. A reader that takes over asks another peer than
+    /// the one before, which may have waited for a slow one.
     #[must_use]
     pub fn far_source(&self, piece: usize, attempt: u32) -> PieceSource {
         if attempt >= PEER_ATTEMPTS_MAX {
             return PieceSource::Origin;
         }
         let key = (piece as u64).to_le_bytes();
-        let skip = attempt as usize;
+        let attempt = attempt as usize;
+        let skip = attempt + self.rank(piece);
         let far = |peer: &PeerPieces| peer.region != *self.region;
         if let Some(index) = self.ranked(&key, |peer| far(peer) && peer.complete, skip) {
             return PieceSource::Peer(index);
@@ -68,7 +100,7 @@
         let Some(origin_region) = self.origin_region else {
             // The first of all agents reads from the origin.
             let own_weight = rendezvous::weight(&key, self.own);
-            return match self.weighted(&key, |_| true).get(skip) {
+            return match self.weighted(&key, |_| true).get(attempt) {
                 Some((weight, index)) if *weight > own_weight => PieceSource::Peer(*index),
                 _ => PieceSource::Origin,
             };
--- a/crates/masticdock-core/tests/serving_pieces.rs
+++ b/crates/masticdock-core/tests/serving_pieces.rs
@@ -1,7 +1,9 @@
 //! Where agents ask for pieces, played over whole fleets.
 
 use masticdock_core::ids::RegionId;
-use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources};
+use masticdock_core::serving::{
+    PeerPieces, PieceSource, PieceSources, is_mostly_known, is_readers_turn,
+};
 
 const PIECES: usize = 48;
 
@@ -189,3 +191,33 @@
         }
     }
 }
+
+/// Guards against a region that waits two seconds for the few pieces of a reader
+/// whose link is squeezed.
+#[test]
+fn the_next_reader_takes_over_late_pieces_early() {
+    assert!(!is_mostly_known(39, PIECES));
+    assert!(is_mostly_known(40, PIECES));
+    // The first reader always reads.
+    assert!(is_readers_turn(0, 0, None));
+    // While most pieces are on their way the next one waits.
+    assert!(!is_readers_turn(1, 1_500, None));
+    assert!(!is_readers_turn(1, 1_500, Some(499)));
+    assert!(is_readers_turn(1, 1_500, Some(500)));
+    assert!(!is_readers_turn(2, 1_500, Some(500)));
+    assert!(is_readers_turn(1, 2_200, None));
+}
+
+/// Guards against a reader that takes over and asks the slow peer again.
+#[test]
+fn readers_of_a_region_ask_different_agents_beside_the_origin() {
+    let fleet = Fleet::new(&[("a", 6), ("b", 6)], &[]);
+    let origin: RegionId = "a".parse().unwrap();
+    for piece in 0..PIECES {
+        let mut asked: Vec<usize> = (6..12)
+            .filter_map(|own| fleet.far(own, Some(&origin), piece, 0))
+            .collect();
+        asked.sort_unstable();
+        assert_eq!(asked, [0, 1, 2, 3, 4, 5], "piece {piece}");
+    }
+}
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -15,7 +15,9 @@
 use http::{Method, StatusCode};
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
 use masticdock_core::ids::RegionId;
-use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources, VersionNumber};
+use masticdock_core::serving::{
+    PeerPieces, PieceSource, PieceSources, VersionNumber, is_mostly_known, is_readers_turn,
+};
 use masticdock_core::transfer::{ChunkSet, Fault, Penalties, Sender, Tier, pick};
 use masticdock_core::units::MonoMs;
 use tokio::task::JoinSet;
@@ -32,8 +34,6 @@
 /// Pieces read from the origin at the same time; it accepts some 48 connections
 /// from all agents together.
 const ORIGIN_AT_ONCE: usize = 2;
-/// Time that each reader of a piece has before the next one takes over, in milliseconds.
-const TAKEOVER_MS: u64 = 2_200;
 /// Time for a piece from a peer that holds it: half a second in its line, as
 /// long as it takes anyone in, and as much again on both links.
 const NEAR_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,6 +57,8 @@
     Complete,
     /// The origin no longer has the version.
     Obsolete,
+    /// A newer version takes its place.
+    Replaced,
     /// Sources do not hold pieces with the digests of the manifest.
     Mismatch,
 }
@@ -136,6 +138,8 @@
     /// When each quarter of the pieces was in memory, for the log.
     quarters: Vec<MonoMs>,
     started_at: MonoMs,
+    /// When the region held most of the pieces.
+    mostly_known_at: Option<MonoMs>,
     reads: JoinSet<Ended>,
 }
 
@@ -166,6 +170,7 @@
         busy: 0,
         quarters: Vec::new(),
         started_at: clock::now(),
+        mostly_known_at: None,
         reads: JoinSet::new(),
     };
     fetch.ranks = fetch.with_sources(|sources| {
@@ -174,6 +179,9 @@
             .collect()
     });
     while !pieces.is_complete() {
+        if agent.is_replaced(goal, pieces.version) {
+            return Fetched::Replaced;
+        }
         fetch.start_reads();
         let ended = tokio::select! {
             ended = fetch.reads.join_next(), if !fetch.reads.is_empty() => ended,
@@ -239,6 +247,11 @@
         self.start_near(&held_nearby);
     }
 
+    /// Returns true for a peer whose link is slow, unless it is the own one.
+    fn is_slow(&self, peer: &Peer) -> bool {
+        self.links.slow_peers.contains(&peer.agent) && !self.links.own_is_slow
+    }
+
     /// Returns what each peer of the region holds.
     fn held_nearby(&self) -> Vec<ChunkSet> {
         let count = self.pieces.count();
@@ -263,15 +276,24 @@
 
     /// Reads from afar the pieces whose turn it is here and that nobody nearby holds.
     fn start_far(&mut self, held_nearby: &[ChunkSet]) {
-        let mut known = self.pieces.held_set();
+        let now = clock::now();
+        let mut nearby = self.pieces.held_set();
+        for (peer, held) in self.near_peers.iter().zip(held_nearby) {
+            // What only a slow peer holds reaches the region too late.
+            if !self.is_slow(peer) && !self.penalties.suspects(&peer.pieces.name, now) {
+                nearby.union_with(held);
+            }
+        }
+        let mut known = nearby.clone();
         known.union_with(&self.requested);
-        for held in held_nearby {
-            known.union_with(held);
+        if self.mostly_known_at.is_none() && is_mostly_known(nearby.count(), self.pieces.count()) {
+            self.mostly_known_at = Some(now);
         }
-        let elapsed_ms = clock::now().since_ms(self.started_at);
+        let elapsed_ms = now.since_ms(self.started_at);
+        let late_ms = self.mostly_known_at.map(|at| now.since_ms(at));
         let due: Vec<usize> = known
             .iter_missing()
-            .filter(|piece| elapsed_ms >= TAKEOVER_MS * self.ranks[*piece] as u64)
+            .filter(|piece| is_readers_turn(self.ranks[*piece], elapsed_ms, late_ms))
             .collect();
         for piece in due {
             if self.far >= FAR_AT_ONCE && self.from_origin >= ORIGIN_AT_ONCE {
@@ -300,12 +322,11 @@
             let mut senders = Vec::with_capacity(held_nearby.len());
             for (peer, have) in self.near_peers.iter().zip(held_nearby) {
                 let outstanding = self.outstanding.get(&peer.agent).copied().unwrap_or(0);
-                let slow = self.links.slow_peers.contains(&peer.agent) && !self.links.own_is_slow;
                 senders.push(Sender {
                     have,
                     tier: Tier::Region,
                     available: outstanding < PEER_AT_ONCE
-                        && !slow
+                        && !self.is_slow(peer)
                         && self.penalties.allows(&peer.pieces.name, now),
                     outstanding,
                 });
@@ -409,6 +430,7 @@
     /// Notes how long the body of a piece took.
     fn note_body(&mut self, peer: SocketAddr, took: Duration) {
         self.links.note(peer, took);
+        self.penalties.forgive(&peer.ip().to_string(), clock::now());
         // The link of a single slow peer says nothing of the own one.
         if took < SLOW_BODY || self.links.own_is_slow {
             let mut reads = self.agent.reads.borrow_mut();
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -214,6 +214,14 @@
             .map_or(VersionNumber(1), VersionTimeline::newest)
     }
 
+    /// Returns true when fetching `version` further only holds up a newer one.
+    pub(crate) fn is_replaced(&self, goal: &ModelGoal, version: VersionNumber) -> bool {
+        let catalog = self.catalog.borrow();
+        catalog
+            .timeline(&goal.model)
+            .is_some_and(|timeline| timeline.gives_way(version, clock::now()))
+    }
+
     /// Returns when the engine has to hold a newer version, if one is declared.
     pub(crate) fn due_at(&self, goal: &ModelGoal) -> Option<MonoMs> {
         let held = self.held(goal)?;
