--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -4,8 +4,10 @@
 //! start within the latency objective. A request that waits longer than its
 //! objective is worth a quarter and delays those behind it, so a request is
 //! sent only where its first event is predicted within the objective, and
-//! rejected at once elsewhere. A caller that returns after a rejection is
-//! admitted to a longer queue, because a second rejection serves nobody.
+//! rejected at once elsewhere. A caller that returns after a rejection is late
+//! already. It goes a little before new ones, because a second rejection serves
+//! nobody, but gets no longer queue: behind that every new request would be late
+//! as well, return, and keep the queue full.
 
 use super::configuration::EngineProfile;
 
@@ -46,12 +48,12 @@
 /// Limits of placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementRules {
-    /// Requests beyond the slots of an engine that a new request may find.
+    /// Requests beyond the slots of an engine that a request may find.
     pub queue_max: u32,
-    /// Requests beyond the slots that a returning request may find.
-    pub returning_queue_max: u32,
     /// Part of the remaining objective that the prediction may use.
     pub objective_share: f64,
+    /// Part of the whole objective that the prediction of a returning request may use.
+    pub returning_objective_share: f64,
     /// Part of the time by which a request would hold up the change of an
     /// upstream's weights that counts as a delay of the request.
     pub overrun_share: f64,
@@ -66,8 +68,8 @@
     fn default() -> Self {
         Self {
             queue_max: 1,
-            returning_queue_max: 4,
             objective_share: 0.9,
+            returning_objective_share: 1.0,
             overrun_share: 0.25,
             spread_ms: 20.0,
         }
@@ -93,7 +95,8 @@
     NoCandidate,
 }
 
-/// Chooses the upstream with the earliest predicted first event.
+/// Chooses the upstream with the earliest predicted first event. For a returning
+/// request `objective_left_ms` is the whole objective.
 #[must_use]
 pub fn place(
     candidates: &[Candidate],
@@ -105,15 +108,15 @@
 ) -> Placement {
     let mut best: Option<(usize, f64, f64)> = None;
     let mut best_refused_ms = f64::INFINITY;
-    let queue_max = if returning {
-        rules.returning_queue_max
+    let objective_share = if returning {
+        rules.returning_objective_share
     } else {
-        rules.queue_max
+        rules.objective_share
     };
     for (index, candidate) in candidates.iter().enumerate() {
         let predicted_ms = predict_ms(candidate, engine, size);
-        let late = !returning && predicted_ms > objective_left_ms * rules.objective_share;
-        if late || candidate.total >= candidate.slots + queue_max {
+        let late = predicted_ms > objective_left_ms * objective_share;
+        if late || candidate.total >= candidate.slots + rules.queue_max {
             best_refused_ms = best_refused_ms.min(predicted_ms);
             continue;
         }
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -128,8 +128,6 @@
     from_origin: usize,
     /// Failed reads from afar, by piece.
     far_attempts: HashMap<usize, u32>,
-    /// Peers that lacked a piece although their row says that they hold all.
-    incomplete: HashSet<SocketAddr>,
     penalties: Penalties,
     links: Links,
     mismatches: u32,
@@ -163,7 +161,6 @@
         far: 0,
         from_origin: 0,
         far_attempts: HashMap::new(),
-        incomplete: HashSet::new(),
         penalties: Penalties::default(),
         links: Links::default(),
         mismatches: 0,
@@ -259,7 +256,7 @@
         let mut held = Vec::with_capacity(self.near_peers.len());
         for peer in &self.near_peers {
             let mut set = ChunkSet::new(count);
-            if peer.pieces.complete && !self.incomplete.contains(&peer.agent) {
+            if peer.pieces.complete {
                 for piece in 0..count {
                     set.insert(piece);
                 }
@@ -354,7 +351,8 @@
             version: self.version(),
             piece,
             region: self.agent.settings.region.clone(),
-            wait: !near,
+            // An agent whose row says that it holds all has nothing to wait for.
+            wait: !near && !self.is_complete(peer),
         };
         self.reads.spawn_local(async move {
             Ended {
@@ -416,7 +414,12 @@
             }
             Ok(Brought::Missing) if ended.peer.is_none() => return Some(Fetched::Obsolete),
             Ok(Brought::Missing) => {
-                self.incomplete.extend(ended.peer);
+                if let Some(peer) = ended.peer
+                    && self.mark_incomplete(peer)
+                {
+                    // The row was old; whoever comes next in the ranking is asked.
+                    return None;
+                }
                 Fault::Busy
             }
             Ok(Brought::Busy) => Fault::Busy,
@@ -427,6 +430,26 @@
         (self.mismatches >= MISMATCHES_MAX).then_some(Fetched::Mismatch)
     }
 
+    /// Returns true when the row of a peer says that it holds every piece.
+    fn is_complete(&self, peer: SocketAddr) -> bool {
+        self.peers
+            .iter()
+            .any(|listed| listed.agent == peer && listed.pieces.complete)
+    }
+
+    /// Notes that a peer does not hold what its row says; returns false when the
+    /// row did not say so.
+    fn mark_incomplete(&mut self, peer: SocketAddr) -> bool {
+        let mut was_complete = false;
+        for listed in self.peers.iter_mut().chain(&mut self.near_peers) {
+            if listed.agent == peer {
+                was_complete |= listed.pieces.complete;
+                listed.pieces.complete = false;
+            }
+        }
+        was_complete
+    }
+
     /// Notes how long the body of a piece took.
     fn note_body(&mut self, peer: SocketAddr, took: Duration) {
         self.links.note(peer, took);
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -34,9 +34,12 @@
 /// Longest wait for a change of a table. Together with the time for the answer
 /// it stays under 3 s, after which a calm VM has to know what changed.
 const WAIT: Duration = Duration::from_secs(2);
-/// Time between two calls while changes come in quick succession; the bounds
-/// on configurations and leaving upstreams are 2 s.
+/// Time between two calls while the configuration changes in quick succession; it
+/// has to be in force after 2 s.
 const SETTLE: Duration = Duration::from_millis(100);
+/// The same for rows of upstreams, which change often: agents tell what matters
+/// of an engine, and who leaves goes on serving for 2 s.
+const UPSTREAMS_SETTLE: Duration = Duration::from_millis(250);
 /// Time between two looks at lapsed upstreams and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -97,6 +100,7 @@
     }));
     let follower = Follower {
         table: Table::Upstreams,
+        settle: UPSTREAMS_SETTLE,
         ..follower
     };
     let of_upstreams = Rc::clone(entry);
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -220,7 +220,11 @@
 pub(crate) fn place(entry: &Entry, call: &Call, tried: &[UpstreamId]) -> Result<Chosen, NoPlace> {
     let service = call.configuration.services.get(&call.service);
     #[allow(clippy::cast_precision_loss)]
-    let objective_left_ms = call.route.objective_ms.saturating_sub(call.age_ms()) as f64;
+    let objective_left_ms = if call.returning || !tried.is_empty() {
+        call.route.objective_ms as f64
+    } else {
+        call.route.objective_ms.saturating_sub(call.age_ms()) as f64
+    };
     choose(
         entry,
         &Wanted {
