--- a/crates/masticdock-node/src/agent/fetcher.rs
+++ b/crates/masticdock-node/src/agent/fetcher.rs
@@ -64,7 +64,7 @@
         event = "fetch.ended",
         weights = version.0,
         end:? = end;
-        "the version cannot be fetched; it is tried anew"
+        "a version was not fetched whole; the newest one is tried next"
     );
     agent.pieces.borrow_mut().remove(&version);
     agent.manifest.replace(None);
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -118,7 +118,6 @@
     let left_ms = call.left_ms();
     let target = UpstreamTarget {
         id: id.clone(),
-        address: chosen.upstream.address,
         left_ms,
         workspace: call.workspace.clone(),
         priority: Some(call.priority),
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -22,7 +22,6 @@
 #[derive(Debug)]
 struct Kept {
     connection: Connection,
-    idle_since: MonoMs,
     usable_until: MonoMs,
 }
 
@@ -70,7 +69,6 @@
             .or_default()
             .push(Kept {
                 connection,
-                idle_since: now,
                 usable_until: now.plus_ms(idle_ms),
             });
     }
@@ -85,11 +83,7 @@
         let now = clock::now();
         let mut pools = self.kept.borrow_mut();
         for pool in pools.values_mut() {
-            pool.retain(|kept| {
-                !kept.connection.is_closed()
-                    && now < kept.usable_until
-                    && now.since_ms(kept.idle_since) < IDLE_MS_MAX
-            });
+            pool.retain(|kept| !kept.connection.is_closed() && now < kept.usable_until);
         }
         pools.retain(|_, pool| !pool.is_empty());
     }
