--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -32,8 +32,8 @@
     in_force_ms: u64,
 }
 
-/// Time between two declarations up to which the older version is not fetched
-/// any more, in milliseconds: less than a third of it has arrived by then.
+/// Time of a fetch up to which it gives way to a newer version, in milliseconds:
+/// less than a third of the pieces has arrived by then.
 const GIVES_WAY_MS: u64 = 1_000;
 /// Age of the newest version from which an unfinished older one is given up, in
 /// milliseconds: it had 5 s at least, and the newest has to be in force after 8 s.
@@ -76,19 +76,17 @@
         Some(*at)
     }
 
-    /// Returns true when a version that is still being fetched gives way to the
-    /// newest one. All agents decide alike, so that none waits for pieces which
-    /// the others dropped.
+    /// Returns true when a version that is fetched since `fetching_since` gives
+    /// way to the newest one. Agents learn versions at the same time and so decide
+    /// alike; none waits for pieces which the others dropped.
     #[must_use]
-    pub fn gives_way(&self, version: VersionNumber, now: MonoMs) -> bool {
+    pub fn gives_way(&self, version: VersionNumber, fetching_since: MonoMs, now: MonoMs) -> bool {
         let newest = self.newest();
         let Some(newest_at) = self.learnt_at(newest).filter(|_| newest > version) else {
             return false;
         };
-        let soon_after = self
-            .learnt_at(version)
-            .is_some_and(|own_at| newest_at.since_ms(own_at) < GIVES_WAY_MS);
-        soon_after || now.since_ms(newest_at) >= GIVEN_UP_MS
+        let just_begun = now.since_ms(fetching_since) < GIVES_WAY_MS;
+        just_begun || now.since_ms(newest_at) >= GIVEN_UP_MS
     }
 
     /// Returns when requests must no longer begin on `held`, if a newer version is declared.
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -92,25 +92,29 @@
     assert!(!plan.can_wait(MonoMs(20_001), MonoMs(22_000)));
 }
 
-/// Guards against a fetch of a version that is replaced before it can serve.
+/// Guards against a fetch of a version that is replaced before it can serve. A
+/// version that was read after an outage of the store counts as old, so the time
+/// between the declarations says nothing.
 #[test]
-fn an_unfinished_version_gives_way_to_one_declared_just_after() {
+fn a_fetch_that_just_began_gives_way_to_a_newer_version() {
     let mut timeline = VersionTimeline::new(8_000);
-    timeline.declare(VersionNumber(2), MonoMs(1_000));
-    assert!(!timeline.gives_way(VersionNumber(2), MonoMs(9_000)));
-    timeline.declare(VersionNumber(3), MonoMs(1_300));
-    assert!(timeline.gives_way(VersionNumber(2), MonoMs(1_300)));
-    assert!(!timeline.gives_way(VersionNumber(3), MonoMs(9_000)));
+    timeline.declare(VersionNumber(2), MonoMs(5_000));
+    assert!(!timeline.gives_way(VersionNumber(2), MonoMs(10_000), MonoMs(10_100)));
+    timeline.declare(VersionNumber(3), MonoMs(10_200));
+    assert!(timeline.gives_way(VersionNumber(2), MonoMs(10_000), MonoMs(10_200)));
+    assert!(!timeline.gives_way(VersionNumber(3), MonoMs(10_200), MonoMs(10_300)));
 }
 
 /// Guards against two versions that are both late because the first one hangs.
 #[test]
 fn a_version_that_cannot_be_fetched_gives_way_after_a_while() {
     let mut timeline = VersionTimeline::new(8_000);
-    timeline.declare(VersionNumber(2), MonoMs(1_000));
+    let began = MonoMs(1_000);
+    timeline.declare(VersionNumber(2), began);
     timeline.declare(VersionNumber(3), MonoMs(3_000));
-    assert!(!timeline.gives_way(VersionNumber(2), MonoMs(7_400)));
-    assert!(timeline.gives_way(VersionNumber(2), MonoMs(7_500)));
+    assert!(!timeline.gives_way(VersionNumber(2), began, MonoMs(3_000)));
+    assert!(!timeline.gives_way(VersionNumber(2), began, MonoMs(7_400)));
+    assert!(timeline.gives_way(VersionNumber(2), began, MonoMs(7_500)));
     // A version that was never declared is finished if it can be.
-    assert!(!timeline.gives_way(VersionNumber(1), MonoMs(7_400)));
+    assert!(!timeline.gives_way(VersionNumber(1), began, MonoMs(7_400)));
 }
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -176,7 +176,7 @@
             .collect()
     });
     while !pieces.is_complete() {
-        if agent.is_replaced(goal, pieces.version) {
+        if agent.is_replaced(goal, pieces.version, fetch.started_at) {
             return Fetched::Replaced;
         }
         fetch.start_reads();
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -215,11 +215,16 @@
     }
 
     /// Returns true when fetching `version` further only holds up a newer one.
-    pub(crate) fn is_replaced(&self, goal: &ModelGoal, version: VersionNumber) -> bool {
+    pub(crate) fn is_replaced(
+        &self,
+        goal: &ModelGoal,
+        version: VersionNumber,
+        fetching_since: MonoMs,
+    ) -> bool {
         let catalog = self.catalog.borrow();
         catalog
             .timeline(&goal.model)
-            .is_some_and(|timeline| timeline.gives_way(version, clock::now()))
+            .is_some_and(|timeline| timeline.gives_way(version, fetching_since, clock::now()))
     }
 
     /// Returns when the engine has to hold a newer version, if one is declared.
