Leave room on the links between regions

Ruled out: squeezed links of the engines (such requests are excused), the margin before the end of a version (the same as before).

Change: one share a sender, at least 125 kB/s, in the core with a test that the former rates fail.

--- a/crates/masticdock-core/src/transfer/mod.rs
+++ b/crates/masticdock-core/src/transfer/mod.rs
@@ -14,7 +14,7 @@
 pub use estimate::{Estimate, hedge_after_ms, takeover_after_ms};
 pub use neighbours::{Place, Tier, choose_neighbours, tier};
 pub use origin_plan::{OriginPlan, OriginView, Turn};
-pub use pacing::{LinkPacer, TokenBucket};
+pub use pacing::{LinkPacer, TokenBucket, region_share};
 pub use penalty::{Fault, Penalties};
 pub use schedule::{Pick, Sender, pick};
 pub use window::{ReadWindow, ReadWindowSettings};
--- a/crates/masticdock-core/src/transfer/pacing.rs
+++ b/crates/masticdock-core/src/transfer/pacing.rs
@@ -5,6 +5,22 @@
 /// Time whose bytes may be sent at once after a pause, in milliseconds.
 const BURST_MS: u64 = 100;
 
+/// Bytes a second that all VMs of a region together send to another one: half of
+/// what the thinnest link between regions carries for all traffic (25 Mbit/s).
+const REGION_BYTES_PER_S: u64 = 1_560_000;
+/// Least rate of one VM, in bytes a second: with an equal split of many the VM
+/// that sends most holds all up. 24 of them, the most of a region seen, together
+/// stay below the rate of the link.
+const SHARE_BYTES_PER_S_MIN: u64 = 125_000;
+
+/// Returns the rate at which each of `senders` VMs of a region sends to another
+/// region. Requests that cross between regions queue behind what goes beyond.
+#[must_use]
+pub fn region_share(senders: usize) -> BytesPerSecond {
+    let share = REGION_BYTES_PER_S / senders.max(1) as u64;
+    BytesPerSecond(share.max(SHARE_BYTES_PER_S_MIN))
+}
+
 /// Lets bytes through at a mean rate.
 ///
 /// A message larger than the burst is let through when the bucket holds
--- a/crates/masticdock-core/tests/transfer_window.rs
+++ b/crates/masticdock-core/tests/transfer_window.rs
@@ -1,6 +1,7 @@
-//! How many chunks a VM reads at the same time, on links of several rates.
+//! How many chunks a VM reads at the same time, on links of several rates, and
+//! how much of a link between regions chunks take.
 
-use masticdock_core::transfer::ReadWindow;
+use masticdock_core::transfer::{ReadWindow, region_share};
 use masticdock_core::units::MonoMs;
 
 const CHUNK_BITS: f64 = 49_152.0 * 8.0;
@@ -59,3 +60,20 @@
     assert!(window.delay_ms(MonoMs(1_000)) > 100.0);
     assert!(window.delay_ms(MonoMs(3_000)) < 1.0);
 }
+
+/// Bytes a second of the thinnest link between regions, 25 Mbit/s.
+const REGION_LINK_BYTES_PER_S: u64 = 3_125_000;
+
+/// Guards against requests that cross between regions behind a second of chunks:
+/// they began on a version past its end (`VERSION`, seed 23944739482 of
+/// `deploy/days/squeeze-two-versions-power.toml` on ospina-dress).
+#[test]
+fn chunks_leave_room_on_the_link_between_regions() {
+    for senders in 1..=24 {
+        let total = region_share(senders).0 * senders as u64;
+        assert!(total < REGION_LINK_BYTES_PER_S, "{senders} senders");
+        if senders <= 12 {
+            assert!(total <= REGION_LINK_BYTES_PER_S / 2, "{senders} senders");
+        }
+    }
+}
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -11,7 +11,7 @@
 use masticdock_core::serving::{
     AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber, VersionTimeline,
 };
-use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow};
+use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, region_share};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
@@ -23,16 +23,6 @@
 /// link and are late after 120 ms, in which it sends three pieces.
 const UPLOAD_PERCENT: u64 = 85;
 
-/// Bytes a second that all agents of a region together send to another one: half
-/// of what the thinnest link between regions carries for all traffic (25 Mbit/s).
-const REGION_BYTES_PER_S: u64 = 1_560_000;
-/// Part of that which one agent may take, in shares of an equal split: some
-/// agents read twice as many pieces from the origin as others.
-const REGION_SHARES: u64 = 2;
-/// Least rate of one agent, in bytes a second: four pieces of 49 KB. The origin
-/// (15 Mbit/s) keeps the sum of many agents below the link's rate.
-const FAR_BYTES_PER_S_MIN: u64 = 200_000;
-
 /// Age up to which the list of upstreams is good enough for another attempt at a
 /// version, in milliseconds; every read of the store is priced.
 const UPSTREAMS_AGE_MAX_MS: u64 = 5_000;
@@ -327,13 +317,11 @@
                 Some(&upstream.service) == self.settings.service.as_ref()
                     && self.region(&upstream.zone) == *own_region
             })
-            .count()
-            .max(1) as u64;
+            .count();
         let mut pacers = self.far_uploads.borrow_mut();
-        let pacer = pacers.entry(region.clone()).or_insert_with(|| {
-            let share = REGION_BYTES_PER_S * REGION_SHARES / senders;
-            LinkPacer::new(BytesPerSecond(share.max(FAR_BYTES_PER_S_MIN)))
-        });
+        let pacer = pacers
+            .entry(region.clone())
+            .or_insert_with(|| LinkPacer::new(region_share(senders)));
         pacer.take(bytes, now);
     }
 
