Compute turns, reader rankings and filters once

The filter for a service's upstreams stood in four places, the age of the last hello in two, the ranking of readers in two, and near peers were kept as a second copy that had to be marked along with the first.

Change: SwitchPlan::order and turn_at, once a request (the turns are the same, by a test); Directory::serving; Agent::with_sources and hears_entries; peers in one list, near ones first; Pieces::held_count; EntryTurns uses rendezvous::rank, which draws another order of the same kind. An agent that joins is greeted at the next look, 150 ms at the latest, no longer after any datagram.

Checks: clippy, tests of the core.

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -197,6 +197,12 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
+    /// Iterates over the upstreams of a service that are not leaving.
+    pub fn serving<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Upstream> {
+        self.iter()
+            .filter(move |upstream| upstream.service == *service && !upstream.leaving)
+    }
+
     /// Iterates over all known upstreams, leaving ones included.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.entries.values().map(|entry| &entry.upstream)
--- a/crates/masticdock-core/src/serving/entry_turns.rs
+++ b/crates/masticdock-core/src/serving/entry_turns.rs
@@ -25,12 +25,11 @@
     #[must_use]
     pub fn new(entries: &[CompactString], step_ms: u64, usable_since: MonoMs) -> Self {
         let key = usable_since.0.to_le_bytes();
-        let mut entries = entries.to_vec();
-        entries.sort_by_key(|entry| rendezvous::weight(&key, entry));
+        let ranked = rendezvous::rank(&key, entries, CompactString::as_str);
         Self {
             usable_since,
             step_ms,
-            entries,
+            entries: ranked.into_iter().cloned().collect(),
         }
     }
 
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -5,7 +5,7 @@
 use super::versions::VersionNumber;
 
 /// State of an engine as the agent on its VM read it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AgentReport {
     /// Requests that run.
     pub running: u32,
--- a/crates/masticdock-core/src/serving/switch_plan.rs
+++ b/crates/masticdock-core/src/serving/switch_plan.rs
@@ -8,6 +8,7 @@
 use crate::rendezvous;
 use crate::units::MonoMs;
 
+use super::directory::Upstream;
 use super::versions::VersionNumber;
 
 /// Times of a change, counted from the moment at which a version was learnt.
@@ -54,7 +55,28 @@
     ) -> MonoMs {
         let key = version.0.to_le_bytes();
         let position = rendezvous::position(&key, upstreams, UpstreamId::as_str, own.as_str());
-        let count = upstreams.len().max(1) as u64;
+        self.turn_at(position.unwrap_or(0), upstreams.len(), learnt_at, deadline)
+    }
+
+    /// Returns `upstreams` in the order in which they change to `version`, for who
+    /// needs the turns of many.
+    #[must_use]
+    pub fn order<'a>(upstreams: &'a [&'a Upstream], version: VersionNumber) -> Vec<&'a Upstream> {
+        let key = version.0.to_le_bytes();
+        let ranked = rendezvous::rank(&key, upstreams, |upstream| upstream.id.as_str());
+        ranked.into_iter().copied().collect()
+    }
+
+    /// Returns when the upstream at `position` of `count` changes to the version
+    /// that was learnt at `learnt_at`.
+    #[must_use]
+    pub fn turn_at(
+        &self,
+        position: usize,
+        count: usize,
+        learnt_at: MonoMs,
+        deadline: Option<MonoMs>,
+    ) -> MonoMs {
         let first = learnt_at.plus_ms(self.timing.first_ms);
         let mut last = learnt_at.plus_ms(self.timing.last_ms);
         if let Some(deadline) = deadline {
@@ -62,7 +84,7 @@
             last = last.min(MonoMs(deadline.0.saturating_sub(DUE_MARGIN_MS)));
         }
         let span_ms = last.since_ms(first);
-        first.plus_ms(span_ms * position.unwrap_or(0) as u64 / count)
+        first.plus_ms(span_ms * position as u64 / count.max(1) as u64)
     }
 
     /// Returns true when a change that is due at `due_at` can wait for the last
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -40,6 +40,7 @@
         Some(DirectoryChange::Leaving(id("u-1")))
     );
     assert!(directory.get(&id("u-1")).unwrap().leaving);
+    assert_eq!(directory.serving(&"llm".parse().unwrap()).count(), 0);
     assert_eq!(
         directory.remove(&id("u-1"), MonoMs(10)),
         Some(DirectoryChange::Gone(id("u-1")))
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -1,11 +1,24 @@
 //! Declared versions and the turns in which upstreams change to them.
 
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{SwitchPlan, VersionNumber, VersionTimeline};
+use masticdock_core::serving::{SwitchPlan, Upstream, VersionNumber, VersionTimeline};
 use masticdock_core::units::MonoMs;
 
 const IN_FORCE_MS: u64 = 8_000;
 
+fn upstream(number: usize) -> Upstream {
+    Upstream {
+        id: format!("u-{number}").parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "wien-a".parse().unwrap(),
+        slots: 16,
+        leaving: false,
+        models: Vec::new(),
+        started_at_ms: None,
+    }
+}
+
 /// Guards against requests that begin on a version past its end.
 #[test]
 fn a_version_ends_when_a_newer_one_has_to_be_in_force() {
@@ -118,3 +131,19 @@
     // A version that was never declared is finished if it can be.
     assert!(!timeline.gives_way(VersionNumber(1), began, MonoMs(7_400)));
 }
+
+/// Guards against entries that expect other turns than the agents take.
+#[test]
+fn entries_order_upstreams_as_their_agents_do() {
+    let plan = SwitchPlan::default();
+    let upstreams: Vec<Upstream> = (0..20).map(upstream).collect();
+    let ids: Vec<UpstreamId> = upstreams.iter().map(|listed| listed.id.clone()).collect();
+    let listed: Vec<&Upstream> = upstreams.iter().collect();
+    let (learnt_at, deadline) = (MonoMs(1_000), Some(MonoMs(6_500)));
+    let order = SwitchPlan::order(&listed, VersionNumber(3));
+    for (position, upstream) in order.into_iter().enumerate() {
+        let own = plan.turn(&upstream.id, &ids, VersionNumber(3), learnt_at, deadline);
+        let expected = plan.turn_at(position, ids.len(), learnt_at, deadline);
+        assert_eq!(own, expected, "{}", upstream.id);
+    }
+}
--- a/crates/masticdock-node/src/agent/engine_watch.rs
+++ b/crates/masticdock-node/src/agent/engine_watch.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
-
 use masticdock_adapter::EngineReport;
+use tokio::time::sleep;
 
 use super::state::Agent;
 
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -16,7 +16,7 @@
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
 use masticdock_core::ids::RegionId;
 use masticdock_core::serving::{
-    PeerPieces, PieceSource, PieceSources, VersionNumber, is_mostly_known, is_readers_turn,
+    PieceSource, PieceSources, VersionNumber, is_mostly_known, is_readers_turn,
 };
 use masticdock_core::transfer::{ChunkSet, Fault, Penalties, Sender, Tier, pick};
 use masticdock_core::units::MonoMs;
@@ -111,10 +111,11 @@
 struct Fetch {
     agent: Rc<Agent>,
     pieces: Rc<Pieces>,
-    /// The other agents as the list of upstreams had them at the start.
+    /// The other agents as the list of upstreams had them at the start, those of
+    /// the own region first.
     peers: Vec<Peer>,
-    /// Peers of the own region.
-    near_peers: Vec<Peer>,
+    /// Number of peers of the own region.
+    near_count: usize,
     /// How many agents of the region come before this one, by piece.
     ranks: Vec<usize>,
     origin_region: Option<RegionId>,
@@ -143,13 +144,14 @@
 
 /// Fetches every missing piece.
 pub(crate) async fn fetch(agent: &Rc<Agent>, goal: &ModelGoal, pieces: &Rc<Pieces>) -> Fetched {
-    let peers = agent.peers(goal, pieces.version);
     let region = &agent.settings.region;
-    let is_near = |peer: &&Peer| peer.pieces.region == *region;
+    let mut peers = agent.peers(goal, pieces.version);
+    peers.sort_by_key(|peer| peer.pieces.region != *region);
+    let near_count = peers.partition_point(|peer| peer.pieces.region == *region);
     let mut fetch = Fetch {
         agent: Rc::clone(agent),
         pieces: Rc::clone(pieces),
-        near_peers: peers.iter().filter(is_near).cloned().collect(),
+        near_count,
         ranks: Vec::new(),
         origin_region: goal.origin.zone.as_ref().map(|zone| agent.region(zone)),
         peers,
@@ -226,15 +228,15 @@
         self.pieces.version
     }
 
+    /// Returns the peers of the own region.
+    fn near_peers(&self) -> &[Peer] {
+        &self.peers[..self.near_count]
+    }
+
     /// Hands the ranking of readers to `ask`.
     fn with_sources<T>(&self, ask: impl FnOnce(&PieceSources<'_>) -> T) -> T {
-        let listed: Vec<PeerPieces> = self.peers.iter().map(|peer| peer.pieces.clone()).collect();
-        ask(&PieceSources {
-            own: &self.agent.settings.ip.to_string(),
-            region: &self.agent.settings.region,
-            origin_region: self.origin_region.as_ref(),
-            peers: &listed,
-        })
+        self.agent
+            .with_sources(&self.peers, self.origin_region.as_ref(), ask)
     }
 
     /// Starts as many reads as are allowed now.
@@ -253,8 +255,8 @@
     fn held_nearby(&self) -> Vec<ChunkSet> {
         let count = self.pieces.count();
         let told = self.agent.peer_pieces.borrow();
-        let mut held = Vec::with_capacity(self.near_peers.len());
-        for peer in &self.near_peers {
+        let mut held = Vec::with_capacity(self.near_count);
+        for peer in self.near_peers() {
             let mut set = ChunkSet::new(count);
             if peer.pieces.complete {
                 for piece in 0..count {
@@ -275,7 +277,7 @@
     fn start_far(&mut self, held_nearby: &[ChunkSet]) {
         let now = clock::now();
         let mut nearby = self.pieces.held_set();
-        for (peer, held) in self.near_peers.iter().zip(held_nearby) {
+        for (peer, held) in self.near_peers().iter().zip(held_nearby) {
             // What only a slow peer holds reaches the region too late.
             if !self.is_slow(peer) && !self.penalties.suspects(&peer.pieces.name, now) {
                 nearby.union_with(held);
@@ -292,32 +294,53 @@
             .iter_missing()
             .filter(|piece| is_readers_turn(self.ranks[*piece], elapsed_ms, late_ms))
             .collect();
-        for piece in due {
-            if self.far >= FAR_AT_ONCE && self.from_origin >= ORIGIN_AT_ONCE {
-                return;
-            }
-            let attempt = self.far_attempts.get(&piece).copied().unwrap_or(0);
-            match self.with_sources(|sources| sources.far_source(piece, attempt)) {
-                PieceSource::Peer(index) if self.far < FAR_AT_ONCE => {
+        if due.is_empty() {
+            return;
+        }
+        for (piece, source) in self.with_sources(|sources| self.far_reads(&due, sources)) {
+            match source {
+                PieceSource::Peer(index) => {
                     self.far += 1;
                     self.read_peer(piece, self.peers[index].agent, false);
                 }
-                PieceSource::Origin if self.from_origin < ORIGIN_AT_ONCE => {
+                PieceSource::Origin => {
                     self.from_origin += 1;
                     self.read_origin(piece);
                 }
-                PieceSource::Peer(_) | PieceSource::Origin => {}
             }
         }
     }
 
+    /// Returns the pieces of `due` that may be read now, and where from.
+    fn far_reads(&self, due: &[usize], sources: &PieceSources<'_>) -> Vec<(usize, PieceSource)> {
+        let mut far_left = FAR_AT_ONCE.saturating_sub(self.far);
+        let mut origin_left = ORIGIN_AT_ONCE.saturating_sub(self.from_origin);
+        let mut reads = Vec::new();
+        for piece in due {
+            if far_left + origin_left == 0 {
+                break;
+            }
+            let attempt = self.far_attempts.get(piece).copied().unwrap_or(0);
+            let source = sources.far_source(*piece, attempt);
+            let left = match source {
+                PieceSource::Peer(_) => &mut far_left,
+                PieceSource::Origin => &mut origin_left,
+            };
+            if *left > 0 {
+                *left -= 1;
+                reads.push((*piece, source));
+            }
+        }
+        reads
+    }
+
     /// Reads the rarest pieces from the peers nearby that hold them.
     fn start_near(&mut self, held_nearby: &[ChunkSet]) {
         let at_once = self.agent.reads.borrow().reads();
         let now = clock::now();
         while self.near < at_once {
             let mut senders = Vec::with_capacity(held_nearby.len());
-            for (peer, have) in self.near_peers.iter().zip(held_nearby) {
+            for (peer, have) in self.near_peers().iter().zip(held_nearby) {
                 let outstanding = self.outstanding.get(&peer.agent).copied().unwrap_or(0);
                 senders.push(Sender {
                     have,
@@ -333,7 +356,7 @@
                 return;
             };
             self.near += 1;
-            self.read_peer(pick.chunk, self.near_peers[pick.sender].agent, true);
+            self.read_peer(pick.chunk, self.peers[pick.sender].agent, true);
         }
     }
 
@@ -401,9 +424,7 @@
                     self.note_body(peer, took);
                 }
                 if self.pieces.insert(piece, bytes) {
-                    if self.pieces.held_set().count() * 4
-                        > self.quarters.len() * self.pieces.count()
-                    {
+                    if self.pieces.held_count() * 4 > self.quarters.len() * self.pieces.count() {
                         self.quarters.push(clock::now());
                     }
                     self.agent.changed.notify_waiters();
@@ -441,7 +462,7 @@
     /// row did not say so.
     fn mark_incomplete(&mut self, peer: SocketAddr) -> bool {
         let mut was_complete = false;
-        for listed in self.peers.iter_mut().chain(&mut self.near_peers) {
+        for listed in &mut self.peers {
             if listed.agent == peer {
                 was_complete |= listed.pieces.complete;
                 listed.pieces.complete = false;
--- a/crates/masticdock-node/src/agent/fetcher.rs
+++ b/crates/masticdock-node/src/agent/fetcher.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use masticdock_adapter::{CallError, HttpClient, Manifest, OriginClient};
-use masticdock_core::serving::{PeerPieces, PieceSource, PieceSources, VersionNumber};
+use masticdock_core::serving::{PieceSource, VersionNumber};
 use tokio::time::{sleep, timeout};
 
 use super::fetch::{Fetched, fetch};
@@ -128,14 +128,8 @@
     attempt: u32,
 ) -> Result<Option<Manifest>, CallError> {
     let peers = agent.peers(goal, version);
-    let listed: Vec<PeerPieces> = peers.iter().map(|peer| peer.pieces.clone()).collect();
-    let sources = PieceSources {
-        own: &agent.settings.ip.to_string(),
-        region: &agent.settings.region,
-        origin_region: None,
-        peers: &listed,
-    };
-    if let PieceSource::Peer(index) = sources.manifest_source(attempt) {
+    let source = agent.with_sources(&peers, None, |sources| sources.manifest_source(attempt));
+    if let PieceSource::Peer(index) = source {
         let path = manifest_path(&goal.model, version);
         let reply = HttpClient::new(peers[index].agent)
             .get(&path, MANIFEST_TIMEOUT)
--- a/crates/masticdock-node/src/agent/pieces.rs
+++ b/crates/masticdock-node/src/agent/pieces.rs
@@ -69,16 +69,20 @@
         set
     }
 
+    /// Returns the number of pieces that are held.
+    pub(crate) fn held_count(&self) -> usize {
+        self.held.borrow().iter().flatten().count()
+    }
+
     /// Returns true when every piece is held.
     pub(crate) fn is_complete(&self) -> bool {
-        self.held.borrow().iter().all(Option::is_some)
+        self.held_count() == self.count()
     }
 
     /// Returns true when two thirds of the pieces are held; the rest arrives
     /// within about a second.
     pub(crate) fn is_nearly_complete(&self) -> bool {
-        let held = self.held.borrow().iter().flatten().count();
-        held * 3 >= self.count() * 2
+        self.held_count() * 3 >= self.count() * 2
     }
 
     /// Returns the number of pieces of the version.
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -9,7 +9,7 @@
 use masticdock_adapter::{Engine, EngineReport, Manifest, NodeSettings, Store, Table};
 use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, EngineProfile, Origin, PeerPieces, VersionNumber, VersionTimeline,
+    AgentReport, EngineProfile, Origin, PeerPieces, PieceSources, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, region_share};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -23,6 +23,9 @@
 /// link and are late after 120 ms, in which it sends three pieces.
 const UPLOAD_PERCENT: u64 = 85;
 
+/// Age of the last hello from which no entry is heard, in milliseconds; each
+/// says hello once a second.
+const HELLO_AGE_MAX_MS: u64 = 2_500;
 /// Age up to which the list of upstreams is good enough for another attempt at a
 /// version, in milliseconds; every read of the store is priced.
 const UPSTREAMS_AGE_MAX_MS: u64 = 5_000;
@@ -278,9 +281,11 @@
     pub(crate) fn peers(&self, goal: &ModelGoal, version: VersionNumber) -> Vec<Peer> {
         let catalog = self.catalog.borrow();
         let mut peers = Vec::new();
-        for upstream in catalog.directory.iter() {
-            let same_service = Some(&upstream.service) == self.settings.service.as_ref();
-            if !same_service || upstream.leaving || upstream.address == self.upstream {
+        let Some(service) = &self.settings.service else {
+            return peers;
+        };
+        for upstream in catalog.directory.serving(service) {
+            if upstream.address == self.upstream {
                 continue;
             }
             let held = upstream
@@ -300,6 +305,27 @@
         peers
     }
 
+    /// Hands the ranking of readers among `peers` to `ask`.
+    pub(crate) fn with_sources<T>(
+        &self,
+        peers: &[Peer],
+        origin_region: Option<&RegionId>,
+        ask: impl FnOnce(&PieceSources<'_>) -> T,
+    ) -> T {
+        let listed: Vec<PeerPieces> = peers.iter().map(|peer| peer.pieces.clone()).collect();
+        ask(&PieceSources {
+            own: &self.settings.ip.to_string(),
+            region: &self.settings.region,
+            origin_region,
+            peers: &listed,
+        })
+    }
+
+    /// Returns true while some entry says hello.
+    pub(crate) fn hears_entries(&self, now: MonoMs) -> bool {
+        now.since_ms(self.hello_at.get()) <= HELLO_AGE_MAX_MS
+    }
+
     /// Returns the time until a piece may be sent to another region, in milliseconds.
     pub(crate) fn far_wait_ms(&self, region: &RegionId, now: MonoMs) -> u64 {
         let pacers = self.far_uploads.borrow();
@@ -336,20 +362,14 @@
     /// Returns what entries are told of the engine.
     pub(crate) fn report_for_entries(&self) -> AgentReport {
         let held = self.model_goal().and_then(|goal| self.held(&goal));
-        let link_delay_ms = self.link_delay_ms();
+        let common = AgentReport {
+            entries: self.entries.get(),
+            link_delay_ms: self.link_delay_ms(),
+            ..AgentReport::default()
+        };
         let report = self.report.borrow();
         let Some(report) = report.as_ref() else {
-            return AgentReport {
-                running: 0,
-                queued: 0,
-                unread: 0,
-                version: None,
-                switching: false,
-                reachable: false,
-                entries: self.entries.get(),
-                wait_ms: 0,
-                link_delay_ms,
-            };
+            return common;
         };
         AgentReport {
             running: report.running,
@@ -358,9 +378,7 @@
             version: held,
             switching: report.busy || self.switching.get(),
             reachable: true,
-            entries: self.entries.get(),
-            wait_ms: 0,
-            link_delay_ms,
+            ..common
         }
     }
 }
--- a/crates/masticdock-node/src/agent/store_watch.rs
+++ b/crates/masticdock-node/src/agent/store_watch.rs
@@ -21,8 +21,6 @@
 const CALM_INTERVAL: Duration = Duration::from_secs(8);
 /// Time between two reads of versions while no entry is heard.
 const ALONE_INTERVAL: Duration = Duration::from_millis(1_200);
-/// Time without a hello after which no entry is heard, in milliseconds.
-const HELLO_AGE_MAX_MS: u64 = 2_500;
 /// Time between two looks at the age of the last hello.
 const LOOK_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -49,8 +47,11 @@
     loop {
         sleep(LOOK_INTERVAL).await;
         let now = clock::now();
-        let alone = now.since_ms(agent.hello_at.get()) > HELLO_AGE_MAX_MS;
-        let interval = if alone { ALONE_INTERVAL } else { CALM_INTERVAL };
+        let interval = if agent.hears_entries(now) {
+            CALM_INTERVAL
+        } else {
+            ALONE_INTERVAL
+        };
         if now.since(started_at) >= interval {
             return;
         }
--- a/crates/masticdock-node/src/agent/switcher.rs
+++ b/crates/masticdock-node/src/agent/switcher.rs
@@ -27,8 +27,6 @@
 const DRAIN_MS: u64 = 700;
 /// Time between two looks at the requests that run.
 const DRAIN_LOOK: Duration = Duration::from_millis(100);
-/// Age of the last hello from which no entry resumes streams, in milliseconds.
-const HELLO_AGE_MAX_MS: u64 = 2_500;
 /// Time for which a stream that cannot be resumed forbids cuts, in milliseconds.
 const UNRESUMABLE_MS: u64 = 10_000;
 
@@ -89,9 +87,9 @@
         return OrderMode::AfterRequests;
     }
     let now = clock::now();
-    let heard = now.since_ms(agent.hello_at.get()) < HELLO_AGE_MAX_MS;
+    // Without entries nobody resumes streams.
     let resumable = now.since_ms(agent.unresumable_at.get()) > UNRESUMABLE_MS;
-    if !heard || !resumable {
+    if !agent.hears_entries(now) || !resumable {
         return OrderMode::AfterRequests;
     }
     let until = now.plus_ms(DRAIN_MS);
@@ -180,15 +178,13 @@
     let own = agent.own_id();
     let timeline = catalog.timeline(&goal.model);
     let learnt_at = timeline.and_then(|timeline| timeline.learnt_at(version));
-    let (Some(own), Some(learnt_at)) = (own, learnt_at) else {
+    let service = agent.settings.service.as_ref();
+    let (Some(own), Some(learnt_at), Some(service)) = (own, learnt_at, service) else {
         return now;
     };
     let upstreams: Vec<UpstreamId> = catalog
         .directory
-        .iter()
-        .filter(|upstream| {
-            Some(&upstream.service) == agent.settings.service.as_ref() && !upstream.leaving
-        })
+        .serving(service)
         .map(|upstream| upstream.id.clone())
         .collect();
     drop(catalog);
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -1,9 +1,11 @@
 //! Upstreams that may take a request, as this entry knows them.
 
+use std::collections::HashMap;
+
 use masticdock_core::ids::{RegionId, ServiceId, UpstreamId, ZoneId};
 use masticdock_core::serving::{
-    Candidate, EngineProfile, Placement, PlacementRules, RequestSize, SwitchPlan, Upstream,
-    VersionNumber, VersionTimeline, place,
+    AgentReport, Candidate, EngineProfile, Placement, PlacementRules, RequestSize, SwitchPlan,
+    Upstream, VersionNumber, VersionTimeline, place,
 };
 use masticdock_core::units::MonoMs;
 
@@ -72,13 +74,11 @@
         .engine
         .and_then(|engine| engine.models.first())
         .and_then(|model| catalog.timeline(model));
+    let mut turns = None;
     let mut upstreams = Vec::new();
     let mut candidates = Vec::new();
-    for upstream in catalog.directory.iter() {
-        if upstream.service != *wanted.service
-            || upstream.leaving
-            || wanted.tried.contains(&upstream.id)
-        {
+    for upstream in catalog.directory.serving(wanted.service) {
+        if wanted.tried.contains(&upstream.id) {
             continue;
         }
         let Some(usable) = usable_version(entry, upstream, wanted.engine, timeline, now) else {
@@ -90,7 +90,8 @@
         if usable.begin_until.is_some()
             && let Some(timeline) = timeline
         {
-            candidate.switch_in_ms = switch_in_ms(&catalog, timeline, upstream, usable, now);
+            let turns = turns.get_or_insert_with(|| Turns::new(&catalog, wanted.service, timeline));
+            candidate.switch_in_ms = turns.in_ms(upstream, usable, now);
         }
         upstreams.push((upstream, usable));
         candidates.push(candidate);
@@ -149,12 +150,9 @@
     let Some(engine) = engine else {
         return Some(Usable::default());
     };
-    let reports = entry.reports.borrow();
-    let report = reports
-        .get(&upstream.id)
-        .filter(|(_, at)| now.since_ms(*at) < REPORT_AGE_MAX_MS);
+    let report = fresh_report(entry, &upstream.id, now);
     if let Some((report, at)) = report
-        && (report.switching || !report.reachable || now.since_ms(*at) < u64::from(report.wait_ms))
+        && (report.switching || !report.reachable || now.since_ms(at) < u64::from(report.wait_ms))
     {
         return None;
     }
@@ -200,7 +198,8 @@
         unread_tokens: load.unread_tokens,
         others_unread: load.others_unread(prompt_ms, now),
         slowness: load.slowness(now),
-        link_delay_ms: link_delay_ms(entry, &upstream.id, now),
+        link_delay_ms: fresh_report(entry, &upstream.id, now)
+            .map_or(0.0, |(report, _)| f64::from(report.link_delay_ms)),
         switch_in_ms: None,
         service_ms: load.service_ms(),
         distance_ms: distance_ms(entry, &upstream.zone),
@@ -208,43 +207,42 @@
     })
 }
 
-/// Returns the delay on an upstream's link that its agent reported, in milliseconds.
-fn link_delay_ms(entry: &Entry, id: &UpstreamId, now: MonoMs) -> f64 {
-    match entry.reports.borrow().get(id) {
-        Some((report, at)) if now.since_ms(*at) < REPORT_AGE_MAX_MS => {
-            f64::from(report.link_delay_ms)
+/// Returns the newest report of an upstream's agent and when it came, unless it is old.
+fn fresh_report(entry: &Entry, id: &UpstreamId, now: MonoMs) -> Option<(AgentReport, MonoMs)> {
+    let reports = entry.reports.borrow();
+    let report = reports.get(id).copied();
+    report.filter(|(_, at)| now.since_ms(*at) < REPORT_AGE_MAX_MS)
+}
+
+/// Turns of a service's upstreams to change to the newest version; their agents
+/// compute the same ones.
+struct Turns {
+    learnt_at: Option<MonoMs>,
+    positions: HashMap<UpstreamId, usize>,
+}
+
+impl Turns {
+    /// Orders the upstreams once for all candidates of a request.
+    fn new(catalog: &Catalog, service: &ServiceId, timeline: &VersionTimeline) -> Self {
+        let newest = timeline.newest();
+        let upstreams: Vec<&Upstream> = catalog.directory.serving(service).collect();
+        let order = SwitchPlan::order(&upstreams, newest);
+        let ids = order.into_iter().map(|upstream| upstream.id.clone());
+        Self {
+            learnt_at: timeline.learnt_at(newest),
+            positions: ids.zip(0..).collect(),
         }
-        _ => 0.0,
     }
-}
 
-/// Returns the time until an upstream's turn to change to the newest version, in
-/// milliseconds; its agent computes the same turn.
-#[allow(clippy::cast_precision_loss)]
-fn switch_in_ms(
-    catalog: &Catalog,
-    timeline: &VersionTimeline,
-    upstream: &Upstream,
-    usable: Usable,
-    now: MonoMs,
-) -> Option<f64> {
-    let newest = timeline.newest();
-    let learnt_at = timeline.learnt_at(newest)?;
-    let upstreams: Vec<UpstreamId> = catalog
-        .directory
-        .iter()
-        .filter(|other| other.service == upstream.service && !other.leaving)
-        .map(|other| other.id.clone())
-        .collect();
-    let plan = SwitchPlan::default();
-    let turn = plan.turn(
-        &upstream.id,
-        &upstreams,
-        newest,
-        learnt_at,
-        usable.begin_until,
-    );
-    Some(turn.since_ms(now) as f64)
+    /// Returns the time until an upstream's turn, in milliseconds.
+    #[allow(clippy::cast_precision_loss)]
+    fn in_ms(&self, upstream: &Upstream, usable: Usable, now: MonoMs) -> Option<f64> {
+        let position = *self.positions.get(&upstream.id)?;
+        let count = self.positions.len();
+        let turn =
+            SwitchPlan::default().turn_at(position, count, self.learnt_at?, usable.begin_until);
+        Some(turn.since_ms(now) as f64)
+    }
 }
 
 fn distance_ms(entry: &Entry, zone: &ZoneId) -> f64 {
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -17,6 +17,9 @@
 /// Time between two rounds of hellos; an agent forgets an entry after three.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two looks for upstreams that joined.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Follows the reports of agents for ever.
 pub(crate) async fn run(entry: Rc<Entry>) {
     let address = SocketAddr::new(entry.settings.ip, entry.settings.peer_port);
@@ -30,7 +33,7 @@
     let mut hellos = interval(HELLO_INTERVAL);
     hellos.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut greeted: HashSet<IpAddr> = HashSet::new();
-    let mut look = interval(Duration::from_millis(150));
+    let mut look = interval(LOOK_INTERVAL);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut bytes = [0; 64];
     loop {
@@ -43,6 +46,7 @@
                 if let Some(Datagram::Report(report)) = decode(&bytes[..length]) {
                     take_over(&entry, from.ip(), report);
                 }
+                continue;
             }
             _ = hellos.tick() => {
                 greeted.clear();
