Give the ends of requests a file, and bodies and accepts one implementation

Cause: request.rs (457 lines) routed, sent and answered; the pair of a log line and an answer was written out five times, the record of a failed attempt three times. The entry and the soak had the same body of parts, the entry and the small server the same accept loop.

No answer, log field or check changes, but for the text of a failed accept.

--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,14 +16,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use super::request::handle;
 use super::state::Entry;
-use crate::clock;
+use crate::{clock, http_server};
 
-/// Pause after a failed accept, for descriptors to be freed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Descriptors kept for upstreams, the store and files.
 const DESCRIPTORS_RESERVED: usize = 1_000;
 /// Smallest buffer of a connection; the library accepts no smaller one.
@@ -136,14 +132,7 @@
 /// Accepts connections for ever.
 pub(crate) async fn accept(entry: Rc<Entry>, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "listener.accept_failed", error:% = error; "cannot accept a connection of a caller");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = http_server::accept(&listener).await;
         let open_max = entry
             .settings
             .descriptors_max
@@ -152,8 +141,6 @@
             log::warn!(event = "connection.refused", open = open_max; "too many connections of callers");
             continue;
         }
-        // Without the option an event waits for the caller's delayed confirmation.
-        let _ = stream.set_nodelay(true);
         spawn_local(serve(Rc::clone(&entry), stream));
     }
 }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod candidates;
 mod connections;
+mod outcome;
 mod pool;
 mod relay;
 mod reports;
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{Attempt, AttemptEnd, NextStep, StreamEvent};
+use masticdock_core::serving::{AttemptEnd, NextStep, StreamEvent};
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::{Instant, sleep_until};
 
@@ -15,10 +14,10 @@
 use super::attempt::{OpenStream, Outcome, attempt};
 use super::candidates::Chosen;
 use super::connections::InUse;
-use super::request::{Call, Times, ended, place, step};
+use super::outcome::{Times, ended};
+use super::request::{Call, Failures, place, step};
 use super::state::Entry;
 use crate::clock;
-use crate::metrics::metrics;
 
 /// Events that wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 8;
@@ -30,8 +29,7 @@
 struct Relay {
     entry: Rc<Entry>,
     call: Call,
-    made: Attempt,
-    tried: Vec<UpstreamId>,
+    failures: Failures,
     events: Sender<Result<Bytes, Cut>>,
     last_id: Option<u64>,
     first_ms: u64,
@@ -57,22 +55,19 @@
     call: Call,
     chosen: Chosen,
     mut stream: OpenStream,
-    made: Attempt,
-    tried: Vec<UpstreamId>,
+    mut failures: Failures,
     in_use: InUse,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = channel(EVENTS_WAITING);
     let head = std::mem::take(&mut stream.head);
-    let mut made = made;
-    made.delivering = true;
+    failures.made.delivering = true;
     let relay = Relay {
         first_ms: call.age_ms(),
         pause_ms: 0,
         last_id: call.head.last_event_id,
         entry,
         call,
-        made,
-        tried,
+        failures,
         events: sender,
     };
     tokio::task::spawn_local(relay.run(chosen, stream));
@@ -88,9 +83,8 @@
                 Passed::TooLate => return self.cut("timed_out", &chosen).await,
                 Passed::Broken(reason) => reason,
             };
-            self.made.record(AttemptEnd::Broken);
-            self.tried.push(chosen.upstream.id.clone());
-            metrics().attempts.with_label_values(&["broken"]).inc();
+            self.failures
+                .record(&chosen.upstream.id, AttemptEnd::Broken);
             self.entry
                 .with_load(&chosen.upstream.id, |load| load.failed(clock::now()));
             log::warn!(
@@ -112,10 +106,10 @@
     /// Continues the stream at another upstream, if the request allows it.
     async fn resume(&mut self, mut end: AttemptEnd) -> Option<(Chosen, OpenStream)> {
         loop {
-            if step(&self.entry, &self.call, &self.made, end) != NextStep::Again {
+            if step(&self.entry, &self.call, &self.failures.made, end) != NextStep::Again {
                 return None;
             }
-            let chosen = place(&self.entry, &self.call, &self.tried).ok()?;
+            let chosen = place(&self.entry, &self.call, &self.failures.upstreams).ok()?;
             log::info!(
                 event = "stream.resuming",
                 request_id = self.call.head.request_id.as_str(),
@@ -132,12 +126,7 @@
                 Outcome::Stream(stream) => return Some((chosen, *stream)),
                 Outcome::Whole(..) => return None,
                 Outcome::Failed(failed, _) => {
-                    self.made.record(failed);
-                    self.tried.push(chosen.upstream.id);
-                    metrics()
-                        .attempts
-                        .with_label_values(&[failed.as_str()])
-                        .inc();
+                    self.failures.record(&chosen.upstream.id, failed);
                     end = failed;
                 }
             }
@@ -221,7 +210,14 @@
             first_ms: self.first_ms,
             pause_ms: self.pause_ms,
         };
-        ended(&self.call, outcome, Some(chosen), status, &self.made, times);
+        ended(
+            &self.call,
+            outcome,
+            Some(chosen),
+            status,
+            &self.failures.made,
+            times,
+        );
     }
 
     /// Ends the response so that it does not look complete.
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -11,14 +11,15 @@
 use masticdock_adapter::{CallerHead, caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
-    Attempt, AttemptEnd, Configuration, FinalAnswer, NextStep, Route, RouteMatch, next_step,
+    Attempt, AttemptEnd, Configuration, NextStep, Route, RouteMatch, next_step,
 };
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::{AnswerBody, own, whole};
+use super::answer::AnswerBody;
 use super::attempt::{Outcome, attempt};
 use super::candidates::{Chosen, NoPlace, Wanted, choose};
 use super::connections::InUse;
+use super::outcome::{finish, no_room, pass_on, reject};
 use super::relay;
 use super::state::Entry;
 use crate::clock;
@@ -31,9 +32,6 @@
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Time that a caller without a deadline waits, in milliseconds.
 const DEADLINE_DEFAULT_MS: u64 = 30_000;
-/// Shortest and longest advice to callers while a service has no usable upstream,
-/// in milliseconds; a process that crashed is back after some seconds.
-const NO_UPSTREAM_RETRY_MS: (u64, u64) = (900, 1_900);
 
 /// A request with its route.
 #[derive(Debug)]
@@ -171,46 +169,57 @@
     }
 }
 
+/// Attempts of one request that failed.
+#[derive(Debug, Default)]
+pub(crate) struct Failures {
+    /// What they mean for the next one.
+    pub(crate) made: Attempt,
+    /// Their upstreams.
+    pub(crate) upstreams: Vec<UpstreamId>,
+}
+
+impl Failures {
+    /// Notes and counts an attempt that failed.
+    pub(crate) fn record(&mut self, upstream: &UpstreamId, end: AttemptEnd) {
+        self.made.record(end);
+        self.upstreams.push(upstream.clone());
+        metrics().attempts.with_label_values(&[end.as_str()]).inc();
+    }
+}
+
 /// Sends a request until it has an answer.
 async fn serve(entry: Rc<Entry>, call: Call, in_use: InUse) -> Response<AnswerBody> {
     entry.with_budget(&call.service, |budget| budget.record_request(clock::now()));
-    let mut made = Attempt::default();
-    let mut tried = Vec::new();
+    let mut failures = Failures::default();
     let mut last_error = None;
     loop {
-        let chosen = match place(&entry, &call, &tried) {
+        let chosen = match place(&entry, &call, &failures.upstreams) {
             Ok(chosen) => chosen,
-            Err(no_place) => return no_room(&entry, &call, &made, no_place, last_error, in_use),
+            Err(no_place) => {
+                let made = &failures.made;
+                return no_room(&entry, &call, made, no_place, last_error, in_use);
+            }
         };
-        if made == Attempt::default() {
+        if failures.made == Attempt::default() {
             entry.record_admission(&call.service, false);
         }
-        let outcome = attempt(&entry, &call, &chosen, None).await;
-        let (end, error) = match outcome {
+        let (end, error) = match attempt(&entry, &call, &chosen, None).await {
             Outcome::Whole(head, body) => {
-                ended(
-                    &call,
-                    "answered",
-                    Some(&chosen),
-                    head.status(),
-                    &made,
-                    Times::at_once(&call),
-                );
-                return whole(head, body, in_use);
+                let made = &failures.made;
+                return pass_on(&call, "answered", Some(&chosen), head, body, made, in_use);
             }
             Outcome::Stream(stream) => {
-                return relay::start(entry, call, chosen, *stream, made, tried, in_use);
+                return relay::start(entry, call, chosen, *stream, failures, in_use);
             }
             Outcome::Failed(end, error) => (end, error),
         };
-        made.record(end);
-        tried.push(chosen.upstream.id.clone());
-        metrics().attempts.with_label_values(&[end.as_str()]).inc();
+        failures.record(&chosen.upstream.id, end);
         last_error = error.or(last_error);
-        match step(&entry, &call, &made, end) {
+        match step(&entry, &call, &failures.made, end) {
             NextStep::Again => {}
             NextStep::End(answer) => {
-                return finish(&entry, &call, &made, &chosen, answer, last_error, in_use);
+                let made = &failures.made;
+                return finish(&entry, &call, made, &chosen, answer, last_error, in_use);
             }
         }
     }
@@ -251,200 +260,6 @@
     )
 }
 
-/// Answers a request for which no upstream has room.
-fn no_room(
-    entry: &Entry,
-    call: &Call,
-    made: &Attempt,
-    no_place: NoPlace,
-    last_error: Option<(Response<()>, Bytes)>,
-    in_use: InUse,
-) -> Response<AnswerBody> {
-    if made.may_have_run {
-        if let Some((head, body)) = last_error {
-            ended(
-                call,
-                "error_passed_on",
-                None,
-                head.status(),
-                made,
-                Times::at_once(call),
-            );
-            return whole(head, body, in_use);
-        }
-        ended(
-            call,
-            "failed",
-            None,
-            StatusCode::BAD_GATEWAY,
-            made,
-            Times::at_once(call),
-        );
-        return own(StatusCode::BAD_GATEWAY, None, in_use);
-    }
-    entry.record_admission(&call.service, true);
-    let (delay_ms, rejected_share) = if no_place.best_ms.is_some() {
-        entry.retry_after(&call.service)
-    } else {
-        let (shortest_ms, longest_ms) = NO_UPSTREAM_RETRY_MS;
-        (rand::random_range(shortest_ms..=longest_ms), 1.0)
-    };
-    log::info!(
-        event = "request.rejected",
-        request_id = call.head.request_id.as_str(),
-        route = call.route.name.as_str(),
-        service = call.service.as_str(),
-        reason = if no_place.best_ms.is_some() { "full" } else { "no_upstream" },
-        candidates = no_place.candidates,
-        best_ms = no_place.best_ms.filter(|best_ms| best_ms.is_finite()).unwrap_or(-1.0),
-        returning = call.returning,
-        sent = made.sent,
-        rejected_share = rejected_share * 100.0,
-        retry_after_ms = delay_ms,
-        configuration = call.configuration.version;
-        "no upstream has room for a request"
-    );
-    metrics().requests.with_label_values(&["rejected"]).inc();
-    own(StatusCode::SERVICE_UNAVAILABLE, Some(delay_ms), in_use)
-}
-
-/// Ends a request after its last attempt.
-fn finish(
-    entry: &Entry,
-    call: &Call,
-    made: &Attempt,
-    chosen: &Chosen,
-    answer: FinalAnswer,
-    last_error: Option<(Response<()>, Bytes)>,
-    in_use: InUse,
-) -> Response<AnswerBody> {
-    match (answer, last_error) {
-        (FinalAnswer::PassOn, Some((head, body))) => {
-            ended(
-                call,
-                "error_passed_on",
-                Some(chosen),
-                head.status(),
-                made,
-                Times::at_once(call),
-            );
-            whole(head, body, in_use)
-        }
-        (FinalAnswer::NotRun, _) => {
-            let (delay_ms, _) = entry.retry_after(&call.service);
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            ended(
-                call,
-                "not_run",
-                Some(chosen),
-                status,
-                made,
-                Times::at_once(call),
-            );
-            own(status, Some(delay_ms), in_use)
-        }
-        _ => {
-            let status = if call.left_ms() == 0 {
-                StatusCode::GATEWAY_TIMEOUT
-            } else {
-                StatusCode::BAD_GATEWAY
-            };
-            ended(
-                call,
-                "failed",
-                Some(chosen),
-                status,
-                made,
-                Times::at_once(call),
-            );
-            own(status, None, in_use)
-        }
-    }
-}
-
-fn reject(
-    request_id: &str,
-    status: StatusCode,
-    reason: &'static str,
-    retry_after_ms: Option<u64>,
-    in_use: InUse,
-) -> Response<AnswerBody> {
-    log::info!(
-        event = "request.rejected",
-        request_id = request_id,
-        reason = reason,
-        status = status.as_u16();
-        "a request cannot be served"
-    );
-    metrics().requests.with_label_values(&[reason]).inc();
-    own(status, retry_after_ms, in_use)
-}
-
-/// Times of a response, in milliseconds.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Times {
-    /// From the request to the first event or the whole response.
-    pub(crate) first_ms: u64,
-    /// Longest pause between two arrivals of events.
-    pub(crate) pause_ms: u64,
-}
-
-impl Times {
-    fn at_once(call: &Call) -> Self {
-        Self {
-            first_ms: call.age_ms(),
-            pause_ms: 0,
-        }
-    }
-}
-
-/// Logs and counts the end of a request that was sent to some upstream.
-pub(crate) fn ended(
-    call: &Call,
-    outcome: &'static str,
-    chosen: Option<&Chosen>,
-    status: StatusCode,
-    made: &Attempt,
-    times: Times,
-) {
-    let total_ms = call.age_ms();
-    log::info!(
-        event = "request.ended",
-        request_id = call.head.request_id.as_str(),
-        route = call.route.name.as_str(),
-        service = call.service.as_str(),
-        outcome = outcome,
-        status = status.as_u16(),
-        upstream = chosen.map_or("", |chosen| chosen.upstream.id.as_str()),
-        candidates = chosen.map_or(0, |chosen| chosen.candidates),
-        total_at_upstream = chosen.map_or(0, |chosen| chosen.total),
-        predicted_ms = chosen.map_or(-1.0, |chosen| chosen.predicted_ms),
-        weights = chosen.and_then(|chosen| chosen.version).map_or(0, |version| version.0),
-        prompt_tokens = call.head.size.prompt_tokens,
-        answer_tokens = call.head.size.answer_tokens,
-        first_ms = times.first_ms,
-        pause_ms = times.pause_ms,
-        total_ms = total_ms,
-        failed_attempts = made.sent + made.unsent,
-        returning = call.returning,
-        deadline_ms = call.head.deadline_ms.unwrap_or(0),
-        configuration = call.configuration.version;
-        "a request ended"
-    );
-    let metrics = metrics();
-    metrics.requests.with_label_values(&[outcome]).inc();
-    #[allow(clippy::cast_precision_loss)]
-    let seconds = |ms: u64| ms as f64 / 1_000.0;
-    metrics
-        .first_seconds
-        .with_label_values(&[outcome])
-        .observe(seconds(times.first_ms));
-    metrics
-        .total_seconds
-        .with_label_values(&[outcome])
-        .observe(seconds(total_ms));
-}
-
 impl Entry {
     /// Returns true while new requests are served.
     fn serves(&self) -> bool {
--- a/crates/masticdock-node/src/http_server/mod.rs
+++ b/crates/masticdock-node/src/http_server/mod.rs
@@ -1,4 +1,7 @@
-//! A small HTTP server for calls between processes and for metrics.
+//! A small HTTP server for calls between processes and for metrics, and what the
+//! entry's own server shares with it.
+
+mod body;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -13,9 +16,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+pub use body::PartsBody;
+
 /// Pause after a failed accept, for descriptors to be freed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -45,16 +50,7 @@
 {
     let answer = Rc::new(answer);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "listener.accept_failed", error:% = error; "cannot accept a connection");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        // Without the option a reply waits for the peer's delayed confirmation.
-        let _ = stream.set_nodelay(true);
+        let stream = accept(&listener).await;
         let answer = Rc::clone(&answer);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
@@ -71,6 +67,23 @@
     }
 }
 
+/// Accepts the next connection, however long that fails.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without the option a reply waits for the peer's delayed confirmation.
+                let _ = stream.set_nodelay(true);
+                return stream;
+            }
+            Err(error) => {
+                log::warn!(event = "listener.accept_failed", error:% = error; "cannot accept a connection");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Makes a response of a status and a body.
 #[must_use]
 pub fn respond(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
