Split the agent's links and piece reads from its fetch, default the test's scenarios

Change: agent/links.rs, agent/peer_client.rs; Scenario::default. Decisions, scenarios and assertions are the same.

--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -124,6 +124,22 @@
     length_ms: u64,
 }
 
+impl Default for Scenario {
+    /// Eleven engines and four entries that know of each other, without trouble.
+    fn default() -> Self {
+        Self {
+            upstreams: 11,
+            entries: 4,
+            per_s: |_| 75.0,
+            slow: |_| 1.0,
+            away: |_, _| false,
+            entries_known: true,
+            callers_return: false,
+            length_ms: 8_000,
+        }
+    }
+}
+
 /// Plays a scenario and returns the requests whose first event came in time.
 fn served_in_time(scenario: &Scenario, rule: Rule) -> usize {
     let profile = profile();
@@ -274,14 +290,9 @@
 #[test]
 fn an_overload_serves_more_in_time_than_queueing_everything() {
     let scenario = Scenario {
-        upstreams: 11,
-        entries: 4,
         per_s: |_| 200.0,
-        slow: |_| 1.0,
-        away: |_, _| false,
-        entries_known: true,
-        callers_return: false,
         length_ms: 6_000,
+        ..Scenario::default()
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
     let naive = served_in_time(&scenario, Rule::LeastInFlight);
@@ -293,8 +304,6 @@
 #[test]
 fn after_a_burst_requests_are_in_time_again_sooner() {
     let scenario = Scenario {
-        upstreams: 11,
-        entries: 4,
         per_s: |now_ms| {
             if (2_000..4_000).contains(&now_ms) {
                 260.0
@@ -302,11 +311,8 @@
                 70.0
             }
         },
-        slow: |_| 1.0,
-        away: |_, _| false,
-        entries_known: true,
-        callers_return: false,
         length_ms: 9_000,
+        ..Scenario::default()
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
     let naive = served_in_time(&scenario, Rule::LeastInFlight);
@@ -318,14 +324,8 @@
 #[test]
 fn slow_upstreams_get_less_and_more_is_in_time() {
     let scenario = Scenario {
-        upstreams: 11,
-        entries: 4,
-        per_s: |_| 75.0,
         slow: |index| if index < 2 { 4.0 } else { 1.0 },
-        away: |_, _| false,
-        entries_known: true,
-        callers_return: false,
-        length_ms: 8_000,
+        ..Scenario::default()
     };
     let predicted = served_in_time(&scenario, Rule::Predicted);
     let naive = served_in_time(&scenario, Rule::LeastInFlight);
@@ -339,11 +339,10 @@
         upstreams: 40,
         entries: 8,
         per_s: |_| 420.0,
-        slow: |_| 1.0,
         away: |index, now_ms| now_ms < 100 * index as u64,
         entries_known,
-        callers_return: false,
         length_ms: 5_000,
+        ..Scenario::default()
     };
     served_in_time(&scenario, Rule::Predicted)
 }
@@ -413,14 +412,11 @@
 /// Replays an outage of three seconds under full load; rejected callers return.
 fn served_after_an_outage(rule: Rule) -> usize {
     let scenario = Scenario {
-        upstreams: 11,
-        entries: 4,
         per_s: |_| 115.0,
-        slow: |_| 1.0,
         away: |_, now_ms| now_ms < 3_000,
-        entries_known: true,
         callers_return: true,
         length_ms: 9_000,
+        ..Scenario::default()
     };
     served_in_time(&scenario, rule)
 }
--- a/crates/masticdock-node/src/agent/fetch.rs
+++ b/crates/masticdock-node/src/agent/fetch.rs
@@ -6,13 +6,11 @@
 //! the next one.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::StatusCode;
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
 use masticdock_core::ids::RegionId;
 use masticdock_core::serving::{
@@ -22,7 +20,9 @@
 use masticdock_core::units::MonoMs;
 use tokio::task::JoinSet;
 
-use super::peer_server::{PIECE_WAIT, PieceRequest};
+use super::links::Links;
+use super::peer_client::{Brought, from_peer};
+use super::peer_server::PieceRequest;
 use super::pieces::Pieces;
 use super::state::{Agent, ModelGoal, Peer};
 use crate::clock;
@@ -34,17 +34,6 @@
 /// Pieces read from the origin at the same time; it accepts some 48 connections
 /// from all agents together.
 const ORIGIN_AT_ONCE: usize = 2;
-/// Time for a piece from a peer that holds it: half a second in its line, as
-/// long as it takes anyone in, and as much again on both links.
-const NEAR_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time for a piece from afar, which may have to arrive there first, and which
-/// waits for its pace between regions.
-const FAR_TIMEOUT: Duration = PIECE_WAIT.saturating_add(Duration::from_millis(1_500));
-/// Time for the body of a piece above which a link is slow: six times that of
-/// an idle one.
-const SLOW_BODY: Duration = Duration::from_millis(250);
-/// Slow peers from which on the own link is taken for the slow one.
-const SLOW_PEERS_MAX: usize = 3;
 /// Longest wait before turns and pauses are looked at again.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
 /// Wrong digests after which the manifest is doubted.
@@ -63,31 +52,6 @@
     Mismatch,
 }
 
-/// Which links are slow, as the bodies of pieces showed.
-#[derive(Debug, Default)]
-struct Links {
-    slow_peers: HashSet<SocketAddr>,
-    fast_peers: HashSet<SocketAddr>,
-    own_is_slow: bool,
-}
-
-impl Links {
-    /// Notes how long the body of a piece of `peer` took.
-    fn note(&mut self, peer: SocketAddr, took: Duration) {
-        if took < SLOW_BODY {
-            self.fast_peers.insert(peer);
-            self.slow_peers.remove(&peer);
-            return;
-        }
-        self.slow_peers.insert(peer);
-        // Many slow peers and few fast ones: what they share is this VM's link.
-        let fast = self.fast_peers.difference(&self.slow_peers).count();
-        if self.slow_peers.len() >= SLOW_PEERS_MAX && self.slow_peers.len() > fast {
-            self.own_is_slow = true;
-        }
-    }
-}
-
 /// A read that ended.
 struct Ended {
     piece: usize,
@@ -97,16 +61,6 @@
     result: Result<Brought, CallError>,
 }
 
-/// What a source answered.
-enum Brought {
-    /// The piece, and how long its body took.
-    Piece(Bytes, Duration),
-    /// The source does not hold the piece.
-    Missing,
-    /// Too many others wait there.
-    Busy,
-}
-
 /// A fetch of one version.
 struct Fetch {
     agent: Rc<Agent>,
@@ -246,11 +200,6 @@
         self.start_near(&held_nearby);
     }
 
-    /// Returns true for a peer whose link is slow, unless it is the own one.
-    fn is_slow(&self, peer: &Peer) -> bool {
-        self.links.slow_peers.contains(&peer.agent) && !self.links.own_is_slow
-    }
-
     /// Returns what each peer of the region holds.
     fn held_nearby(&self) -> Vec<ChunkSet> {
         let count = self.pieces.count();
@@ -279,7 +228,8 @@
         let mut nearby = self.pieces.held_set();
         for (peer, held) in self.near_peers().iter().zip(held_nearby) {
             // What only a slow peer holds reaches the region too late.
-            if !self.is_slow(peer) && !self.penalties.suspects(&peer.pieces.name, now) {
+            if !self.links.is_slow(&peer.agent) && !self.penalties.suspects(&peer.pieces.name, now)
+            {
                 nearby.union_with(held);
             }
         }
@@ -346,7 +296,7 @@
                     have,
                     tier: Tier::Region,
                     available: outstanding < PEER_AT_ONCE
-                        && !self.is_slow(peer)
+                        && !self.links.is_slow(&peer.agent)
                         && self.penalties.allows(&peer.pieces.name, now),
                     outstanding,
                 });
@@ -475,8 +425,7 @@
     fn note_body(&mut self, peer: SocketAddr, took: Duration) {
         self.links.note(peer, took);
         self.penalties.forgive(&peer.ip().to_string(), clock::now());
-        // The link of a single slow peer says nothing of the own one.
-        if took < SLOW_BODY || self.links.own_is_slow {
+        if self.links.shows_own(took) {
             let mut reads = self.agent.reads.borrow_mut();
             reads.note(took.as_secs_f64() * 1_000.0, clock::now());
         }
@@ -505,18 +454,3 @@
         );
     }
 }
-
-async fn from_peer(client: &HttpClient, wanted: &PieceRequest) -> Result<Brought, CallError> {
-    let limit = if wanted.wait {
-        FAR_TIMEOUT
-    } else {
-        NEAR_TIMEOUT
-    };
-    let reply = client.get(&wanted.path(), limit).await?;
-    match reply.status {
-        StatusCode::OK => Ok(Brought::Piece(reply.body, reply.body_took)),
-        StatusCode::NOT_FOUND => Ok(Brought::Missing),
-        StatusCode::SERVICE_UNAVAILABLE => Ok(Brought::Busy),
-        status => Err(CallError::Unexpected(status.to_string())),
-    }
-}
--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -3,6 +3,8 @@
 mod engine_watch;
 mod fetch;
 mod fetcher;
+mod links;
+mod peer_client;
 mod peer_server;
 mod pieces;
 mod reporter;
