--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -93,6 +93,21 @@
 /// Maximum number of attempts that fail without a connection.
 const CONNECT_FAILURES_MAX: u32 = 3;
 
+/// Timeouts for connecting to an upstream, by the number of failed connections of the
+/// request, in milliseconds. A healthy upstream accepts within a few milliseconds, while
+/// a lost packet delays the connection by a second, and a queue on the link of its VM by
+/// some hundred milliseconds. Nothing was sent by then, so another upstream can take the
+/// request at once; if that is slow as well, the cause is probably shared and patience
+/// helps more.
+const CONNECT_TIMEOUTS_MS: [u64; CONNECT_FAILURES_MAX as usize] = [120, 250, 400];
+
+/// Returns the timeout for the next connection of a request, in milliseconds.
+#[must_use]
+pub fn connect_timeout_ms(history: &AttemptHistory) -> u64 {
+    let failures = history.not_sent.min(CONNECT_FAILURES_MAX - 1);
+    CONNECT_TIMEOUTS_MS[failures as usize]
+}
+
 /// Minimum remaining time for another attempt, in milliseconds.
 const ATTEMPT_TIME_MIN_MS: u64 = 100;
 
--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -143,6 +143,22 @@
     pub zone: Option<ZoneId>,
 }
 
+/// What an agent has to know of the configuration: the model that the engine on its VM
+/// serves, and where the weights come from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelTarget {
+    /// Model that the engine serves.
+    pub model: ModelId,
+    /// Number of layers of the model.
+    pub layers: u32,
+    /// Number of chunks that the weights of one version are split into.
+    pub chunk_count: usize,
+    /// Prefill time of a prompt of mean length, in milliseconds.
+    pub mean_prefill_ms: u64,
+    /// Origin of the weights.
+    pub origin: Origin,
+}
+
 /// A service of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -313,6 +329,21 @@
             .find_map(|service| service.origin.as_ref())
     }
 
+    /// Returns what the agents beside the engines of `service` have to know; `None` if
+    /// its upstreams run no model or the weights have no origin.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn model_target(&self, service: &ServiceId) -> Option<ModelTarget> {
+        let engine = self.services.get(service)?.engine.as_ref()?;
+        Some(ModelTarget {
+            model: engine.models.first()?.clone(),
+            layers: engine.layers,
+            chunk_count: engine.chunk_count,
+            mean_prefill_ms: engine.mean_prefill_ms() as u64,
+            origin: self.origin()?.clone(),
+        })
+    }
+
     /// Returns the engine parameters of the service that serves `model`.
     #[must_use]
     pub fn engine_of(&self, model: &ModelId) -> Option<&EngineProfile> {
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -26,6 +26,26 @@
     pub start_delay_ms: u32,
     /// Delay of requests behind chunks of weights on the VM's link, in milliseconds.
     pub link_delay_ms: u32,
+    /// Start time of the engine's process, in milliseconds since the Unix epoch.
+    pub started_at_ms: Option<u64>,
+}
+
+impl AgentReport {
+    /// Returns the report as it applies to the incarnation of an engine that started at
+    /// `started_at_ms`. After a restart, the row of the former incarnation stays in the
+    /// store for some seconds; it describes an engine that is gone, while the report
+    /// comes from its successor at the same address.
+    #[must_use]
+    pub fn for_incarnation(self, started_at_ms: Option<u64>) -> Self {
+        match (self.started_at_ms, started_at_ms) {
+            (Some(reported), Some(listed)) if reported != listed => Self {
+                reachable: false,
+                version: None,
+                ..self
+            },
+            _ => self,
+        }
+    }
 }
 
 /// Backoff after the first failure, in milliseconds: a crashed process needs a few
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -10,28 +10,32 @@
 mod entry_stagger;
 mod load;
 mod placement;
+mod poll_pace;
 mod retry_after;
 mod sse;
+mod store_reads;
 mod switch_plan;
 mod versions;
 
 pub use attempts::{
     AttemptHistory, AttemptOutcome, FinalResponse, NextStep, WindowedRetryBudget,
-    WindowedRetryBudgetSettings, next_step,
+    WindowedRetryBudgetSettings, connect_timeout_ms, next_step,
 };
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
 };
 pub use configuration::{
-    Backend, Configuration, EngineProfile, Origin, RequestKind, RequestLimits, Route, RouteMatch,
-    Service, Workspace,
+    Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
+    RouteMatch, Service, Workspace,
 };
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
 pub use entry_stagger::EntryStagger;
 pub use load::{AgentReport, UpstreamLoad};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
+pub use poll_pace::{PollLimits, poll_pause};
 pub use retry_after::{RetryAfter, RetryAfterSettings};
 pub use sse::{EventSplitter, StreamEvent};
+pub use store_reads::{StoreReadSchedule, StoreReadSettings};
 pub use switch_plan::{SwitchPlan, SwitchTiming};
 pub use versions::{VersionNumber, VersionTimeline};
--- a/crates/masticdock-core/src/transfer/pacing.rs
+++ b/crates/masticdock-core/src/transfer/pacing.rs
@@ -10,9 +10,11 @@
 /// half of the slowest cross-region link, which carries 25 Mbit/s for all traffic.
 const CROSS_REGION_BYTES_PER_S: u64 = 1_560_000;
 /// Minimum rate of one sender. An equal split among many senders would make the
-/// one with the most to send delay the whole transfer. At this rate 24 senders,
-/// the most that one region has had, together stay below the rate of the link.
+/// one with the most to send delay the whole transfer.
 const SENDER_BYTES_PER_S_MIN: u64 = 125_000;
+/// Maximum rate of all senders together, below the rate of the slowest link. Many
+/// senders rarely send at the same time, but after a loss of power they do.
+const SENDERS_BYTES_PER_S_MAX: u64 = 3_000_000;
 
 /// Returns the rate at which each of `senders` VMs of a region may send chunks
 /// to another region.
@@ -21,8 +23,10 @@
 /// the link.
 #[must_use]
 pub fn cross_region_rate(senders: usize) -> BytesPerSecond {
-    let share = CROSS_REGION_BYTES_PER_S / senders.max(1) as u64;
-    BytesPerSecond(share.max(SENDER_BYTES_PER_S_MIN))
+    let senders = senders.max(1) as u64;
+    let share = CROSS_REGION_BYTES_PER_S / senders;
+    let share_max = SENDERS_BYTES_PER_S_MAX / senders;
+    BytesPerSecond(share.max(SENDER_BYTES_PER_S_MIN).min(share_max))
 }
 
 /// Token bucket that limits the mean rate of the bytes sent.
--- a/crates/masticdock-core/tests/serving_attempts.rs
+++ b/crates/masticdock-core/tests/serving_attempts.rs
@@ -2,7 +2,7 @@
 
 use masticdock_core::serving::{
     AttemptHistory, AttemptOutcome, FinalResponse, NextStep, RequestKind, WindowedRetryBudget,
-    WindowedRetryBudgetSettings, next_step,
+    WindowedRetryBudgetSettings, connect_timeout_ms, next_step,
 };
 use masticdock_core::units::MonoMs;
 use proptest::prelude::*;
@@ -120,3 +120,19 @@
     );
     assert_eq!(step, NextStep::End(FinalResponse::Forwarded));
 }
+
+/// Guards against three connection attempts of 400 ms to VMs with squeezed links, after
+/// which the objective of a request is missed whatever follows.
+#[test]
+fn the_first_slow_connection_leaves_time_for_another_upstream() {
+    let mut history = AttemptHistory::default();
+    let first_ms = connect_timeout_ms(&history);
+    assert!(first_ms <= 150, "a quarter of the objective of 600 ms");
+    history.record(AttemptOutcome::NotSent);
+    let second_ms = connect_timeout_ms(&history);
+    assert!(second_ms > first_ms);
+    for _ in 0..5 {
+        history.record(AttemptOutcome::NotSent);
+        assert!(connect_timeout_ms(&history) >= second_ms);
+    }
+}
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -227,6 +227,7 @@
                     link_delay_ms: 0,
                     entries: 0,
                     start_delay_ms: 0,
+                    started_at_ms: None,
                 };
                 for view in &mut entry_loads {
                     if scenario.entries_known {
--- a/crates/masticdock-core/tests/transfer_window.rs
+++ b/crates/masticdock-core/tests/transfer_window.rs
@@ -72,7 +72,7 @@
 /// `deploy/days/squeeze-two-versions-power.toml` on ospina-dress).
 #[test]
 fn chunks_leave_capacity_on_the_cross_region_link() {
-    for senders in 1..=24 {
+    for senders in 1..=200 {
         let total = cross_region_rate(senders).0 * senders as u64;
         assert!(total < REGION_LINK_BYTES_PER_S, "{senders} senders");
         if senders <= 12 {
--- a/crates/masticdock-node/src/agent/fetch_loop.rs
+++ b/crates/masticdock-node/src/agent/fetch_loop.rs
@@ -5,11 +5,12 @@
 
 use http::StatusCode;
 use masticdock_adapter::{CallError, HttpClient, Manifest, OriginClient};
-use masticdock_core::serving::{ChunkSource, VersionNumber};
+use masticdock_core::serving::{ChunkSource, ModelTarget, VersionNumber};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use super::peer_server::manifest_path;
-use super::state::{Agent, TargetModel};
+use super::state::Agent;
 use super::version_chunks::VersionChunks;
 use super::version_fetch::{FetchOutcome, fetch_version};
 
@@ -17,6 +18,15 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout for the manifest from a peer, which may still be reading it.
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Attempts whose sources are asked for the manifest: the two readers of the region, and
+/// the origin.
+const MANIFEST_ATTEMPTS: [u32; 3] = [0, 1, 3];
+/// Time after which the next source is asked as well, in milliseconds: a reader has the
+/// manifest within some tens of milliseconds.
+const MANIFEST_HEDGE_MS: u64 = 180;
+/// Maximum random addition to that time, in milliseconds; spreads the agents that ask
+/// the origin, which accepts few connections.
+const MANIFEST_HEDGE_JITTER_MS: u64 = 120;
 /// Delay before a failed step is retried.
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -34,7 +44,7 @@
 }
 
 /// Returns the version to fetch; `None` while nothing is missing.
-fn version_to_fetch(agent: &Agent) -> Option<(TargetModel, VersionNumber)> {
+fn version_to_fetch(agent: &Agent) -> Option<(ModelTarget, VersionNumber)> {
     let target = agent.target_model()?;
     // Without a report, the version that the engine holds is unknown.
     agent.engine_report.borrow().as_ref()?;
@@ -52,7 +62,7 @@
 /// Fetches `version`; returns false on failure.
 async fn fetch_into_memory(
     agent: &Rc<Agent>,
-    target: &TargetModel,
+    target: &ModelTarget,
     version: VersionNumber,
 ) -> bool {
     let Some(chunks) = prepare_chunks(agent, target, version).await else {
@@ -78,15 +88,14 @@
 /// already holds; returns `None` if the manifest could not be read.
 async fn prepare_chunks(
     agent: &Rc<Agent>,
-    target: &TargetModel,
+    target: &ModelTarget,
     version: VersionNumber,
 ) -> Option<Rc<VersionChunks>> {
     if let Some(chunks) = agent.chunks_of(version) {
         return Some(chunks);
     }
     agent.read_upstreams().await;
-    let attempt = agent.next_manifest_attempt(version);
-    let manifest = match read_manifest(agent, target, version, attempt).await {
+    let manifest = match read_manifest(agent, target, version).await {
         Ok(Some(manifest)) => manifest,
         Ok(None) => {
             log::warn!(
@@ -100,7 +109,6 @@
             log::warn!(
                 event = "manifest.failed",
                 weights = version.0,
-                attempt = attempt,
                 error:% = error;
                 "cannot read the manifest; retrying"
             );
@@ -126,15 +134,59 @@
     Some(chunks)
 }
 
+/// Reads the manifest; returns `None` if the origin no longer has the version.
+///
+/// Asks one source after another without giving up the earlier ones: a reader that is
+/// itself waiting, slow or gone must not delay the engines whose chunks are all staged.
+async fn read_manifest(
+    agent: &Rc<Agent>,
+    target: &ModelTarget,
+    version: VersionNumber,
+) -> Result<Option<Manifest>, CallError> {
+    let mut reads = JoinSet::new();
+    let mut last_error = None;
+    let mut attempts = MANIFEST_ATTEMPTS.into_iter();
+    loop {
+        if let Some(attempt) = attempts.next() {
+            reads.spawn_local(read_manifest_from(
+                Rc::clone(agent),
+                target.clone(),
+                version,
+                attempt,
+            ));
+        }
+        let sources_left = attempts.len() > 0;
+        let hedge_ms = MANIFEST_HEDGE_MS + rand::random_range(0..=MANIFEST_HEDGE_JITTER_MS);
+        let hedge = sleep(Duration::from_millis(hedge_ms));
+        tokio::select! {
+            read = reads.join_next(), if !reads.is_empty() => match read {
+                Some(Ok(Ok(manifest))) => return Ok(manifest),
+                Some(Ok(Err(error))) => last_error = Some(error),
+                Some(Err(error)) => log::error!(
+                    event = "fetch.failed",
+                    error:% = error;
+                    "a read task was cancelled or panicked"
+                ),
+                None => {}
+            },
+            () = hedge, if sources_left => {}
+        }
+        if reads.is_empty() && !sources_left {
+            let error = last_error.take();
+            return Err(error.unwrap_or_else(|| CallError::Unexpected("no source".to_owned())));
+        }
+    }
+}
+
 /// Reads the manifest from the source that is selected for this attempt; returns `None`
 /// if the origin no longer has the version.
-async fn read_manifest(
-    agent: &Agent,
-    target: &TargetModel,
+async fn read_manifest_from(
+    agent: Rc<Agent>,
+    target: ModelTarget,
     version: VersionNumber,
     attempt: u32,
 ) -> Result<Option<Manifest>, CallError> {
-    let peers = agent.peers(target, version);
+    let peers = agent.peers(&target, version);
     let source =
         agent.with_source_selector(&peers, None, |selector| selector.manifest_source(attempt));
     if let ChunkSource::Peer(index) = source {
@@ -142,7 +194,7 @@
         let reply = HttpClient::new(peers[index].agent)
             .get(&path, MANIFEST_TIMEOUT)
             .await?;
-        let manifest = Manifest::from_bytes(&reply.body, target.engine.chunk_count);
+        let manifest = Manifest::from_bytes(&reply.body, target.chunk_count);
         match (reply.status, manifest) {
             (StatusCode::OK, Some(manifest)) => return Ok(Some(manifest)),
             // The engine of the peer held the version before its agent started, so that
@@ -156,7 +208,7 @@
     }
     let origin = OriginClient::new(target.origin.address);
     origin
-        .manifest(&target.model, version, target.engine.chunk_count)
+        .manifest(&target.model, version, target.chunk_count)
         .await
 }
 
--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -4,11 +4,11 @@
 mod engine_poll;
 mod fetch_loop;
 mod link_speeds;
-mod operators_poll;
 mod peer_client;
 mod peer_server;
 mod reporter;
 mod state;
+mod store_reads;
 mod switch_loop;
 mod version_chunks;
 mod version_fetch;
@@ -32,7 +32,7 @@
         )));
     };
     let agent = Rc::new(Agent::new(Rc::clone(&settings), upstream));
-    spawn_local(operators_poll::run(Rc::clone(&agent)));
+    spawn_local(store_reads::run(Rc::clone(&agent)));
     spawn_local(engine_poll::run(Rc::clone(&agent)));
     spawn_local(fetch_loop::run(Rc::clone(&agent)));
     spawn_local(switch_loop::run(Rc::clone(&agent)));
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -1,6 +1,5 @@
 //! Sends reports of the engine to entries, and announces held chunks to agents.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,8 +16,6 @@
 use crate::clock;
 use crate::datagram::{DATAGRAM_BYTES_MAX, Datagram, decode, encode};
 
-/// Time after its last hello for which an entry receives reports, in milliseconds.
-const ENTRY_SUBSCRIPTION_MS: u64 = 3_500;
 /// Minimum interval between two reports in which only the load differs.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -37,7 +34,6 @@
             return;
         }
     };
-    let mut entries: BTreeMap<SocketAddr, MonoMs> = BTreeMap::new();
     let mut last_sent: Option<AgentReport> = None;
     let mut stagger: Option<EntryStagger> = None;
     let mut load_due_at = Instant::now();
@@ -56,17 +52,15 @@
             && let Some(Datagram::Hello(hello)) = decode(&bytes[..length])
         {
             let now = clock::now();
-            agent.hello_at.set(now);
-            if !hello.resumable {
-                agent.unresumable_at.set(now);
-            }
+            let had_target = agent.target_model().is_some();
+            let is_new = agent.record_hello(entry, &hello, now);
             record_versions(&agent, &hello.versions, now);
-            if entries.insert(entry, now).is_none() {
+            if !had_target {
+                agent.changed.notify_waiters();
+            }
+            if is_new {
                 send_report(&socket, entry, report, stagger.as_ref()).await;
             }
-            entries.retain(|_, hello_at| now.since_ms(*hello_at) < ENTRY_SUBSCRIPTION_MS);
-            let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-            agent.entry_count.set(count);
         } else if let Some(Ok((length, peer))) = wake
             && let Some(Datagram::HeldChunks(version, held)) = decode(&bytes[..length])
         {
@@ -85,10 +79,11 @@
             continue;
         }
         if is_usable(&report) && !last_sent.as_ref().is_some_and(is_usable) {
-            stagger = stagger_entries(&agent, &entries);
+            stagger = stagger_entries(&agent);
         }
-        for entry in entries.keys() {
-            send_report(&socket, *entry, report, stagger.as_ref()).await;
+        let entries: Vec<SocketAddr> = agent.entries.borrow().keys().copied().collect();
+        for entry in entries {
+            send_report(&socket, entry, report, stagger.as_ref()).await;
         }
         last_sent = Some(report);
         load_due_at = Instant::now() + LOAD_REPORT_INTERVAL;
@@ -181,14 +176,13 @@
 
 /// Staggers the times at which entries may start to use the engine; returns `None`
 /// while the speed of the engine is unknown.
-fn stagger_entries(agent: &Agent, entries: &BTreeMap<SocketAddr, MonoMs>) -> Option<EntryStagger> {
-    let engine = agent.target_model()?.engine;
+fn stagger_entries(agent: &Agent) -> Option<EntryStagger> {
+    let step_ms = agent.target_model()?.mean_prefill_ms;
+    let entries = agent.entries.borrow();
     let names: Vec<CompactString> = entries
         .keys()
         .map(ToCompactString::to_compact_string)
         .collect();
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let step_ms = engine.mean_prefill_ms() as u64;
     Some(EntryStagger::new(&names, step_ms, clock::now()))
 }
 
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -7,18 +7,19 @@
 
 use compact_str::ToCompactString;
 use masticdock_adapter::{EngineClient, EngineReport, Manifest, NodeSettings, StoreClient, Table};
-use masticdock_core::ids::{ModelId, RegionId, UpstreamId};
+use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, ChunkPeer, ChunkSourceSelector, EngineProfile, Origin, VersionNumber,
-    VersionTimeline,
+    AgentReport, ChunkPeer, ChunkSourceSelector, ModelTarget, StoreReadSchedule, StoreReadSettings,
+    VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
 use tokio::sync::Notify;
 
 use super::version_chunks::VersionChunks;
-use crate::clock;
-use crate::tables::{Catalog, TableEvent};
+use crate::datagram::{ConfiguredTarget, Hello};
+use crate::tables::{Catalog, TableEvent, current_age_max_ms};
+use crate::{clock, upstream_list};
 
 /// Share of the VM's link that uploads may use, in percent. The events of streams share
 /// the link: they are late after 120 ms, in which the link transmits three chunks.
@@ -27,6 +28,10 @@
 /// Age of the last hello above which no entry counts as reachable, in milliseconds.
 /// Each entry sends a hello once a second.
 const HELLO_AGE_MAX_MS: u64 = 2_500;
+/// Time after its last hello for which an entry receives reports, in milliseconds.
+const ENTRY_SUBSCRIPTION_MS: u64 = 3_500;
+/// Number of entries that are asked for the list of upstreams before the store is read.
+const LIST_ATTEMPTS_MAX: usize = 2;
 /// Age up to which the list of upstreams is reused for a further attempt to fetch a
 /// version, in milliseconds. Every read of the store is priced.
 const UPSTREAMS_AGE_MAX_MS: u64 = 5_000;
@@ -60,22 +65,22 @@
     /// Time of the last hello according to which some streams cannot be resumed on
     /// another upstream.
     pub(crate) unresumable_at: Cell<MonoMs>,
-    /// Time of the last hello of an entry.
-    pub(crate) hello_at: Cell<MonoMs>,
+    /// Entries that sent a hello recently.
+    pub(crate) entries: RefCell<BTreeMap<SocketAddr, KnownEntry>>,
+    /// When this agent reads the store itself.
+    pub(crate) store_reads: Cell<StoreReadSchedule>,
+    /// Model to serve, and the version of the configuration that names it.
+    target: RefCell<Option<ConfiguredTarget>>,
     /// Chunks that the agents of the region announced last, each for one version.
     pub(crate) peer_chunks: RefCell<HashMap<IpAddr, (VersionNumber, ChunkSet)>>,
     /// Notified when an agent of the region announces chunks.
     pub(crate) peers_changed: Notify,
     /// Requests that the engine started between the last two polls.
     pub(crate) new_requests: Cell<u32>,
-    /// Number of entries that receive reports of the engine.
-    pub(crate) entry_count: Cell<u32>,
     /// Limits the concurrent reads from the same region.
     pub(crate) read_window: RefCell<ReadWindow>,
     /// Chunks for agents of the same region that wait to be sent.
     pub(crate) same_region_waiting: Cell<usize>,
-    /// Version whose manifest was requested last, and the number of attempts.
-    manifest_attempts: Cell<(VersionNumber, u32)>,
     /// Time at which the list of upstreams was read last.
     upstreams_read_at: Cell<Option<MonoMs>>,
     /// Paces all uploads to other agents.
@@ -89,12 +94,11 @@
     pub(crate) changed: Notify,
 }
 
-/// Model that the engine on this VM has to serve.
+/// An entry that receives reports of the engine.
 #[derive(Debug, Clone)]
-pub(crate) struct TargetModel {
-    pub(crate) model: ModelId,
-    pub(crate) engine: EngineProfile,
-    pub(crate) origin: Origin,
+pub(crate) struct KnownEntry {
+    pub(crate) region: RegionId,
+    hello_at: MonoMs,
 }
 
 /// Another agent of the service, and its address.
@@ -108,6 +112,10 @@
     pub(crate) fn new(settings: Rc<NodeSettings>, upstream: SocketAddr) -> Self {
         let deadline_ms = settings.bounds.version_deadline_ms;
         let store = StoreClient::new(settings.store_address);
+        let store_reads = StoreReadSettings {
+            informed_ms: current_age_max_ms(&settings.bounds),
+            ..StoreReadSettings::default()
+        };
         let upload_rate = BytesPerSecond(settings.link_rate.0 * UPLOAD_LINK_PERCENT / 100);
         Self {
             settings,
@@ -122,14 +130,14 @@
             ordered_version: Cell::new(None),
             switching: Cell::new(false),
             unresumable_at: Cell::new(MonoMs(0)),
-            hello_at: Cell::new(MonoMs(0)),
+            entries: RefCell::default(),
+            store_reads: Cell::new(StoreReadSchedule::new(store_reads, clock::now())),
+            target: RefCell::new(None),
             peer_chunks: RefCell::default(),
             peers_changed: Notify::new(),
             new_requests: Cell::new(0),
-            entry_count: Cell::new(0),
             read_window: RefCell::default(),
             same_region_waiting: Cell::new(0),
-            manifest_attempts: Cell::new((VersionNumber(0), 0)),
             upstreams_read_at: Cell::new(None),
             upload_pacer: RefCell::new(LinkPacer::new(upload_rate)),
             cross_region_upload_pacers: RefCell::default(),
@@ -146,47 +154,121 @@
         if read_at.is_some_and(|read_at| now.since_ms(read_at) < UPSTREAMS_AGE_MAX_MS) {
             return;
         }
+        if self.read_upstreams_from_entry().await || self.read_upstreams_from_store().await {
+            self.upstreams_read_at.set(Some(now));
+        }
+    }
+
+    /// Reads the list of upstreams from an entry, one of this region if possible; returns
+    /// false if none answered.
+    async fn read_upstreams_from_entry(&self) -> bool {
+        let Some(service) = &self.settings.service else {
+            return false;
+        };
+        for entry in self
+            .entries_by_distance()
+            .into_iter()
+            .take(LIST_ATTEMPTS_MAX)
+        {
+            match upstream_list::read(entry, service).await {
+                Ok(upstreams) => {
+                    self.catalog.borrow_mut().replace_upstreams(upstreams);
+                    return true;
+                }
+                Err(error) => log::warn!(
+                    event = "upstreams.unread",
+                    entry:% = entry,
+                    error:% = error;
+                    "cannot read the list of upstreams from an entry; trying another source"
+                ),
+            }
+        }
+        false
+    }
+
+    async fn read_upstreams_from_store(&self) -> bool {
         match self.store.read(Table::Upstreams).await {
             Ok(snapshot) => {
                 let event = TableEvent::Snapshot(snapshot.rows);
                 self.catalog.borrow_mut().apply_upstream_event(event);
-                self.upstreams_read_at.set(Some(now));
+                true
+            }
+            Err(error) => {
+                log::warn!(
+                    event = "store.read_failed",
+                    table = Table::Upstreams.as_str(),
+                    error:% = error;
+                    "cannot read the list of upstreams; the last one stays in use"
+                );
+                false
             }
-            Err(error) => log::warn!(
-                event = "store.read_failed",
-                table = Table::Upstreams.as_str(),
-                error:% = error;
-                "cannot read the list of upstreams; the last one stays in use"
-            ),
         }
     }
 
-    /// Counts an attempt to read the manifest of a version and returns its index,
-    /// starting at 0.
-    pub(crate) fn next_manifest_attempt(&self, version: VersionNumber) -> u32 {
-        let (counted_version, attempts_made) = self.manifest_attempts.get();
-        let attempt = if counted_version == version {
-            attempts_made
-        } else {
-            0
+    /// Returns the known entries in random order, those of this region first.
+    fn entries_by_distance(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.borrow();
+        let mut ordered: Vec<(bool, u32, SocketAddr)> = entries
+            .iter()
+            .map(|(address, entry)| {
+                let is_remote = entry.region != self.settings.region;
+                (is_remote, rand::random(), *address)
+            })
+            .collect();
+        ordered.sort_unstable();
+        ordered.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// Records a hello; returns true if the entry was not known.
+    pub(crate) fn record_hello(&self, address: SocketAddr, hello: &Hello, now: MonoMs) -> bool {
+        let known = KnownEntry {
+            region: self.region(&hello.zone),
+            hello_at: now,
         };
-        self.manifest_attempts.set((version, attempt + 1));
-        attempt
+        let mut entries = self.entries.borrow_mut();
+        let is_new = entries.insert(address, known).is_none();
+        entries.retain(|_, entry| now.since_ms(entry.hello_at) < ENTRY_SUBSCRIPTION_MS);
+        drop(entries);
+        if !hello.resumable {
+            self.unresumable_at.set(now);
+        }
+        let mut store_reads = self.store_reads.get();
+        store_reads.record_hello(hello.poll_age_ms.into(), now);
+        self.store_reads.set(store_reads);
+        if let Some(target) = &hello.target {
+            self.adopt_target(target.clone());
+        }
+        is_new
     }
 
-    /// Returns the model to serve, once the configuration names it.
-    pub(crate) fn target_model(&self) -> Option<TargetModel> {
-        let catalog = self.catalog.borrow();
-        let configuration = catalog.configuration.as_ref()?;
-        let service = self.settings.service.as_ref()?;
-        let engine = configuration.services.get(service)?.engine.clone()?;
-        let origin = configuration.origin()?.clone();
-        let model = engine.models.first()?.clone();
-        Some(TargetModel {
-            model,
-            engine,
-            origin,
-        })
+    /// Makes a target the current one unless it comes from an older configuration.
+    pub(crate) fn adopt_target(&self, adopted: ConfiguredTarget) {
+        let mut target = self.target.borrow_mut();
+        let is_older = target
+            .as_ref()
+            .is_some_and(|current| current.configuration_version >= adopted.configuration_version);
+        if is_older {
+            return;
+        }
+        let is_same = target
+            .as_ref()
+            .is_some_and(|current| current.target == adopted.target);
+        if !is_same {
+            log::info!(
+                event = "target.adopted",
+                model = adopted.target.model.as_str(),
+                configuration = adopted.configuration_version,
+                origin:% = adopted.target.origin.address;
+                "the configuration names the model to serve"
+            );
+        }
+        *target = Some(adopted);
+    }
+
+    /// Returns the model to serve, once an entry or the store named it.
+    pub(crate) fn target_model(&self) -> Option<ModelTarget> {
+        let target = self.target.borrow();
+        target.as_ref().map(|adopted| adopted.target.clone())
     }
 
     /// Returns the id of the upstream on this VM, once it is registered.
@@ -200,15 +282,15 @@
     }
 
     /// Returns the version of which the engine holds all layers.
-    pub(crate) fn loaded_version(&self, target: &TargetModel) -> Option<VersionNumber> {
+    pub(crate) fn loaded_version(&self, target: &ModelTarget) -> Option<VersionNumber> {
         let report = self.engine_report.borrow();
         let models = &report.as_ref()?.models;
         let model = models.iter().find(|model| model.model == target.model)?;
-        model.complete_version(target.engine.layers)
+        model.complete_version(target.layers)
     }
 
     /// Returns the newest declared version, or version 1 if none is known.
-    pub(crate) fn newest_declared(&self, target: &TargetModel) -> VersionNumber {
+    pub(crate) fn newest_declared(&self, target: &ModelTarget) -> VersionNumber {
         let catalog = self.catalog.borrow();
         catalog
             .timeline(&target.model)
@@ -218,7 +300,7 @@
     /// Returns true if completing the fetch of `version` would only delay a newer one.
     pub(crate) fn is_fetch_superseded(
         &self,
-        target: &TargetModel,
+        target: &ModelTarget,
         version: VersionNumber,
         fetching_since: MonoMs,
     ) -> bool {
@@ -230,7 +312,7 @@
 
     /// Returns the time by which the engine has to serve a newer version, if one is
     /// declared.
-    pub(crate) fn switch_deadline(&self, target: &TargetModel) -> Option<MonoMs> {
+    pub(crate) fn switch_deadline(&self, target: &ModelTarget) -> Option<MonoMs> {
         let loaded = self.loaded_version(target)?;
         self.catalog
             .borrow()
@@ -290,7 +372,7 @@
     }
 
     /// Returns the other agents of the service.
-    pub(crate) fn peers(&self, target: &TargetModel, version: VersionNumber) -> Vec<Peer> {
+    pub(crate) fn peers(&self, target: &ModelTarget, version: VersionNumber) -> Vec<Peer> {
         let catalog = self.catalog.borrow();
         let mut peers = Vec::new();
         let Some(service) = &self.settings.service else {
@@ -304,7 +386,7 @@
                 .models
                 .iter()
                 .find(|model| model.model == target.model)
-                .and_then(|model| model.complete_version(target.engine.layers));
+                .and_then(|model| model.complete_version(target.layers));
             peers.push(Peer {
                 chunk_peer: ChunkPeer {
                     name: upstream.address.ip().to_compact_string(),
@@ -335,7 +417,10 @@
 
     /// Returns true while at least one entry sends hellos.
     pub(crate) fn has_recent_hello(&self, now: MonoMs) -> bool {
-        now.since_ms(self.hello_at.get()) <= HELLO_AGE_MAX_MS
+        let entries = self.entries.borrow();
+        entries
+            .values()
+            .any(|entry| now.since_ms(entry.hello_at) <= HELLO_AGE_MAX_MS)
     }
 
     /// Returns the time until a chunk may be sent to another region, in milliseconds.
@@ -378,7 +463,7 @@
             .target_model()
             .and_then(|target| self.loaded_version(&target));
         let common = AgentReport {
-            entries: self.entry_count.get(),
+            entries: u32::try_from(self.entries.borrow().len()).unwrap_or(u32::MAX),
             link_delay_ms: self.link_delay_ms(),
             ..AgentReport::default()
         };
@@ -393,6 +478,7 @@
             version: loaded,
             switching: report.busy || self.switching.get(),
             reachable: true,
+            started_at_ms: report.started_at_ms,
             ..common
         }
     }
--- /dev/null
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -0,0 +1,86 @@
+//! Reads the operators' table while no entry informs this agent.
+//!
+//! An agent needs the parameters of its engine and the declared versions. Entries send
+//! both in their hellos; see [`StoreReadSchedule`] for when an agent reads them itself.
+//!
+//! [`StoreReadSchedule`]: masticdock_core::serving::StoreReadSchedule
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticdock_adapter::Table;
+use tokio::time::sleep;
+
+use super::state::Agent;
+use crate::clock;
+use crate::datagram::ConfiguredTarget;
+use crate::tables::TableEvent;
+
+/// Maximum time between checks of the schedule, which hellos postpone.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Reads the table whenever the schedule says so; never returns.
+pub(crate) async fn run(agent: Rc<Agent>) {
+    let mut snapshot_applied = false;
+    loop {
+        wait_until_due(&agent).await;
+        read_operators(&agent, &mut snapshot_applied).await;
+        let mut store_reads = agent.store_reads.get();
+        store_reads.record_read(clock::now());
+        agent.store_reads.set(store_reads);
+    }
+}
+
+async fn wait_until_due(agent: &Agent) {
+    let draw = rand::random();
+    loop {
+        let now = clock::now();
+        let due_at = agent.store_reads.get().due_at(draw, now);
+        if now >= due_at {
+            return;
+        }
+        sleep(due_at.since(now).min(CHECK_INTERVAL)).await;
+    }
+}
+
+/// Reads the configuration until it names the model of this agent, and only the rows of
+/// versions from then on: the configuration can be large.
+async fn read_operators(agent: &Agent, snapshot_applied: &mut bool) {
+    let result = if agent.target_model().is_none() {
+        agent.store.read(Table::Operators).await
+    } else {
+        agent.store.read_versions().await
+    };
+    let rows = match result {
+        Ok(snapshot) => snapshot.rows,
+        Err(error) => {
+            log::warn!(
+                event = "store.read_failed",
+                table = Table::Operators.as_str(),
+                error:% = error;
+                "cannot read the operators' table; hellos of entries may still inform this agent"
+            );
+            return;
+        }
+    };
+    let event = if *snapshot_applied {
+        TableEvent::Changes(rows)
+    } else {
+        TableEvent::Snapshot(rows)
+    };
+    *snapshot_applied = true;
+    let mut catalog = agent.catalog.borrow_mut();
+    catalog.apply_operator_event(event);
+    let target = catalog.configuration.as_ref().and_then(|configuration| {
+        let service = agent.settings.service.as_ref()?;
+        Some(ConfiguredTarget {
+            configuration_version: configuration.version,
+            target: configuration.model_target(service)?,
+        })
+    });
+    drop(catalog);
+    if let Some(target) = target {
+        agent.adopt_target(target);
+    }
+    agent.changed.notify_waiters();
+}
--- a/crates/masticdock-node/src/agent/switch_loop.rs
+++ b/crates/masticdock-node/src/agent/switch_loop.rs
@@ -6,11 +6,11 @@
 
 use masticdock_adapter::{OrderAnswer, OrderMode};
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{SwitchPlan, VersionNumber};
+use masticdock_core::serving::{ModelTarget, SwitchPlan, VersionNumber};
 use masticdock_core::units::MonoMs;
 use tokio::time::{sleep, timeout};
 
-use super::state::{Agent, TargetModel};
+use super::state::Agent;
 use super::version_chunks::VersionChunks;
 use crate::clock;
 
@@ -46,7 +46,7 @@
 }
 
 /// Returns the newest version in memory if the engine neither holds nor is loading it.
-fn version_to_load(agent: &Agent) -> Option<(TargetModel, Rc<VersionChunks>)> {
+fn version_to_load(agent: &Agent) -> Option<(ModelTarget, Rc<VersionChunks>)> {
     let target = agent.target_model()?;
     let busy = agent.engine_report.borrow().as_ref()?.busy;
     let chunks = agent.newest_fetched()?;
@@ -62,7 +62,7 @@
 /// Takes the next steps towards the version of `chunks`; returns false if one failed.
 async fn switch_engine(
     agent: &Rc<Agent>,
-    target: &TargetModel,
+    target: &ModelTarget,
     chunks: &Rc<VersionChunks>,
 ) -> bool {
     if agent.staged_version.get() != Some(chunks.version) {
@@ -88,7 +88,7 @@
 
 /// Waits for requests in flight to complete after the switch was announced, and decides
 /// whether the engine cuts the remaining ones.
-async fn drain(agent: &Agent, target: &TargetModel) -> OrderMode {
+async fn drain(agent: &Agent, target: &ModelTarget) -> OrderMode {
     if agent.loaded_version(target).is_none() {
         return OrderMode::AfterRequests;
     }
@@ -147,7 +147,7 @@
 
 /// Waits for the switch time of this upstream; returns false if another version
 /// supersedes `version`.
-async fn wait_for_switch_time(agent: &Agent, target: &TargetModel, version: VersionNumber) -> bool {
+async fn wait_for_switch_time(agent: &Agent, target: &ModelTarget, version: VersionNumber) -> bool {
     let plan = SwitchPlan::default();
     loop {
         let now = clock::now();
@@ -181,7 +181,7 @@
 /// Returns the time at which this upstream switches to `version`.
 fn switch_time(
     agent: &Agent,
-    target: &TargetModel,
+    target: &ModelTarget,
     version: VersionNumber,
     plan: &SwitchPlan,
     now: MonoMs,
@@ -234,7 +234,7 @@
 /// confirms the order.
 async fn send_load_order(
     agent: &Agent,
-    target: &TargetModel,
+    target: &ModelTarget,
     version: VersionNumber,
     mode: OrderMode,
 ) -> bool {
--- a/crates/masticdock-node/src/agent/version_fetch.rs
+++ b/crates/masticdock-node/src/agent/version_fetch.rs
@@ -15,7 +15,8 @@
 use masticdock_adapter::{CallError, HttpClient, OriginClient};
 use masticdock_core::ids::RegionId;
 use masticdock_core::serving::{
-    ChunkSource, ChunkSourceSelector, VersionNumber, is_reader_due, is_region_nearly_complete,
+    ChunkSource, ChunkSourceSelector, ModelTarget, VersionNumber, is_reader_due,
+    is_region_nearly_complete,
 };
 use masticdock_core::transfer::{ChunkSet, Fault, Locality, Sender, SenderBackoff, pick};
 use masticdock_core::units::MonoMs;
@@ -24,7 +25,7 @@
 use super::link_speeds::LinkSpeeds;
 use super::peer_client::{ChunkReply, read_chunk_from_peer};
 use super::peer_server::ChunkRequest;
-use super::state::{Agent, Peer, TargetModel};
+use super::state::{Agent, Peer};
 use super::version_chunks::VersionChunks;
 use crate::clock;
 
@@ -106,7 +107,7 @@
 /// Fetches all missing chunks.
 pub(crate) async fn fetch_version(
     agent: &Rc<Agent>,
-    target: &TargetModel,
+    target: &ModelTarget,
     chunks: &Rc<VersionChunks>,
 ) -> FetchOutcome {
     let region = &agent.settings.region;
--- /dev/null
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -0,0 +1,162 @@
+//! Hello of an entry: what an agent needs from the store, so that it does not have to
+//! read the store itself.
+
+use std::net::SocketAddr;
+
+use masticdock_adapter::DeclaredVersion;
+use masticdock_core::ids::ZoneId;
+use masticdock_core::serving::{ModelTarget, Origin, VersionNumber};
+
+use super::DATAGRAM_BYTES_MAX;
+
+/// Prefix of a hello; its last byte is the format version.
+const HELLO_MAGIC: [u8; 4] = *b"mdh2";
+const RESUMABLE_FLAG: u8 = 1;
+const TARGET_FLAG: u8 = 2;
+
+/// Subscription of an entry to the reports of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Hello {
+    /// True if every stream of an engine can be resumed on another upstream.
+    pub(crate) resumable: bool,
+    /// Time since the entry's last successful poll of the operators' table, in
+    /// milliseconds.
+    pub(crate) poll_age_ms: u32,
+    /// Availability zone of the entry.
+    pub(crate) zone: ZoneId,
+    /// Model of the service that the agent belongs to, once the entry knows it.
+    pub(crate) target: Option<ConfiguredTarget>,
+    /// Newest declared version of each model, with its age in milliseconds.
+    pub(crate) versions: Vec<(DeclaredVersion, u64)>,
+}
+
+/// Model of a service, and the version of the configuration that names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ConfiguredTarget {
+    pub(crate) configuration_version: u64,
+    pub(crate) target: ModelTarget,
+}
+
+impl Hello {
+    /// Encodes the hello. Versions that exceed the maximum length are omitted; agents
+    /// that hear no others read them from the store.
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let mut bytes = HELLO_MAGIC.to_vec();
+        let mut flags = 0;
+        if self.resumable {
+            flags |= RESUMABLE_FLAG;
+        }
+        if self.target.is_some() {
+            flags |= TARGET_FLAG;
+        }
+        bytes.push(flags);
+        bytes.extend_from_slice(&self.poll_age_ms.to_le_bytes());
+        put_text(&mut bytes, self.zone.as_str());
+        if let Some(target) = &self.target {
+            put_target(&mut bytes, target);
+        }
+        for (declared, age_ms) in &self.versions {
+            let name = declared.model.as_str();
+            if bytes.len() + 17 + name.len() > DATAGRAM_BYTES_MAX {
+                break;
+            }
+            bytes.extend_from_slice(&declared.version.0.to_le_bytes());
+            bytes.extend_from_slice(&age_ms.to_le_bytes());
+            put_text(&mut bytes, name);
+        }
+        bytes
+    }
+
+    /// Decodes a hello; returns `None` if the bytes are none or are invalid.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let mut reader = Reader(bytes.strip_prefix(&HELLO_MAGIC)?);
+        let flags = reader.take::<1>()?[0];
+        let poll_age_ms = u32::from_le_bytes(reader.take()?);
+        let zone = reader.text()?.parse().ok()?;
+        let target = if flags & TARGET_FLAG == 0 {
+            None
+        } else {
+            Some(read_target(&mut reader)?)
+        };
+        let mut versions = Vec::new();
+        while !reader.0.is_empty() {
+            let version = VersionNumber(reader.u64()?);
+            let age_ms = reader.u64()?;
+            let model = reader.text()?.parse().ok()?;
+            versions.push((DeclaredVersion { model, version }, age_ms));
+        }
+        Some(Self {
+            resumable: flags & RESUMABLE_FLAG != 0,
+            poll_age_ms,
+            zone,
+            target,
+            versions,
+        })
+    }
+}
+
+fn put_target(bytes: &mut Vec<u8>, configured: &ConfiguredTarget) {
+    let target = &configured.target;
+    bytes.extend_from_slice(&configured.configuration_version.to_le_bytes());
+    put_text(bytes, target.model.as_str());
+    bytes.extend_from_slice(&target.layers.to_le_bytes());
+    bytes.extend_from_slice(&(target.chunk_count as u64).to_le_bytes());
+    bytes.extend_from_slice(&target.mean_prefill_ms.to_le_bytes());
+    put_text(bytes, &target.origin.address.to_string());
+    // An empty name encodes the absence of a zone.
+    let zone = target.origin.zone.as_ref().map_or("", ZoneId::as_str);
+    put_text(bytes, zone);
+}
+
+fn read_target(reader: &mut Reader<'_>) -> Option<ConfiguredTarget> {
+    let configuration_version = reader.u64()?;
+    let model = reader.text()?.parse().ok()?;
+    let layers = u32::from_le_bytes(reader.take()?);
+    let chunk_count = usize::try_from(reader.u64()?).ok()?;
+    let mean_prefill_ms = reader.u64()?;
+    let address: SocketAddr = reader.text()?.parse().ok()?;
+    let zone = match reader.text()? {
+        "" => None,
+        zone => Some(zone.parse().ok()?),
+    };
+    Some(ConfiguredTarget {
+        configuration_version,
+        target: ModelTarget {
+            model,
+            layers,
+            chunk_count,
+            mean_prefill_ms,
+            origin: Origin { address, zone },
+        },
+    })
+}
+
+/// Appends a text with its length. A text that is too long for the length is replaced
+/// by an empty one, which no receiver accepts as a name.
+fn put_text(bytes: &mut Vec<u8>, text: &str) {
+    let length = u8::try_from(text.len()).unwrap_or(0);
+    bytes.push(length);
+    bytes.extend_from_slice(&text.as_bytes()[..usize::from(length)]);
+}
+
+/// Rest of the bytes that are being decoded.
+struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (taken, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*taken)
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.take().map(u64::from_le_bytes)
+    }
+
+    fn text(&mut self) -> Option<&'a str> {
+        let length = usize::from(self.take::<1>()?[0]);
+        let (text, rest) = self.0.split_at_checked(length)?;
+        self.0 = rest;
+        std::str::from_utf8(text).ok()
+    }
+}
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -14,7 +14,8 @@
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptOutcome, EventSplitter, RequestKind, StreamEvent, UpstreamLoad,
+    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, UpstreamLoad,
+    connect_timeout_ms,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -102,11 +103,12 @@
     entry: &Rc<Entry>,
     call: &Call,
     chosen: &ChosenUpstream,
+    history: &AttemptHistory,
     last_event_id: Option<u64>,
 ) -> AttemptResult {
     let id = &chosen.upstream.id;
     let load = LoadGuard::begin(entry, id, call.head.size.prompt_tokens);
-    let connection = match acquire_connection(entry, call, chosen).await {
+    let connection = match acquire_connection(entry, call, chosen, history).await {
         Ok(connection) => connection,
         Err(error) => {
             entry.with_load(id, |load| load.record_error(clock::now()));
@@ -150,6 +152,7 @@
     entry: &Entry,
     call: &Call,
     chosen: &ChosenUpstream,
+    history: &AttemptHistory,
 ) -> Result<Connection, String> {
     // An upstream may close an idle connection while a request is being sent on it.
     // A non-idempotent request cannot be retried then, so it gets a new connection.
@@ -158,7 +161,8 @@
     {
         return Ok(connection);
     }
-    let opened = entry.pools.open(chosen.upstream.address);
+    let timeout = Duration::from_millis(connect_timeout_ms(history));
+    let opened = entry.pools.open(chosen.upstream.address, timeout);
     match timeout_at(call.deadline, opened).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) => Err(error.to_string()),
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod request;
 mod shutdown;
 mod state;
+mod upstreams_server;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -29,19 +30,15 @@
 use crate::http_server::{respond, serve};
 use crate::metrics;
 use crate::signals::{SignalAction, Signals};
-use crate::tables::TableWatcher;
+use crate::tables::{PollPause, TableWatcher, poll_limits};
 use state::Entry;
 
-/// Long-poll timeout for changes of a table. Including the response time it stays
-/// below 3 s, the time within which a VM has to learn of a change when nothing fails.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Minimum interval between polls while the configuration changes rapidly; a
+/// Range of the interval between polls while the configuration changes rapidly; a
 /// configuration has to be in force within 2 s.
-const OPERATORS_POLL_INTERVAL_MIN: Duration = Duration::from_millis(100);
-/// Minimum interval between polls of upstream rows, which change often. It may be
-/// longer: agents report urgent engine state directly, and a leaving upstream
-/// keeps serving for 2 s.
-const UPSTREAMS_POLL_INTERVAL_MIN: Duration = Duration::from_millis(250);
+const OPERATORS_POLL_PAUSE: PollPause = PollPause {
+    min: Duration::from_millis(100),
+    max: Duration::from_millis(600),
+};
 /// Interval between removals of lapsed upstreams and expired connections.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -65,6 +62,7 @@
     spawn_local(metrics::serve_metrics(settings.ip));
     follow_tables(&entry);
     spawn_local(reports::run(Rc::clone(&entry)));
+    spawn_local(upstreams_server::run(Rc::clone(&entry)));
     spawn_local(run_cleanup(Rc::clone(&entry)));
     let accept_task = spawn_local(connections::accept(Rc::clone(&entry), listener));
     loop {
@@ -93,31 +91,36 @@
 }
 
 fn follow_tables(entry: &Rc<Entry>) {
-    let follower = TableWatcher {
+    let limits = poll_limits(&entry.settings.bounds);
+    let watcher = TableWatcher {
         table: Table::Operators,
         store: entry.settings.store_address,
-        long_poll_wait: LONG_POLL_TIMEOUT,
-        batch_window: OPERATORS_POLL_INTERVAL_MIN,
+        long_poll_wait: limits.long_poll(),
     };
     let operators_entry = Rc::clone(entry);
-    spawn_local(follower.run(move |event| {
+    spawn_local(watcher.run(move |event| {
         let mut catalog = operators_entry.catalog.borrow_mut();
         if catalog.apply_operator_event(event) {
             operators_entry.version_declared.notify_one();
         }
+        OPERATORS_POLL_PAUSE
     }));
-    let follower = TableWatcher {
+    let watcher = TableWatcher {
         table: Table::Upstreams,
-        batch_window: UPSTREAMS_POLL_INTERVAL_MIN,
-        ..follower
+        ..watcher
     };
     let upstreams_entry = Rc::clone(entry);
-    spawn_local(follower.run(move |event| {
+    spawn_local(watcher.run(move |event| {
         let changes = upstreams_entry
             .catalog
             .borrow_mut()
             .apply_upstream_event(event);
         discard_stale_state(&upstreams_entry, &changes);
+        let pause = limits.upstreams_pause(&changes);
+        PollPause {
+            min: pause,
+            max: pause,
+        }
     }));
 }
 
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -11,9 +11,6 @@
 
 use crate::clock;
 
-/// Timeout for connecting to an upstream: a healthy one accepts within a few
-/// milliseconds, while a lost packet delays the connection by a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum idle time of a pooled connection, in milliseconds.
 const IDLE_TIMEOUT_MAX_MS: u64 = 4_000;
 /// Time before the upstream's idle timeout at which a connection is discarded, in
@@ -44,8 +41,12 @@
     }
 
     /// Opens a new connection, which is not pooled yet.
-    pub(crate) async fn open(&self, address: SocketAddr) -> Result<Connection, CallError> {
-        connect(address, CONNECT_TIMEOUT).await
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, CallError> {
+        connect(address, timeout).await
     }
 
     /// Returns a connection to the pool after its response was read completely.
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -124,7 +124,8 @@
                 after_event = self.last_id.unwrap_or(0);
                 "a stream is resumed at another upstream"
             );
-            let attempted = run_attempt(&self.entry, &self.call, &chosen, self.last_id);
+            let history = self.failures.history;
+            let attempted = run_attempt(&self.entry, &self.call, &chosen, &history, self.last_id);
             let outcome = tokio::select! {
                 outcome = attempted => outcome,
                 () = self.events.closed() => return None,
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -1,18 +1,18 @@
 //! Subscribes to the agents' reports on their engines and applies them.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticdock_core::ids::UpstreamId;
+use masticdock_core::ids::{ServiceId, UpstreamId};
 use masticdock_core::serving::AgentReport;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::state::Entry;
 use crate::clock;
-use crate::datagram::{Datagram, Hello, decode, encode};
+use crate::datagram::{ConfiguredTarget, Datagram, Hello, decode, encode};
 
 /// Interval between rounds of hellos; an agent removes an entry after three rounds
 /// without one.
@@ -56,62 +56,82 @@
             _ = join_timer.tick() => {}
             () = entry.version_declared.notified() => hello_sent_to.clear(),
         }
-        let hello = encode(&Datagram::Hello(build_hello(&entry)));
-        for ip in agent_ips(&entry) {
-            if hello_sent_to.insert(ip) {
-                let agent = SocketAddr::new(ip, entry.settings.peer_port);
-                // A full send buffer drops the hello; the next round sends another.
-                let _ = socket.try_send_to(&hello, agent);
+        for (service, ips) in agent_ips_by_service(&entry) {
+            let hello = encode(&Datagram::Hello(build_hello(&entry, &service)));
+            for ip in ips {
+                if hello_sent_to.insert(ip) {
+                    let agent = SocketAddr::new(ip, entry.settings.peer_port);
+                    // A full send buffer drops the hello; the next round sends another.
+                    let _ = socket.try_send_to(&hello, agent);
+                }
             }
         }
     }
 }
 
-fn build_hello(entry: &Entry) -> Hello {
+/// Returns the hello for the agents of a service.
+fn build_hello(entry: &Entry, service: &ServiceId) -> Hello {
     let catalog = entry.catalog.borrow();
+    let configuration = catalog.configuration.as_ref();
+    let target = configuration.and_then(|configuration| {
+        Some(ConfiguredTarget {
+            configuration_version: configuration.version,
+            target: configuration.model_target(service)?,
+        })
+    });
+    let poll_age_ms = catalog
+        .operators_polled_at
+        .map_or(u64::MAX, |polled_at| clock::now().since_ms(polled_at));
     Hello {
-        resumable: catalog
-            .configuration
-            .as_ref()
+        resumable: configuration
             .is_some_and(|configuration| configuration.engine_streams_resumable()),
+        poll_age_ms: u32::try_from(poll_age_ms).unwrap_or(u32::MAX),
+        zone: entry.settings.zone.clone(),
+        target,
         versions: catalog.newest_versions(),
     }
 }
 
-/// Returns the addresses of the VMs whose upstream has an engine and thus an agent.
-fn agent_ips(entry: &Entry) -> Vec<IpAddr> {
+/// Returns the addresses of the VMs whose upstream has an engine and thus an agent, by
+/// service.
+fn agent_ips_by_service(entry: &Entry) -> BTreeMap<ServiceId, Vec<IpAddr>> {
     let catalog = entry.catalog.borrow();
+    let mut ips: BTreeMap<ServiceId, Vec<IpAddr>> = BTreeMap::new();
     let Some(configuration) = &catalog.configuration else {
-        return Vec::new();
+        return ips;
     };
-    catalog
-        .directory
-        .iter()
-        .filter(|upstream| {
-            configuration
-                .services
-                .get(&upstream.service)
-                .is_some_and(|service| service.engine.is_some())
-        })
-        .map(|upstream| upstream.address.ip())
-        .collect()
+    for upstream in catalog.directory.iter() {
+        let service = configuration.services.get(&upstream.service);
+        if service.is_none_or(|service| service.engine.is_none()) {
+            continue;
+        }
+        ips.entry(upstream.service.clone())
+            .or_default()
+            .push(upstream.address.ip());
+    }
+    ips
 }
 
+/// Applies a report to the upstreams whose rows name the agent's VM: usually one, and
+/// after a restart of the engine also its former incarnation.
 fn apply_report(entry: &Entry, ip: IpAddr, report: AgentReport) {
-    let id: Option<UpstreamId> = {
+    let listed: Vec<(UpstreamId, Option<u64>)> = {
         let catalog = entry.catalog.borrow();
-        catalog
-            .directory
-            .iter()
-            .find(|upstream| upstream.address.ip() == ip)
-            .map(|upstream| upstream.id.clone())
-    };
-    let Some(id) = id else {
-        return;
+        let on_vm = catalog.directory.iter();
+        on_vm
+            .filter(|upstream| upstream.address.ip() == ip)
+            .map(|upstream| (upstream.id.clone(), upstream.started_at_ms))
+            .collect()
     };
+    for (id, started_at_ms) in listed {
+        apply_to_incarnation(entry, &id, report.for_incarnation(started_at_ms));
+    }
+}
+
+fn apply_to_incarnation(entry: &Entry, id: &UpstreamId, report: AgentReport) {
     let now = clock::now();
     let previous = entry.reports.borrow_mut().insert(id.clone(), (report, now));
-    entry.with_load(&id, |load| {
+    entry.with_load(id, |load| {
         load.set_entry_count(report.entries);
         load.record_report(report.running + report.queued, report.pending_prefills, now);
         let was_unreachable = previous.is_some_and(|(previous, _)| !previous.reachable);
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -219,24 +219,25 @@
         if failures.history == AttemptHistory::default() {
             entry.record_admission(&call.service, false);
         }
-        let (failure, error) = match run_attempt(&entry, &call, &chosen, None).await {
-            AttemptResult::Buffered(head, body) => {
-                let history = &failures.history;
-                return forward_response(
-                    &call,
-                    "answered",
-                    Some(&chosen),
-                    head,
-                    body,
-                    history,
-                    in_use,
-                );
-            }
-            AttemptResult::Stream(stream) => {
-                return relay::start(entry, call, chosen, *stream, failures, in_use);
-            }
-            AttemptResult::Failed(failure, error) => (failure, error),
-        };
+        let (failure, error) =
+            match run_attempt(&entry, &call, &chosen, &failures.history, None).await {
+                AttemptResult::Buffered(head, body) => {
+                    let history = &failures.history;
+                    return forward_response(
+                        &call,
+                        "answered",
+                        Some(&chosen),
+                        head,
+                        body,
+                        history,
+                        in_use,
+                    );
+                }
+                AttemptResult::Stream(stream) => {
+                    return relay::start(entry, call, chosen, *stream, failures, in_use);
+                }
+                AttemptResult::Failed(failure, error) => (failure, error),
+            };
         failures.record(&chosen.upstream.id, failure);
         last_error = error.or(last_error);
         match decide_next_step(&entry, &call, &failures.history, failure) {
--- a/crates/masticdock-node/src/lib.rs
+++ b/crates/masticdock-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod signals;
 mod tables;
+mod upstream_list;
 
 use std::rc::Rc;
 
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -32,6 +32,10 @@
     pub(crate) directory: Directory,
     /// True once the table of upstreams has been read.
     pub(crate) upstreams_loaded: bool,
+    /// Time of the last successful poll of the operators' table.
+    pub(crate) operators_polled_at: Option<MonoMs>,
+    /// Time of the last successful poll of the table of upstreams.
+    pub(crate) upstreams_polled_at: Option<MonoMs>,
     versions: BTreeMap<ModelId, VersionTimeline>,
     operators_loaded: bool,
     version_deadline_ms: u64,
@@ -45,6 +49,8 @@
             configuration: None,
             directory: Directory::new(LAPSED_ROW_GRACE_MS),
             upstreams_loaded: false,
+            operators_polled_at: None,
+            upstreams_polled_at: None,
             versions: BTreeMap::new(),
             operators_loaded: false,
             version_deadline_ms,
@@ -59,8 +65,9 @@
     /// Applies an event of the operators' table; returns true if it declares a new
     /// version.
     pub(crate) fn apply_operator_event(&mut self, event: TableEvent) -> bool {
+        self.operators_polled_at = Some(clock::now());
         match event {
-            TableEvent::Recovered => false,
+            TableEvent::Recovered | TableEvent::Unchanged => false,
             TableEvent::Snapshot(rows) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
@@ -162,7 +169,9 @@
     /// Applies an event of the upstreams' table and returns the changes.
     pub(crate) fn apply_upstream_event(&mut self, event: TableEvent) -> Vec<DirectoryChange> {
         let now = clock::now();
+        self.upstreams_polled_at = Some(now);
         let changes = match event {
+            TableEvent::Unchanged => return Vec::new(),
             TableEvent::Recovered => {
                 self.directory.store_recovered(now);
                 Vec::new()
@@ -184,6 +193,19 @@
         changes
     }
 
+    /// Replaces the upstreams of a service by a list of them that another process holds.
+    pub(crate) fn replace_upstreams(&mut self, upstreams: Vec<Upstream>) {
+        self.upstreams_loaded = true;
+        let listed = upstreams.len();
+        let changes = self.directory.replace(upstreams, clock::now());
+        log::info!(
+            event = "upstreams.listed",
+            upstreams = listed,
+            changes = changes.len();
+            "list of upstreams read from an entry"
+        );
+    }
+
     fn apply_upstream_row(&mut self, row: &Row, now: MonoMs) -> Option<DirectoryChange> {
         if let Some(upstream) = decode_row(row) {
             return self.directory.put(upstream);
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticdock_adapter::{Feed, Row, StoreClient, StoreError, Table};
+use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
+use masticdock_core::serving::{PollLimits, poll_pause};
 use rand::Rng;
 use tokio::time::sleep;
 
@@ -20,6 +21,26 @@
 /// recovery of the store is noticed.
 const BACKOFF_MAX_MS: u64 = 400;
 
+/// Time after the end of a long poll by which its successor has a reply, if the store
+/// answers.
+const POLL_SLACK: Duration = Duration::from_millis(1_500);
+
+/// Returns the limits that the polls of the tables have to keep.
+pub(crate) const fn poll_limits(bounds: &NodeBounds) -> PollLimits {
+    PollLimits {
+        configuration_deadline: Duration::from_millis(bounds.configuration_deadline_ms),
+        stable: Duration::from_millis(bounds.stable_ms),
+        drain: Duration::from_millis(bounds.drain_ms),
+    }
+}
+
+/// Returns the age up to which what an entry knows of a table is current, in
+/// milliseconds.
+pub(crate) fn current_age_max_ms(bounds: &NodeBounds) -> u64 {
+    let age = poll_limits(bounds).long_poll() + POLL_SLACK;
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Event that a [`TableWatcher`] delivers.
 #[derive(Debug)]
 pub(crate) enum TableEvent {
@@ -27,6 +48,8 @@
     Snapshot(Vec<Row>),
     /// Rows that changed since the previous event.
     Changes(Vec<Row>),
+    /// A poll ended without changes, so the rows are still those of the table.
+    Unchanged,
     /// The store answers again after failures. Delivered before the snapshot or the
     /// changes of the call that succeeded.
     Recovered,
@@ -43,13 +66,21 @@
     /// priced, but detect a lost connection later: it shows only when a poll ends
     /// without a response.
     pub(crate) long_poll_wait: Duration,
-    /// Delay after each change, so that one call returns all changes of a burst.
-    pub(crate) batch_window: Duration,
+}
+
+/// Range of the pause after a poll, in which further changes gather.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PollPause {
+    /// Pause after a poll whose reply arrived quickly.
+    pub(crate) min: Duration,
+    /// Maximum pause after a poll whose reply filled the link.
+    pub(crate) max: Duration,
 }
 
 impl TableWatcher {
-    /// Watches the table and passes each event to `apply`; never returns.
-    pub(crate) async fn run(self, mut apply: impl FnMut(TableEvent)) {
+    /// Watches the table and passes each event to `apply`, which returns the pause until
+    /// the next poll; never returns.
+    pub(crate) async fn run(self, mut apply: impl FnMut(TableEvent) -> PollPause) {
         let store = StoreClient::new(self.store);
         let mut version = None;
         let mut failures = 0_u32;
@@ -83,12 +114,13 @@
                 failures = 0;
                 apply(TableEvent::Recovered);
             }
-            let Some(event) = event else {
+            let Some((event, body_duration)) = event else {
                 continue;
             };
-            apply(event);
-            if !self.batch_window.is_zero() {
-                sleep(self.batch_window).await;
+            let is_unchanged = matches!(event, TableEvent::Unchanged);
+            let pause = apply(event);
+            if !is_unchanged {
+                sleep(poll_pause(body_duration, pause.min, pause.max)).await;
             }
         }
     }
@@ -98,11 +130,12 @@
         store: &StoreClient,
         version: Option<u64>,
         wait: Duration,
-    ) -> Result<(Option<TableEvent>, Option<u64>), StoreError> {
+    ) -> Result<(Option<(TableEvent, Duration)>, Option<u64>), StoreError> {
         let Some(version) = version else {
             let snapshot = store.read(self.table).await?;
+            let event = TableEvent::Snapshot(snapshot.rows);
             return Ok((
-                Some(TableEvent::Snapshot(snapshot.rows)),
+                Some((event, snapshot.body_duration)),
                 Some(snapshot.version),
             ));
         };
@@ -110,9 +143,16 @@
             .poll_changes(self.table, version, wait, RESPONSE_TIMEOUT)
             .await?
         {
-            Feed::Changes(rows, new_version) if rows.is_empty() => Ok((None, Some(new_version))),
-            Feed::Changes(rows, new_version) => {
-                Ok((Some(TableEvent::Changes(rows)), Some(new_version)))
+            Feed::Changes { rows, version, .. } if rows.is_empty() => {
+                Ok((Some((TableEvent::Unchanged, Duration::ZERO)), Some(version)))
+            }
+            Feed::Changes {
+                rows,
+                version,
+                body_duration,
+            } => {
+                let event = TableEvent::Changes(rows);
+                Ok((Some((event, body_duration)), Some(version)))
             }
             Feed::HistoryLost => {
                 log::warn!(
