Divide the free places of each engine among the entries

Cause: under overload 15 entries see the same place become free within 0.1 s and several send.

Change: an agent's report grants each entry the requests that it may send until the next one, limited by slots and unread prompts, in turn (serving::places). It replaces the start times of entries at an engine that comes back and their tests; serving_places and serving_placement check as much: an empty engine gets no more prompts than it reads in time, each entry gets its turn, no place is granted twice.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -149,6 +149,8 @@
 pub struct ModelTarget {
     /// Model that the engine serves.
     pub model: ModelId,
+    /// Number of requests that the engine processes concurrently.
+    pub slots: u32,
     /// Number of layers of the model.
     pub layers: u32,
     /// Number of chunks that the weights of one version are split into.
@@ -337,6 +339,7 @@
         let engine = self.services.get(service)?.engine.as_ref()?;
         Some(ModelTarget {
             model: engine.models.first()?.clone(),
+            slots: engine.slots,
             layers: engine.layers,
             chunk_count: engine.chunk_count,
             mean_prefill_ms: engine.mean_prefill_ms() as u64,
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -22,12 +22,13 @@
     pub reachable: bool,
     /// Number of entries that the agent reports to.
     pub entries: u32,
-    /// Time until the receiving entry may start to send, in milliseconds.
-    pub start_delay_ms: u32,
     /// Delay of requests behind chunks of weights on the VM's link, in milliseconds.
     pub link_delay_ms: u32,
     /// Start time of the engine's process, in milliseconds since the Unix epoch.
     pub started_at_ms: Option<u64>,
+    /// Number of requests that the receiving entry may send until the next report;
+    /// `None` while the agent does not know the engine's slots.
+    pub places: Option<u32>,
 }
 
 impl AgentReport {
@@ -97,6 +98,9 @@
     report: Option<LoadReport>,
     /// Number of other entries that send requests to the upstream.
     other_entries: u32,
+    /// Number of requests that this entry may still send until the next report, and when
+    /// its agent granted them.
+    places: Option<(u32, MonoMs)>,
     /// Smoothed ratio of observed to predicted times to the first event, and when it
     /// was last updated.
     slowdown: Option<(f64, MonoMs)>,
@@ -123,6 +127,9 @@
     /// Counts a request sent with a prompt of `prompt_tokens`.
     pub fn begin_request(&mut self, prompt_tokens: u64) {
         self.in_flight += 1;
+        if let Some((places, _)) = &mut self.places {
+            *places = places.saturating_sub(1);
+        }
         self.pending_prefills += 1;
         self.pending_prefill_tokens += prompt_tokens;
     }
@@ -156,6 +163,28 @@
         self.other_entries = entries.saturating_sub(1);
     }
 
+    /// Replaces the places that the upstream's agent granted to this entry.
+    pub fn set_places(&mut self, places: Option<u32>, now: MonoMs) {
+        self.places = places.map(|places| (places, now));
+    }
+
+    /// Returns true if the upstream's agent grants this entry a place; `None` if no agent
+    /// divides the places of the upstream.
+    #[must_use]
+    pub fn has_place(&self, now: MonoMs) -> Option<bool> {
+        let (places, granted_at) = self.places?;
+        (now.since_ms(granted_at) < REPORT_AGE_MAX_MS).then_some(places > 0)
+    }
+
+    /// Returns the number of other entries that may have sent requests which no report
+    /// shows yet. An agent that divides the places excludes them.
+    fn unseen_entries(&self, now: MonoMs) -> u32 {
+        if self.has_place(now).is_some() {
+            return 0;
+        }
+        self.other_entries
+    }
+
     /// Updates the slowdown with an observed time to the first event.
     pub fn record_latency(&mut self, first_event_ms: f64, predicted_ms: f64, now: MonoMs) {
         let (low, high) = SLOWDOWN_SAMPLE_RANGE;
@@ -198,7 +227,7 @@
             .pending_prefills
             .saturating_sub(report.own_pending_prefills + report.ignored_sends());
         (reported_pending - prefilled_since_report).max(0.0)
-            + f64::from(self.other_entries * sent_since_report)
+            + f64::from(self.unseen_entries(now) * sent_since_report)
     }
 
     /// Records that the upstream sent data.
@@ -267,7 +296,7 @@
                     .in_flight
                     .saturating_sub(report.own_in_flight + report.ignored_sends());
                 report.total.saturating_sub(report.own_in_flight)
-                    + self.other_entries * sent_since_report
+                    + self.unseen_entries(now) * sent_since_report
             }
             _ => 0,
         };
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -5,6 +5,11 @@
 //! delays those behind it, so a request is sent only to an upstream whose predicted
 //! time to the first event meets the objective, and is otherwise rejected at once.
 //!
+//! Where agents divide the free places of their engines among the entries, a request
+//! goes to an engine that grants this entry a place. Without any, it goes to an engine
+//! with free slots as long as nothing was rejected recently, because then the places that
+//! other entries hold are not all used.
+//!
 //! A returning request, which its caller sends after an earlier rejection, is late
 //! already. It is admitted slightly more readily than a new one, because a second
 //! rejection helps nobody, but gets no longer queue: behind a longer queue every new
@@ -43,6 +48,8 @@
     pub service_ms: f64,
     /// Penalty for its network distance, in milliseconds.
     pub distance_ms: f64,
+    /// True when its agent grants this entry a place; `None` if no agent divides them.
+    pub has_place: Option<bool>,
     /// Random number in 0..1 that breaks ties between candidates.
     pub draw: f64,
 }
@@ -62,6 +69,8 @@
     /// Maximum random cost, in milliseconds; keeps entries from choosing the same
     /// idle upstream.
     pub spread_ms: f64,
+    /// True if a request may be sent without a place when no candidate grants one.
+    pub use_free_slots: bool,
 }
 
 impl Default for PlacementRules {
@@ -74,6 +83,7 @@
             returning_objective_share: 1.0,
             overrun_share: 0.25,
             spread_ms: 20.0,
+            use_free_slots: true,
         }
     }
 }
@@ -97,6 +107,14 @@
     NoCandidate,
 }
 
+/// Best candidate so far.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    index: usize,
+    cost_ms: f64,
+    predicted_ms: f64,
+}
+
 /// Chooses the candidate with the lowest cost, mainly the predicted time to the first
 /// event. For a returning request `objective_left_ms` is the whole objective.
 #[must_use]
@@ -108,7 +126,8 @@
     returning: bool,
     rules: &PlacementRules,
 ) -> Placement {
-    let mut best: Option<(usize, f64, f64)> = None;
+    let mut best: Option<Choice> = None;
+    let mut best_without_place: Option<Choice> = None;
     let mut best_rejected_ms = f64::INFINITY;
     let objective_share = if returning {
         rules.returning_objective_share
@@ -126,14 +145,26 @@
             + candidate.distance_ms
             + rules.spread_ms * candidate.draw
             + rules.overrun_share * overrun_ms(candidate, engine, size, predicted_ms);
-        if best.is_none_or(|(_, cost, _)| cost_ms < cost) {
-            best = Some((index, cost_ms, predicted_ms));
+        let slot = if candidate.has_place != Some(false) {
+            &mut best
+        } else if rules.use_free_slots && candidate.total < candidate.slots {
+            &mut best_without_place
+        } else {
+            best_rejected_ms = best_rejected_ms.min(predicted_ms);
+            continue;
+        };
+        if slot.is_none_or(|chosen| cost_ms < chosen.cost_ms) {
+            *slot = Some(Choice {
+                index,
+                cost_ms,
+                predicted_ms,
+            });
         }
     }
-    match best {
-        Some((index, _, predicted_ms)) => Placement::Send {
-            index,
-            predicted_ms,
+    match best.or(best_without_place) {
+        Some(choice) => Placement::Send {
+            index: choice.index,
+            predicted_ms: choice.predicted_ms,
         },
         None if candidates.is_empty() => Placement::NoCandidate,
         None => Placement::Full {
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -5,8 +5,8 @@
 //! assert which rule performs better, not absolute figures.
 
 use masticdock_core::serving::{
-    AgentReport, Candidate, EngineProfile, Placement, PlacementRules, RequestSize, UpstreamLoad,
-    place,
+    Candidate, EngineProfile, EngineRoom, PlaceRotation, PlaceRules, Placement, PlacementRules,
+    RequestSize, UpstreamLoad, place,
 };
 use masticdock_core::units::MonoMs;
 use rand::{Rng, SeedableRng};
@@ -96,6 +96,21 @@
     }
 }
 
+impl Engine {
+    /// Returns the load as an agent reports it.
+    fn room(&self, profile: &EngineProfile) -> EngineRoom {
+        let pending = self.jobs.iter().filter(|job| job.prefill_left_ms > 0.0);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let mean_prefill_ms = profile.mean_prefill_ms() as u64;
+        EngineRoom {
+            slots: profile.slots,
+            total: u32::try_from(self.jobs.len()).unwrap(),
+            pending_prefills: u32::try_from(pending.count()).unwrap(),
+            mean_prefill_ms,
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Rule {
     /// The placement and admission under test.
@@ -119,6 +134,8 @@
     offline: fn(usize, u64) -> bool,
     /// True when entries know the number of entries.
     entries_known: bool,
+    /// True when agents divide the free places of their engines among the entries.
+    places_divided: bool,
     /// True when rejected callers return.
     callers_retry: bool,
     duration_ms: u64,
@@ -134,6 +151,7 @@
             slow_factor: |_| 1.0,
             offline: |_, _| false,
             entries_known: true,
+            places_divided: false,
             callers_retry: false,
             duration_ms: 8_000,
         }
@@ -144,7 +162,8 @@
 /// within the objective.
 fn served_within_objective(scenario: &Scenario, rule: Rule) -> usize {
     let profile = profile();
-    let rules = PlacementRules::default();
+    let mut rotations = vec![PlaceRotation::default(); scenario.upstreams];
+    let mut rejected_at_ms = vec![None::<u64>; scenario.entries];
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mut engines: Vec<Engine> = (0..scenario.upstreams)
         .map(|index| Engine {
@@ -181,8 +200,13 @@
                 .iter()
                 .map(|index| candidate(&entry_loads[entry][*index], now, rng.random()))
                 .collect();
+            let rules = PlacementRules {
+                use_free_slots: rejected_at_ms[entry].is_none_or(|at_ms| now_ms > at_ms + 3_000),
+                ..PlacementRules::default()
+            };
             let chosen = choose(rule, &candidates, &profile, size, returning, &rules);
             let Some(chosen) = chosen else {
+                rejected_at_ms[entry] = Some(now_ms);
                 if !returning && scenario.callers_retry {
                     retries.push_back(now_ms + RETRY_DELAY_MS);
                 }
@@ -214,30 +238,17 @@
                 }
             }
             if now_ms.is_multiple_of(200) {
-                let running = u32::try_from(engine.jobs.len().min(16)).unwrap();
-                let queued = u32::try_from(engine.jobs.len()).unwrap() - running;
-                let pending = engine.jobs.iter().filter(|job| job.prefill_left_ms > 0.0);
-                let report = AgentReport {
-                    running,
-                    queued,
-                    pending_prefills: u32::try_from(pending.count()).unwrap(),
-                    version: None,
-                    switching: false,
-                    reachable: true,
-                    link_delay_ms: 0,
-                    entries: 0,
-                    start_delay_ms: 0,
-                    started_at_ms: None,
-                };
-                for view in &mut entry_loads {
+                let room = engine.room(&profile);
+                let free = room.free_places(&PlaceRules::default());
+                let places = rotations[index].divide(free, scenario.entries);
+                for (view, places) in entry_loads.iter_mut().zip(places) {
                     if scenario.entries_known {
                         view[index].set_entry_count(entries);
                     }
-                    view[index].record_report(
-                        report.running + report.queued,
-                        report.pending_prefills,
-                        now,
-                    );
+                    if scenario.places_divided {
+                        view[index].set_places(Some(places), now);
+                    }
+                    view[index].record_report(room.total, room.pending_prefills, now);
                 }
             }
         }
@@ -256,6 +267,7 @@
         switch_in_ms: None,
         service_ms: 0.0,
         distance_ms: 0.0,
+        has_place: load.has_place(now),
         draw,
     }
 }
@@ -337,15 +349,52 @@
     assert!(predicted > baseline, "{predicted} against {baseline}");
 }
 
+/// Simulates fifteen entries before forty engines with the given arrivals per second.
+fn served_by_fifteen_entries(arrivals_per_s: fn(u64) -> f64, places_divided: bool) -> usize {
+    let scenario = Scenario {
+        upstreams: 40,
+        entries: 15,
+        arrivals_per_s,
+        places_divided,
+        callers_retry: true,
+        duration_ms: 10_000,
+        ..Scenario::default()
+    };
+    served_within_objective(&scenario, Rule::Predicted)
+}
+
+/// Replays a load above the capacity of all engines, as after two fifths of the upstreams
+/// left: each place that became free was taken by several entries at once, so that the
+/// queues grew and most requests were late, although few were rejected.
+#[test]
+fn under_overload_divided_places_serve_more_within_the_objective() {
+    let overload = |_| 520.0;
+    let divided = served_by_fifteen_entries(overload, true);
+    let shared = served_by_fifteen_entries(overload, false);
+    assert!(divided > shared, "{divided} against {shared}");
+}
+
+/// Guards against places that wait for entries without requests while other entries
+/// reject some.
+#[test]
+fn below_the_capacity_divided_places_lose_nothing() {
+    for arrivals_per_s in [|_| 60.0, |_| 250.0] {
+        let divided = served_by_fifteen_entries(arrivals_per_s, true);
+        let shared = served_by_fifteen_entries(arrivals_per_s, false);
+        assert!(divided * 100 >= shared * 99, "{divided} against {shared}");
+    }
+}
+
 /// Simulates engines that return one after another after an outage of all: each is
 /// empty on return, while eight entries have requests for it.
-fn served_while_engines_return(entries_known: bool) -> usize {
+fn served_while_engines_return(entries_known: bool, places_divided: bool) -> usize {
     let scenario = Scenario {
         upstreams: 40,
         entries: 8,
         arrivals_per_s: |_| 420.0,
         offline: |index, now_ms| now_ms < 100 * index as u64,
         entries_known,
+        places_divided,
         duration_ms: 5_000,
         ..Scenario::default()
     };
@@ -356,9 +405,11 @@
 /// send at once.
 #[test]
 fn entries_that_know_their_number_serve_more_while_engines_return() {
-    let known = served_while_engines_return(true);
-    let unknown = served_while_engines_return(false);
+    let known = served_while_engines_return(true, false);
+    let unknown = served_while_engines_return(false, false);
     assert!(known > unknown, "{known} against {unknown}");
+    let divided = served_while_engines_return(true, true);
+    assert!(divided > unknown, "{divided} against {unknown}");
 }
 
 fn idle() -> Candidate {
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -4,9 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::{CompactString, ToCompactString};
 use masticdock_adapter::DeclaredVersion;
-use masticdock_core::serving::{AgentReport, EntryStagger, VersionNumber};
+use masticdock_core::serving::{AgentReport, EngineRoom, PlaceRotation, PlaceRules, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
@@ -19,6 +18,17 @@
 /// Minimum interval between two reports in which only the load differs.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval after which free places are divided again although the load did not change.
+const DIVIDE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Waits until `at`, or forever if there is no such time.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Sends reports and announcements; returns only if the socket cannot be bound.
 pub(crate) async fn run(agent: Rc<Agent>) {
     let address = SocketAddr::new(agent.settings.ip, agent.settings.peer_port);
@@ -35,7 +45,8 @@
         }
     };
     let mut last_sent: Option<AgentReport> = None;
-    let mut stagger: Option<EntryStagger> = None;
+    let mut rotation = PlaceRotation::default();
+    let mut divide_at: Option<Instant> = None;
     let mut load_due_at = Instant::now();
     let mut announcer = Announcer::new();
     let mut bytes = [0; DATAGRAM_BYTES_MAX];
@@ -45,6 +56,7 @@
             () = agent.changed.notified() => None,
             () = tokio::time::sleep_until(load_due_at), if load_due_at > Instant::now() => None,
             () = announcer.wait_until_due() => None,
+            () = wait_until(divide_at) => None,
         };
         announcer.announce_if_due(&agent, &socket);
         let report = agent.report_for_entries();
@@ -59,7 +71,7 @@
                 agent.changed.notify_waiters();
             }
             if is_new {
-                send_report(&socket, entry, report, stagger.as_ref()).await;
+                send_report(&socket, entry, report).await;
             }
         } else if let Some(Ok((length, peer))) = wake
             && let Some(Datagram::HeldChunks(version, held)) = decode(&bytes[..length])
@@ -74,17 +86,24 @@
                 || last_sent.switching != report.switching
                 || last_sent.reachable != report.reachable
         });
-        let due = last_sent != Some(report) && Instant::now() >= load_due_at;
+        let due = last_sent != Some(report) && Instant::now() >= load_due_at
+            || divide_at.is_some_and(|at| Instant::now() >= at);
         if !urgent && !due {
             continue;
         }
-        if is_usable(&report) && !last_sent.as_ref().is_some_and(is_usable) {
-            stagger = stagger_entries(&agent);
-        }
         let entries: Vec<SocketAddr> = agent.entries.borrow().keys().copied().collect();
-        for entry in entries {
-            send_report(&socket, entry, report, stagger.as_ref()).await;
+        let places = free_places(&agent, &report).map(|free| rotation.divide(free, entries.len()));
+        for (index, entry) in entries.into_iter().enumerate() {
+            let granted = places.as_ref().map(|places| places[index]);
+            let report = AgentReport {
+                places: granted,
+                ..report
+            };
+            send_report(&socket, entry, report).await;
         }
+        // Places that nobody uses go to other entries after a while.
+        let is_short = places.is_some_and(|places| places.contains(&0) && places.contains(&1));
+        divide_at = is_short.then(|| Instant::now() + DIVIDE_INTERVAL);
         last_sent = Some(report);
         load_due_at = Instant::now() + LOAD_REPORT_INTERVAL;
     }
@@ -169,33 +188,20 @@
     }
 }
 
-/// Returns true if entries may send requests to the engine.
-const fn is_usable(report: &AgentReport) -> bool {
-    report.reachable && !report.switching && report.version.is_some()
-}
-
-/// Staggers the times at which entries may start to use the engine; returns `None`
-/// while the speed of the engine is unknown.
-fn stagger_entries(agent: &Agent) -> Option<EntryStagger> {
-    let step_ms = agent.target_model()?.mean_prefill_ms;
-    let entries = agent.entries.borrow();
-    let names: Vec<CompactString> = entries
-        .keys()
-        .map(ToCompactString::to_compact_string)
-        .collect();
-    Some(EntryStagger::new(&names, step_ms, clock::now()))
+/// Returns the number of requests that all entries together may send to the engine until
+/// the next report; `None` while its slots are unknown.
+fn free_places(agent: &Agent, report: &AgentReport) -> Option<u32> {
+    let target = agent.target_model()?;
+    let room = EngineRoom {
+        slots: target.slots,
+        total: report.running + report.queued,
+        pending_prefills: report.pending_prefills,
+        mean_prefill_ms: target.mean_prefill_ms,
+    };
+    Some(room.free_places(&PlaceRules::default()))
 }
 
-async fn send_report(
-    socket: &UdpSocket,
-    entry: SocketAddr,
-    mut report: AgentReport,
-    stagger: Option<&EntryStagger>,
-) {
-    let delay_ms = stagger.map_or(0, |stagger| {
-        stagger.start_delay_ms(&entry.to_compact_string(), clock::now())
-    });
-    report.start_delay_ms = u32::try_from(delay_ms).unwrap_or(u32::MAX);
+async fn send_report(socket: &UdpSocket, entry: SocketAddr, report: AgentReport) {
     let bytes = encode(&Datagram::Report(report));
     let sent = timeout_at(
         Instant::now() + Duration::from_millis(20),
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -99,6 +99,7 @@
     let target = &configured.target;
     bytes.extend_from_slice(&configured.configuration_version.to_le_bytes());
     put_text(bytes, target.model.as_str());
+    bytes.extend_from_slice(&target.slots.to_le_bytes());
     bytes.extend_from_slice(&target.layers.to_le_bytes());
     bytes.extend_from_slice(&(target.chunk_count as u64).to_le_bytes());
     bytes.extend_from_slice(&target.mean_prefill_ms.to_le_bytes());
@@ -111,6 +112,7 @@
 fn read_target(reader: &mut Reader<'_>) -> Option<ConfiguredTarget> {
     let configuration_version = reader.u64()?;
     let model = reader.text()?.parse().ok()?;
+    let slots = u32::from_le_bytes(reader.take()?);
     let layers = u32::from_le_bytes(reader.take()?);
     let chunk_count = usize::try_from(reader.u64()?).ok()?;
     let mean_prefill_ms = reader.u64()?;
@@ -123,6 +125,7 @@
         configuration_version,
         target: ModelTarget {
             model,
+            slots,
             layers,
             chunk_count,
             mean_prefill_ms,
--- a/crates/masticdock-node/src/datagram/mod.rs
+++ b/crates/masticdock-node/src/datagram/mod.rs
@@ -17,7 +17,9 @@
 /// Prefix of a report.
 const REPORT_MAGIC: [u8; 4] = *b"mdr3";
 /// Length of a report without its prefix, in bytes.
-const REPORT_BODY_BYTES: usize = 29;
+const REPORT_BODY_BYTES: usize = 28;
+/// Encodes that the number of places is unknown.
+const UNKNOWN_PLACES: u8 = u8::MAX;
 const SWITCHING_FLAG: u8 = 1;
 const REACHABLE_FLAG: u8 = 2;
 /// Maximum length of a datagram, in bytes; it fits into one packet.
@@ -81,10 +83,15 @@
     bytes.push(flags);
     bytes.extend_from_slice(&saturate(report.link_delay_ms).to_le_bytes());
     bytes.extend_from_slice(&saturate(report.entries).to_le_bytes());
-    bytes.extend_from_slice(&saturate(report.start_delay_ms).to_le_bytes());
     bytes.extend_from_slice(&saturate(report.pending_prefills).to_le_bytes());
     // 0 encodes an unknown start time.
     bytes.extend_from_slice(&report.started_at_ms.unwrap_or(0).to_le_bytes());
+    let places = report.places.map_or(UNKNOWN_PLACES, |places| {
+        u8::try_from(places)
+            .unwrap_or(u8::MAX)
+            .min(UNKNOWN_PLACES - 1)
+    });
+    bytes.push(places);
     bytes
 }
 
@@ -98,7 +105,7 @@
     }
     let rest: &[u8; REPORT_BODY_BYTES] = bytes.strip_prefix(&REPORT_MAGIC)?.try_into().ok()?;
     let version = u64::from_le_bytes(rest[4..12].try_into().ok()?);
-    let started_at_ms = u64::from_le_bytes(rest[21..29].try_into().ok()?);
+    let started_at_ms = u64::from_le_bytes(rest[19..27].try_into().ok()?);
     Some(Datagram::Report(AgentReport {
         running: u16::from_le_bytes([rest[0], rest[1]]).into(),
         queued: u16::from_le_bytes([rest[2], rest[3]]).into(),
@@ -107,8 +114,8 @@
         reachable: rest[12] & REACHABLE_FLAG != 0,
         link_delay_ms: u16::from_le_bytes([rest[13], rest[14]]).into(),
         entries: u16::from_le_bytes([rest[15], rest[16]]).into(),
-        start_delay_ms: u16::from_le_bytes([rest[17], rest[18]]).into(),
-        pending_prefills: u16::from_le_bytes([rest[19], rest[20]]).into(),
+        pending_prefills: u16::from_le_bytes([rest[17], rest[18]]).into(),
         started_at_ms: (started_at_ms > 0).then_some(started_at_ms),
+        places: (rest[27] != UNKNOWN_PLACES).then_some(rest[27].into()),
     }))
 }
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -112,7 +112,10 @@
         query.size,
         query.objective_left_ms,
         query.returning,
-        &PlacementRules::default(),
+        &PlacementRules {
+            use_free_slots: !entry.rejected_recently(query.service),
+            ..PlacementRules::default()
+        },
     );
     let count = candidates.len();
     match placement {
@@ -161,11 +164,7 @@
         return Some(VersionBounds::default());
     };
     let report = fresh_report(entry, &upstream.id, now);
-    if let Some((report, at)) = report
-        && (report.switching
-            || !report.reachable
-            || now.since_ms(at) < u64::from(report.start_delay_ms))
-    {
+    if report.is_some_and(|(report, _)| report.switching || !report.reachable) {
         return None;
     }
     let row_version = upstream
@@ -215,6 +214,7 @@
         switch_in_ms: None,
         service_ms: load.service_ms(),
         distance_ms: distance_ms(entry, &upstream.zone),
+        has_place: load.has_place(now),
         draw: rand::random(),
     })
 }
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -133,6 +133,7 @@
     let previous = entry.reports.borrow_mut().insert(id.clone(), (report, now));
     entry.with_load(id, |load| {
         load.set_entry_count(report.entries);
+        load.set_places(report.places, now);
         load.record_report(report.running + report.queued, report.pending_prefills, now);
         let was_unreachable = previous.is_some_and(|(previous, _)| !previous.reachable);
         if report.reachable && was_unreachable {
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -27,6 +27,9 @@
 /// actual number, so this exceeds that of present deployments.
 const RETRY_SLACK_DIVISOR: f64 = 10.0;
 
+/// Share of rejected requests from which the engines of a service count as full.
+const REJECTED_SHARE_MIN: f64 = 0.01;
+
 /// State of an entry.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -142,6 +145,13 @@
             .record(rejected, clock::now());
     }
 
+    /// Returns true if requests of a service were rejected recently.
+    pub(crate) fn rejected_recently(&self, service: &ServiceId) -> bool {
+        let retry_delays = self.retry_delays.borrow();
+        let estimator = retry_delays.get(service);
+        estimator.is_some_and(|estimator| estimator.rejected_share() >= REJECTED_SHARE_MIN)
+    }
+
     /// Returns the delay for a rejected caller, in milliseconds, and the share of rejected
     /// requests that it is based on.
     pub(crate) fn retry_after(&self, service: &ServiceId) -> (u64, f64) {
