Count a version from the return of the store after an outage

Cause: change_age took the whole outage for a pause between polls, so a version that was declared while the store was away ended the older one at once.

Change: after failed polls no pause is counted, as before change_age.

Test: a_version_read_after_an_outage_counts_from_the_return.

--- a/crates/masticdock-core/src/serving/poll_pace.rs
+++ b/crates/masticdock-core/src/serving/poll_pace.rs
@@ -30,13 +30,14 @@
 
 /// Returns the greatest age that a change can have when the reply to a poll begins:
 /// `waited` is the time since the poll was sent, `pause` the time before it in which none
-/// was open. A poll that waited returns a change at once.
+/// was open; `None` after failed polls, since the limits of a change start anew when the
+/// store returns. A poll that waited returns a change at once.
 #[must_use]
-pub fn change_age(waited: Duration, pause: Duration) -> Duration {
+pub fn change_age(waited: Duration, pause: Option<Duration>) -> Duration {
     if waited > IMMEDIATE_REPLY {
         return IMMEDIATE_REPLY / 2;
     }
-    waited + pause
+    waited + pause.unwrap_or_default()
 }
 
 /// Limits of a deployment that the polls of a table have to keep.
--- a/crates/masticdock-core/tests/serving_poll_pace.rs
+++ b/crates/masticdock-core/tests/serving_poll_pace.rs
@@ -147,7 +147,7 @@
                 let at_store_ms = pause_ms + TRIP_MS;
                 let reply_ms = declared_ms.max(at_store_ms) + TRIP_MS;
                 let waited = Duration::from_millis(reply_ms - pause_ms);
-                let age = change_age(waited, Duration::from_millis(pause_ms));
+                let age = change_age(waited, Some(Duration::from_millis(pause_ms)));
                 let age_ms = u64::try_from(age.as_millis()).unwrap();
                 let start = MonoMs(60_000);
                 let learnt_at = MonoMs(start.0 + reply_ms - age_ms.min(reply_ms + start.0));
@@ -168,3 +168,11 @@
         }
     }
 }
+
+/// Guards against an older version that ends at once when the store returns after eight
+/// seconds, although no engine could have the newer one yet.
+#[test]
+fn a_version_read_after_an_outage_counts_from_the_return() {
+    let age = change_age(Duration::from_millis(5), None);
+    assert!(age <= Duration::from_millis(300), "{age:?}");
+}
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -94,7 +94,7 @@
             } else {
                 Duration::ZERO
             };
-            let pause = last_reply_at.elapsed();
+            let pause = (failures == 0).then(|| last_reply_at.elapsed());
             let result = self.poll(&store, version, wait, pause).await;
             let event = match result {
                 Ok((event, new_version)) => {
@@ -134,7 +134,7 @@
         store: &StoreClient,
         version: Option<u64>,
         wait: Duration,
-        pause: Duration,
+        pause: Option<Duration>,
     ) -> Result<(Option<(TableEvent, Duration)>, Option<u64>), StoreError> {
         let Some(version) = version else {
             let snapshot = store.read(self.table).await?;
