Build the target of a hello in one place

Cause: entry and agent each put together a ConfiguredTarget from a configuration. Change: ConfiguredTarget::of serves both; a blank line within a module comment goes. Behaviour is unchanged.

--- a/crates/masticdock-core/src/serving/poll_pace.rs
+++ b/crates/masticdock-core/src/serving/poll_pace.rs
@@ -4,7 +4,6 @@
 //! all of it. All entries of a region poll over one link, which requests of callers share.
 //! If each polled again at once, the link would be full, requests would be late, and the
 //! polls themselves would lag behind the changes for seconds.
-
 //!
 //! Load pattern: each poll is a call that the store has to serve. Hundreds of upstreams
 //! change their rows within a few seconds when they switch to a new version, which agents
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -73,11 +73,7 @@
     let mut catalog = agent.catalog.borrow_mut();
     catalog.apply_operator_event(event);
     let target = catalog.configuration.as_ref().and_then(|configuration| {
-        let service = agent.settings.service.as_ref()?;
-        Some(ConfiguredTarget {
-            configuration_version: configuration.version,
-            target: configuration.model_target(service)?,
-        })
+        ConfiguredTarget::of(configuration, agent.settings.service.as_ref()?)
     });
     drop(catalog);
     if let Some(target) = target {
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use masticdock_adapter::DeclaredVersion;
-use masticdock_core::ids::ZoneId;
-use masticdock_core::serving::{ModelTarget, Origin, VersionNumber};
+use masticdock_core::ids::{ServiceId, ZoneId};
+use masticdock_core::serving::{Configuration, ModelTarget, Origin, VersionNumber};
 
 use super::DATAGRAM_BYTES_MAX;
 
@@ -37,6 +37,16 @@
     pub(crate) target: ModelTarget,
 }
 
+impl ConfiguredTarget {
+    /// Returns the model that the upstreams of `service` run, if they run one.
+    pub(crate) fn of(configuration: &Configuration, service: &ServiceId) -> Option<Self> {
+        Some(Self {
+            configuration_version: configuration.version,
+            target: configuration.model_target(service)?,
+        })
+    }
+}
+
 impl Hello {
     /// Encodes the hello. Versions that exceed the maximum length are omitted; agents
     /// that hear no others read them from the store.
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -73,12 +73,8 @@
 fn build_hello(entry: &Entry, service: &ServiceId) -> Hello {
     let catalog = entry.catalog.borrow();
     let configuration = catalog.configuration.as_ref();
-    let target = configuration.and_then(|configuration| {
-        Some(ConfiguredTarget {
-            configuration_version: configuration.version,
-            target: configuration.model_target(service)?,
-        })
-    });
+    let target =
+        configuration.and_then(|configuration| ConfiguredTarget::of(configuration, service));
     let poll_age_ms = catalog
         .operators_polled_at
         .map_or(u64::MAX, |polled_at| clock::now().since_ms(polled_at));
