Log and count pauses of a process

Change: a task ticks each 250 ms; a gap of 750 ms or more is logged as process.paused and counted in masticdock_paused_seconds_total. PauseDetector is in the core and also tells a pause that no tick has ended yet.

--- /dev/null
+++ b/crates/masticdock-core/tests/serving_pauses.rs
@@ -0,0 +1,25 @@
+//! Detection of pauses in which a process did not run.
+
+use masticdock_core::serving::{Pause, PauseDetector, PauseSettings};
+use masticdock_core::units::MonoMs;
+
+/// A process that ticks late under load is not paused; one that stood still is, from its
+/// last tick on, both before and after the tick that follows.
+#[test]
+fn a_pause_is_known_before_and_after_the_next_tick() {
+    let mut detector = PauseDetector::new(PauseSettings::default(), MonoMs(1_000));
+    assert_eq!(detector.tick(MonoMs(1_250)), None);
+    assert_eq!(detector.tick(MonoMs(1_900)), None);
+    assert_eq!(detector.pause_after(MonoMs(1_000), MonoMs(2_100)), None);
+    let pause = Pause {
+        began_at: MonoMs(1_900),
+        ended_at: MonoMs(6_000),
+    };
+    let (sent_at, now) = (MonoMs(1_800), MonoMs(6_000));
+    assert_eq!(detector.pause_after(sent_at, now), Some(pause));
+    assert_eq!(detector.tick(now), Some(pause));
+    assert_eq!(pause.duration_ms(), 4_100);
+    assert_eq!(detector.pause_after(sent_at, MonoMs(6_010)), Some(pause));
+    // What was asked after the pause is current.
+    assert_eq!(detector.pause_after(MonoMs(6_005), MonoMs(6_300)), None);
+}
--- a/crates/masticdock-node/src/lib.rs
+++ b/crates/masticdock-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod http_server;
 mod json_log;
 mod metrics;
+mod pauses;
 mod signals;
 mod tables;
 mod upstream_list;
@@ -55,6 +56,7 @@
     log_start(role, &settings);
     let tasks = tokio::task::LocalSet::new();
     let result = tasks.block_on(&runtime, async {
+        tokio::task::spawn_local(pauses::watch());
         match role {
             Role::Entry => entry::run(settings, path).await,
             Role::Agent => agent::run(settings, path).await,
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Counter, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
 
 use crate::http_server::{respond, serve};
 
@@ -24,6 +26,8 @@
     pub(crate) first_event_seconds: HistogramVec,
     /// Time to the end of the response by outcome, in seconds.
     pub(crate) request_seconds: HistogramVec,
+    /// Time in which the process did not run, in seconds.
+    pub(crate) paused_seconds: Counter,
 }
 
 /// Histogram bucket bounds, in seconds: finest around objectives of 0.3 to 0.5 s, and
@@ -66,16 +70,22 @@
             "masticdock_request_seconds",
             "Time from the request to the end of its response.",
         )?;
+        let paused_seconds = Counter::new(
+            "masticdock_paused_seconds_total",
+            "Time in which the process did not run.",
+        )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(request_seconds.clone()))?;
+        registry.register(Box::new(paused_seconds.clone()))?;
         Ok(Self {
             registry,
             requests,
             attempts,
             first_event_seconds,
             request_seconds,
+            paused_seconds,
         })
     }
 }
