Count a version as old as the pause of the process that reads it late

Cause: an entry counts the deadline of a version from when it learns of it. The poll can also time out on waking although the store answered; that was taken for an outage of the store, after which limits start anew. Class: a limit that runs from an event is counted from when the observer learnt of it.

Change: the age of a change is at least the time since the process last ran, for replies, for the poll after one that overlapped the pause, and for a read of the whole table. Looked for elsewhere: agents read hellos after a pause of their own, and keep the first of several ages for a version; now a hello counts as old as the pause, and the oldest age wins.

--- a/crates/masticdock-core/src/serving/poll_pace.rs
+++ b/crates/masticdock-core/src/serving/poll_pace.rs
@@ -30,13 +30,15 @@
 /// Returns the greatest age that a change can have when the reply to a poll begins:
 /// `waited` is the time since the poll was sent, `pause` the time before it in which none
 /// was open; `None` after failed polls, since the limits of a change start anew when the
-/// store returns. A poll that waited returns a change at once.
+/// store returns. A poll that waited returns a change at once, but a process that did not
+/// run reads the reply late: `unobserved` is the time since it last ran before that, or
+/// zero.
 #[must_use]
-pub fn change_age(waited: Duration, pause: Option<Duration>) -> Duration {
+pub fn change_age(waited: Duration, pause: Option<Duration>, unobserved: Duration) -> Duration {
     if waited > IMMEDIATE_REPLY {
-        return IMMEDIATE_REPLY / 2;
+        return unobserved + IMMEDIATE_REPLY / 2;
     }
-    waited + pause.unwrap_or_default()
+    unobserved.max(pause.unwrap_or_default()) + waited
 }
 
 /// Limits of a deployment that the polls of a table have to keep.
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -24,7 +24,8 @@
     }
 }
 
-/// Versions of one model, in the order in which this process learnt of them.
+/// Versions of one model, in the order in which this process learnt of them, each with the
+/// latest time at which it can have been declared.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionTimeline {
     learnt: Vec<(VersionNumber, MonoMs)>,
@@ -53,12 +54,19 @@
         }
     }
 
-    /// Records a declared version; returns false when it or a newer one is known.
-    pub fn declare(&mut self, version: VersionNumber, now: MonoMs) -> bool {
+    /// Records a version that was declared at `declared_at` at the latest; returns false
+    /// when it or a newer one is known. Of several times for a version, the earliest
+    /// counts.
+    pub fn declare(&mut self, version: VersionNumber, declared_at: MonoMs) -> bool {
         if version <= self.newest() && !self.learnt.is_empty() {
+            for (learnt, at) in &mut self.learnt {
+                if *learnt == version {
+                    *at = declared_at.min(*at);
+                }
+            }
             return false;
         }
-        self.learnt.push((version, now));
+        self.learnt.push((version, declared_at));
         true
     }
 
@@ -70,7 +78,7 @@
             .map_or(FIRST_VERSION, |(version, _)| *version)
     }
 
-    /// Returns when this process learnt of a declared version.
+    /// Returns the latest time at which a version can have been declared.
     #[must_use]
     pub fn learnt_at(&self, version: VersionNumber) -> Option<MonoMs> {
         let (_, at) = self.learnt.iter().find(|(learnt, _)| *learnt == version)?;
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -44,6 +44,17 @@
     assert_eq!(timeline.learnt_at(VersionNumber(3)), Some(MonoMs(1_000)));
 }
 
+/// Guards against a deadline that counts from the report of a process that learnt of the
+/// version late.
+#[test]
+fn the_earliest_report_of_a_version_sets_its_deadline() {
+    let mut timeline = VersionTimeline::new(IN_FORCE_MS);
+    assert!(timeline.declare(VersionNumber(2), MonoMs(5_000)));
+    assert!(!timeline.declare(VersionNumber(2), MonoMs(1_000)));
+    assert!(!timeline.declare(VersionNumber(2), MonoMs(6_000)));
+    assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(9_000)));
+}
+
 fn upstreams(count: usize) -> Vec<UpstreamId> {
     (0..count)
         .map(|n| format!("u-{n}").parse().unwrap())
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::state::Agent;
-use crate::clock;
 use crate::datagram::{DATAGRAM_BYTES_MAX, Datagram, decode, encode};
+use crate::{clock, pauses};
 
 /// Minimum interval between two reports in which only the load differs.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -174,12 +174,19 @@
     }
 }
 
+/// Time after a pause of the process in which hellos from before its end are read, in
+/// milliseconds.
+const QUEUED_HELLOS_MS: u64 = 200;
+
 /// Records the versions of a hello.
 fn record_versions(agent: &Agent, versions: &[(DeclaredVersion, u64)], now: MonoMs) {
+    // A hello that arrived during a pause is as old as the pause at most.
+    let queued_since = MonoMs(now.0.saturating_sub(QUEUED_HELLOS_MS));
+    let heard_at = pauses::last_after(queued_since).map_or(now, |pause| pause.began_at);
     let mut catalog = agent.catalog.borrow_mut();
     let mut newer = false;
     for (declared, age_ms) in versions {
-        let learnt_at = MonoMs(now.0.saturating_sub(*age_ms));
+        let learnt_at = MonoMs(heard_at.0.saturating_sub(*age_ms));
         newer |= catalog.record_version(declared, learnt_at, "entry");
     }
     drop(catalog);
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -189,7 +189,7 @@
     async fn read_upstreams_from_store(&self) -> bool {
         match self.store.read(Table::Upstreams).await {
             Ok(snapshot) => {
-                let event = TableEvent::Snapshot(snapshot.rows);
+                let event = TableEvent::Snapshot(snapshot.rows, 0);
                 self.catalog.borrow_mut().apply_upstream_event(event);
                 true
             }
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -67,7 +67,7 @@
         // An agent only plans its switch by the age; entries keep the limits.
         TableEvent::Changes(rows, 0)
     } else {
-        TableEvent::Snapshot(rows)
+        TableEvent::Snapshot(rows, 0)
     };
     *snapshot_applied = true;
     let mut catalog = agent.catalog.borrow_mut();
--- a/crates/masticdock-node/src/pauses/mod.rs
+++ b/crates/masticdock-node/src/pauses/mod.rs
@@ -3,7 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use masticdock_core::serving::{PauseDetector, PauseSettings};
+use masticdock_core::serving::{Pause, PauseDetector, PauseSettings};
+use masticdock_core::units::MonoMs;
 use tokio::time::sleep;
 
 use crate::clock;
@@ -34,3 +35,8 @@
         sleep(interval).await;
     }
 }
+
+/// Returns the last pause of the process that ended after `since`.
+pub(crate) fn last_after(since: MonoMs) -> Option<Pause> {
+    DETECTOR.get().pause_after(since, clock::now())
+}
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -68,11 +68,11 @@
         self.operators_polled_at = Some(clock::now());
         match event {
             TableEvent::Recovered | TableEvent::Unchanged => false,
-            TableEvent::Snapshot(rows) => {
+            TableEvent::Snapshot(rows, unobserved_ms) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
-                let age_ms = if is_first { VERSION_AGE_AT_START_MS } else { 0 };
-                self.apply_operator_rows(&rows, age_ms)
+                let age_min_ms = if is_first { VERSION_AGE_AT_START_MS } else { 0 };
+                self.apply_operator_rows(&rows, unobserved_ms.max(age_min_ms))
             }
             TableEvent::Changes(rows, age_ms) => self.apply_operator_rows(&rows, age_ms),
         }
@@ -178,7 +178,7 @@
                 self.directory.store_recovered(now);
                 Vec::new()
             }
-            TableEvent::Snapshot(rows) => {
+            TableEvent::Snapshot(rows, _) => {
                 self.upstreams_loaded = true;
                 let upstreams = rows.iter().filter_map(decode_row).collect();
                 self.directory.replace(upstreams, now)
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -7,9 +7,12 @@
 
 use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
 use masticdock_core::serving::{PollLimits, change_age, poll_pause};
+use masticdock_core::units::MonoMs;
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
+use crate::{clock, pauses};
+
 pub(crate) use catalog::Catalog;
 
 /// Timeout of a poll that does not wait for changes. A slow store answers within 250
@@ -44,8 +47,9 @@
 /// Event that a [`TableWatcher`] delivers.
 #[derive(Debug)]
 pub(crate) enum TableEvent {
-    /// All rows of the table.
-    Snapshot(Vec<Row>),
+    /// All rows of the table, and the greatest age in milliseconds that changes since the
+    /// previous event can have, unless the store lost its history.
+    Snapshot(Vec<Row>, u64),
     /// Rows that changed since the previous event, and the greatest age that the changes
     /// can have, in milliseconds.
     Changes(Vec<Row>, u64),
@@ -78,6 +82,31 @@
     pub(crate) max: Duration,
 }
 
+/// Time before the reply to a poll in which this process may have missed a change.
+#[derive(Debug, Clone, Copy)]
+struct ObservationGap {
+    /// Time before the poll in which none was open; `None` after failed polls.
+    pause: Option<Duration>,
+    /// When the poll was sent.
+    sent_at: MonoMs,
+    /// When the process last ran before a pause that a former poll overlapped.
+    unobserved_since: Option<MonoMs>,
+}
+
+impl ObservationGap {
+    /// Returns when the process last ran before it paused during this or a former poll.
+    fn unobserved_since(&self) -> Option<MonoMs> {
+        let paused_at = pauses::last_after(self.sent_at).map(|pause| pause.began_at);
+        self.unobserved_since.or(paused_at)
+    }
+
+    /// Returns the time since the process last ran before such a pause, or zero.
+    fn unobserved(&self) -> Duration {
+        let now = clock::now();
+        now.since(self.unobserved_since().unwrap_or(now))
+    }
+}
+
 impl TableWatcher {
     /// Watches the table and passes each event to `apply`, which returns the pause until
     /// the next poll; never returns.
@@ -86,6 +115,8 @@
         let mut version = None;
         let mut failures = 0_u32;
         let mut last_reply_at = Instant::now();
+        // Since when this process knows nothing of the table because it did not run.
+        let mut unobserved_since: Option<MonoMs> = None;
         loop {
             // After a failure, polls without waiting, so that the recovery of the store
             // is detected at once.
@@ -95,14 +126,24 @@
                 Duration::ZERO
             };
             let pause = (failures == 0).then(|| last_reply_at.elapsed());
-            let result = self.poll(&store, version, wait, pause).await;
+            let sent_at = clock::now();
+            let gap = ObservationGap {
+                pause,
+                sent_at,
+                unobserved_since,
+            };
+            let result = self.poll(&store, version, wait, gap).await;
             let event = match result {
                 Ok((event, new_version)) => {
                     version = new_version;
                     last_reply_at = Instant::now();
+                    // Without an event, the table is read as a whole next.
+                    unobserved_since = event.is_none().then(|| gap.unobserved_since()).flatten();
                     event
                 }
                 Err(error) => {
+                    // A poll that overlaps a pause can time out although the store answered.
+                    unobserved_since = pauses::last_after(sent_at).map(|pause| pause.began_at);
                     self.back_off(&mut failures, &error).await;
                     continue;
                 }
@@ -134,11 +175,12 @@
         store: &StoreClient,
         version: Option<u64>,
         wait: Duration,
-        pause: Option<Duration>,
+        gap: ObservationGap,
     ) -> Result<(Option<(TableEvent, Duration)>, Option<u64>), StoreError> {
         let Some(version) = version else {
             let snapshot = store.read(self.table).await?;
-            let event = TableEvent::Snapshot(snapshot.rows);
+            let unobserved_ms = u64::try_from(gap.unobserved().as_millis()).unwrap_or(u64::MAX);
+            let event = TableEvent::Snapshot(snapshot.rows, unobserved_ms);
             return Ok((
                 Some((event, snapshot.body_duration)),
                 Some(snapshot.version),
@@ -158,7 +200,7 @@
                 body_duration,
             } => {
                 let waited = sent_at.elapsed().saturating_sub(body_duration);
-                let age = change_age(waited, pause) + body_duration;
+                let age = change_age(waited, gap.pause, gap.unobserved()) + body_duration;
                 let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
                 let event = TableEvent::Changes(rows, age_ms);
                 Ok((Some((event, body_duration)), Some(version)))
