Count the time in which a VM was suspended

Suspected, not seen: a VM can be suspended for seconds, and its steady clock does not count that time (the users' page on deployment).

Change: the node's clock is CLOCK_BOOTTIME, which runs on during a suspension, and what is left of a request's deadline is read from it. Timers stay with the runtime, which cannot wait on that clock; after a suspension they are late by its length.

No test suspends a machine: not reproduced.

--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -13,6 +13,7 @@
 use masticdock_core::serving::{
     AttemptHistory, AttemptOutcome, Configuration, NextStep, Route, RouteMatch, next_step,
 };
+use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::CallerResponseBody;
@@ -45,9 +46,11 @@
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) priority: u8,
-    pub(crate) arrived_at: Instant,
+    pub(crate) arrived_at: MonoMs,
     /// When the response is due: the earlier of the caller's deadline and the route's
     /// timeout.
+    pub(crate) due_at: MonoMs,
+    /// The same time, for timers; later than `due_at` if the VM was suspended meanwhile.
     pub(crate) deadline: Instant,
     /// True when the deadline suggests that the caller was rejected before.
     pub(crate) returning: bool,
@@ -57,13 +60,12 @@
 impl Call {
     /// Returns the time left until the deadline, in milliseconds.
     pub(crate) fn time_left_ms(&self) -> u64 {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+        self.due_at.since_ms(clock::now())
     }
 
     /// Returns the time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
-        u64::try_from(self.arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+        clock::now().since_ms(self.arrived_at)
     }
 }
 
@@ -73,7 +75,8 @@
     request: Request<Incoming>,
     in_use: InUseGuard,
 ) -> Response<CallerResponseBody> {
-    let arrived_at = Instant::now();
+    let arrived_at = clock::now();
+    let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let head = parse_caller_head(&parts.headers);
     let request_id = head.request_id.clone();
@@ -111,7 +114,8 @@
         }
     };
     let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let deadline = arrived_at + Duration::from_millis(deadline_ms.min(route.timeout_ms));
+    let time_ms = deadline_ms.min(route.timeout_ms);
+    let deadline = arrived + Duration::from_millis(time_ms);
     let body_bytes_max = configuration.limits.body_bytes_max;
     let body = match read_body(&parts.headers, body, body_bytes_max, deadline).await {
         Ok(body) => body,
@@ -133,6 +137,7 @@
         workspace: workspace.map(|workspace| workspace.id),
         priority,
         arrived_at,
+        due_at: arrived_at.plus_ms(time_ms),
         deadline,
         returning,
         route,
