Bound the age of a change by the time up to which the table is known

Cause: the pause was tied to single polls, and each failed or empty one forgot it.

Change: TableObservation keeps the time up to which all changes of a table are known; replies move it on, failures keep it for 2 s after a pause, and a longer failure of the store clears it, since limits start anew then. Pauses from 400 ms on count, from the first of several in a row. An age is 5 s at most, as for a version found at start: a process that has just run again has to meet the deadline only after some seconds.

Taken back: the oldest of several ages for a version won, so a restarted entry, which assumes 5 s, would have moved the switches of all agents forward. The first one counts again, and the test says so; agents still count a hello that waited during their pause as old as the pause.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod deadline_estimate;
 mod directory;
 mod load;
+mod observation;
 mod pauses;
 mod placement;
 mod places;
@@ -32,6 +33,7 @@
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
 pub use load::{AgentReport, UpstreamLoad};
+pub use observation::{PollReply, TableObservation};
 pub use pauses::{Pause, PauseDetector, PauseSettings};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
 pub use places::{EngineRoom, PlaceRotation, PlaceRules};
--- a/crates/masticdock-core/src/serving/pauses.rs
+++ b/crates/masticdock-core/src/serving/pauses.rs
@@ -1,6 +1,8 @@
 //! Detection of pauses in which a process did not run, for example because its VM was
 //! suspended or the process was stopped.
 
+use std::collections::VecDeque;
+
 use crate::units::MonoMs;
 
 /// Settings of a [`PauseDetector`].
@@ -16,7 +18,7 @@
     fn default() -> Self {
         Self {
             tick_interval_ms: 250,
-            pause_min_ms: 750,
+            pause_min_ms: 400,
         }
     }
 }
@@ -38,12 +40,15 @@
     }
 }
 
+/// Number of pauses that are remembered.
+const PAUSES_MAX: usize = 8;
+
 /// Detects pauses from the times at which a periodic task of the process runs.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct PauseDetector {
     settings: PauseSettings,
     ticked_at: MonoMs,
-    last: Option<Pause>,
+    recent: VecDeque<Pause>,
 }
 
 impl PauseDetector {
@@ -53,26 +58,36 @@
         Self {
             settings,
             ticked_at: now,
-            last: None,
+            recent: VecDeque::new(),
         }
     }
 
     /// Records that the process runs; returns the pause that has just ended, if any.
     pub fn tick(&mut self, now: MonoMs) -> Option<Pause> {
         let ended = self.ending_pause(now);
-        if ended.is_some() {
-            self.last = ended;
+        if let Some(pause) = ended {
+            if self.recent.len() >= PAUSES_MAX {
+                self.recent.pop_front();
+            }
+            self.recent.push_back(pause);
         }
         self.ticked_at = now;
         ended
     }
 
-    /// Returns the last pause that ended after `since`, also if no tick followed it yet.
+    /// Returns the time from the beginning of the first to the end of the last pause that
+    /// ended after `since`, including one that no tick has followed yet.
     #[must_use]
     pub fn pause_after(&self, since: MonoMs, now: MonoMs) -> Option<Pause> {
-        self.ending_pause(now)
-            .or(self.last)
-            .filter(|pause| pause.ended_at > since)
+        let mut all: Option<Pause> = None;
+        for pause in self.recent.iter().copied().chain(self.ending_pause(now)) {
+            if pause.ended_at <= since {
+                continue;
+            }
+            let began_at = all.map_or(pause.began_at, |first| first.began_at);
+            all = Some(Pause { began_at, ..pause });
+        }
+        all
     }
 
     fn ending_pause(&self, now: MonoMs) -> Option<Pause> {
--- a/crates/masticdock-core/src/serving/poll_pace.rs
+++ b/crates/masticdock-core/src/serving/poll_pace.rs
@@ -25,20 +25,18 @@
 
 /// Time for a reply to a poll that finds a change already made: two trips between the
 /// farthest regions and the work of a slow store.
-const IMMEDIATE_REPLY: Duration = Duration::from_millis(300);
+pub(super) const IMMEDIATE_REPLY: Duration = Duration::from_millis(300);
 
 /// Returns the greatest age that a change can have when the reply to a poll begins:
 /// `waited` is the time since the poll was sent, `pause` the time before it in which none
 /// was open; `None` after failed polls, since the limits of a change start anew when the
-/// store returns. A poll that waited returns a change at once, but a process that did not
-/// run reads the reply late: `unobserved` is the time since it last ran before that, or
-/// zero.
+/// store returns. A poll that waited returns a change at once.
 #[must_use]
-pub fn change_age(waited: Duration, pause: Option<Duration>, unobserved: Duration) -> Duration {
+pub fn change_age(waited: Duration, pause: Option<Duration>) -> Duration {
     if waited > IMMEDIATE_REPLY {
-        return unobserved + IMMEDIATE_REPLY / 2;
+        return IMMEDIATE_REPLY / 2;
     }
-    unobserved.max(pause.unwrap_or_default()) + waited
+    waited + pause.unwrap_or_default()
 }
 
 /// Limits of a deployment that the polls of a table have to keep.
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -24,8 +24,7 @@
     }
 }
 
-/// Versions of one model, in the order in which this process learnt of them, each with the
-/// latest time at which it can have been declared.
+/// Versions of one model, in the order in which this process learnt of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionTimeline {
     learnt: Vec<(VersionNumber, MonoMs)>,
@@ -54,19 +53,12 @@
         }
     }
 
-    /// Records a version that was declared at `declared_at` at the latest; returns false
-    /// when it or a newer one is known. Of several times for a version, the earliest
-    /// counts.
-    pub fn declare(&mut self, version: VersionNumber, declared_at: MonoMs) -> bool {
+    /// Records a declared version; returns false when it or a newer one is known.
+    pub fn declare(&mut self, version: VersionNumber, now: MonoMs) -> bool {
         if version <= self.newest() && !self.learnt.is_empty() {
-            for (learnt, at) in &mut self.learnt {
-                if *learnt == version {
-                    *at = declared_at.min(*at);
-                }
-            }
             return false;
         }
-        self.learnt.push((version, declared_at));
+        self.learnt.push((version, now));
         true
     }
 
@@ -78,7 +70,7 @@
             .map_or(FIRST_VERSION, |(version, _)| *version)
     }
 
-    /// Returns the latest time at which a version can have been declared.
+    /// Returns when this process learnt of a declared version.
     #[must_use]
     pub fn learnt_at(&self, version: VersionNumber) -> Option<MonoMs> {
         let (_, at) = self.learnt.iter().find(|(learnt, _)| *learnt == version)?;
--- a/crates/masticdock-core/tests/serving_pauses.rs
+++ b/crates/masticdock-core/tests/serving_pauses.rs
@@ -9,6 +9,7 @@
 fn a_pause_is_known_before_and_after_the_next_tick() {
     let mut detector = PauseDetector::new(PauseSettings::default(), MonoMs(1_000));
     assert_eq!(detector.tick(MonoMs(1_250)), None);
+    assert_eq!(detector.tick(MonoMs(1_600)), None);
     assert_eq!(detector.tick(MonoMs(1_900)), None);
     assert_eq!(detector.pause_after(MonoMs(1_000), MonoMs(2_100)), None);
     let pause = Pause {
@@ -23,3 +24,23 @@
     // What was asked after the pause is current.
     assert_eq!(detector.pause_after(MonoMs(6_005), MonoMs(6_300)), None);
 }
+
+/// Guards against a short pause that hides a long one just before it, as on waking with
+/// much to do.
+#[test]
+fn pauses_in_a_row_count_from_the_first() {
+    let mut detector = PauseDetector::new(PauseSettings::default(), MonoMs(8_200));
+    assert!(detector.tick(MonoMs(12_500)).is_some());
+    let pause = Pause {
+        began_at: MonoMs(8_200),
+        ended_at: MonoMs(13_300),
+    };
+    let (sent_at, now) = (MonoMs(8_100), MonoMs(13_300));
+    assert_eq!(detector.pause_after(sent_at, now), Some(pause));
+    assert!(detector.tick(now).is_some());
+    assert_eq!(detector.pause_after(sent_at, MonoMs(13_310)), Some(pause));
+    let later = detector
+        .pause_after(MonoMs(12_600), MonoMs(13_310))
+        .unwrap();
+    assert_eq!(later.began_at, MonoMs(12_500));
+}
--- a/crates/masticdock-core/tests/serving_poll_pace.rs
+++ b/crates/masticdock-core/tests/serving_poll_pace.rs
@@ -147,11 +147,7 @@
                 let at_store_ms = pause_ms + TRIP_MS;
                 let reply_ms = declared_ms.max(at_store_ms) + TRIP_MS;
                 let waited = Duration::from_millis(reply_ms - pause_ms);
-                let age = change_age(
-                    waited,
-                    Some(Duration::from_millis(pause_ms)),
-                    Duration::ZERO,
-                );
+                let age = change_age(waited, Some(Duration::from_millis(pause_ms)));
                 let age_ms = u64::try_from(age.as_millis()).unwrap();
                 let start = MonoMs(60_000);
                 let learnt_at = MonoMs(start.0 + reply_ms - age_ms.min(reply_ms + start.0));
@@ -177,18 +173,6 @@
 /// seconds, although no engine could have the newer one yet.
 #[test]
 fn a_version_read_after_an_outage_counts_from_the_return() {
-    let age = change_age(Duration::from_millis(5), None, Duration::ZERO);
+    let age = change_age(Duration::from_millis(5), None);
     assert!(age <= Duration::from_millis(300), "{age:?}");
 }
-
-/// Guards against a change that counts as new although the process did not run when it was
-/// made: the reply to an open poll waits until the process runs again.
-#[test]
-fn a_change_made_during_a_pause_is_as_old_as_the_pause() {
-    let unobserved = Duration::from_secs(4);
-    for waited_ms in [100, 4_100] {
-        let waited = Duration::from_millis(waited_ms);
-        assert!(change_age(waited, Some(Duration::ZERO), unobserved) >= unobserved);
-        assert!(change_age(waited, None, unobserved) >= unobserved);
-    }
-}
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -44,15 +44,15 @@
     assert_eq!(timeline.learnt_at(VersionNumber(3)), Some(MonoMs(1_000)));
 }
 
-/// Guards against a deadline that counts from the report of a process that learnt of the
-/// version late.
+/// Guards against a process that has just started: it assumes that a version is old, and
+/// must not move the deadline for those that know better.
 #[test]
-fn the_earliest_report_of_a_version_sets_its_deadline() {
+fn a_further_report_of_a_known_version_does_not_move_its_deadline() {
     let mut timeline = VersionTimeline::new(IN_FORCE_MS);
     assert!(timeline.declare(VersionNumber(2), MonoMs(5_000)));
     assert!(!timeline.declare(VersionNumber(2), MonoMs(1_000)));
     assert!(!timeline.declare(VersionNumber(2), MonoMs(6_000)));
-    assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(9_000)));
+    assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(13_000)));
 }
 
 fn upstreams(count: usize) -> Vec<UpstreamId> {
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -182,7 +182,7 @@
 fn record_versions(agent: &Agent, versions: &[(DeclaredVersion, u64)], now: MonoMs) {
     // A hello that arrived during a pause is as old as the pause at most.
     let queued_since = MonoMs(now.0.saturating_sub(QUEUED_HELLOS_MS));
-    let heard_at = pauses::last_after(queued_since).map_or(now, |pause| pause.began_at);
+    let heard_at = pauses::after(queued_since).map_or(now, |pause| pause.began_at);
     let mut catalog = agent.catalog.borrow_mut();
     let mut newer = false;
     for (declared, age_ms) in versions {
--- a/crates/masticdock-node/src/pauses/mod.rs
+++ b/crates/masticdock-node/src/pauses/mod.rs
@@ -1,6 +1,6 @@
 //! Watches for pauses in which this process did not run.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::time::Duration;
 
 use masticdock_core::serving::{Pause, PauseDetector, PauseSettings};
@@ -10,19 +10,20 @@
 use crate::clock;
 use crate::metrics::metrics;
 
+/// Shortest pause that is logged, in milliseconds; shorter ones are common under load.
+const LOGGED_PAUSE_MS: u64 = 750;
+
 thread_local! {
-    static DETECTOR: Cell<PauseDetector> =
-        Cell::new(PauseDetector::new(PauseSettings::default(), clock::now()));
+    static DETECTOR: RefCell<PauseDetector> =
+        RefCell::new(PauseDetector::new(PauseSettings::default(), clock::now()));
 }
 
-/// Ticks the detector of the event loop's thread and logs each pause; never returns.
+/// Ticks the detector of the event loop's thread and logs pauses; never returns.
 pub(crate) async fn watch() {
     let interval = Duration::from_millis(PauseSettings::default().tick_interval_ms);
     loop {
-        let mut detector = DETECTOR.get();
-        let ended = detector.tick(clock::now());
-        DETECTOR.set(detector);
-        if let Some(pause) = ended {
+        let ended = DETECTOR.with_borrow_mut(|detector| detector.tick(clock::now()));
+        if let Some(pause) = ended.filter(|pause| pause.duration_ms() >= LOGGED_PAUSE_MS) {
             let paused_ms = pause.duration_ms();
             log::warn!(
                 event = "process.paused",
@@ -36,7 +37,8 @@
     }
 }
 
-/// Returns the last pause of the process that ended after `since`.
-pub(crate) fn last_after(since: MonoMs) -> Option<Pause> {
-    DETECTOR.get().pause_after(since, clock::now())
+/// Returns the pause of the process that ended after `since`; of several ones, from the
+/// beginning of the first.
+pub(crate) fn after(since: MonoMs) -> Option<Pause> {
+    DETECTOR.with_borrow(|detector| detector.pause_after(since, clock::now()))
 }
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -18,10 +18,11 @@
 /// Time after the recovery of the store in which missing rows may reappear, in
 /// milliseconds; the platform specifies it.
 const LAPSED_ROW_GRACE_MS: u64 = 2_000;
-/// Age assumed for versions in the first snapshot, in milliseconds, since their true
-/// age is unknown. A restarted process has to meet the deadline of a version only once
-/// it has been up for some seconds, so the assumed age is never too low.
-const VERSION_AGE_AT_START_MS: u64 = 5_000;
+/// Age assumed for versions in the first snapshot, and the greatest age assumed for one
+/// declared during a pause of this process, in milliseconds. A process that starts or runs
+/// again has to meet the deadline of a version only after some seconds, so that a higher
+/// age is not needed.
+const UNKNOWN_VERSION_AGE_MS: u64 = 5_000;
 
 /// Configuration, declared versions and upstreams, as the tables last had them.
 #[derive(Debug)]
@@ -68,11 +69,15 @@
         self.operators_polled_at = Some(clock::now());
         match event {
             TableEvent::Recovered | TableEvent::Unchanged => false,
-            TableEvent::Snapshot(rows, unobserved_ms) => {
+            TableEvent::Snapshot(rows, age_ms) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
-                let age_min_ms = if is_first { VERSION_AGE_AT_START_MS } else { 0 };
-                self.apply_operator_rows(&rows, unobserved_ms.max(age_min_ms))
+                let age_ms = if is_first {
+                    UNKNOWN_VERSION_AGE_MS
+                } else {
+                    age_ms
+                };
+                self.apply_operator_rows(&rows, age_ms)
             }
             TableEvent::Changes(rows, age_ms) => self.apply_operator_rows(&rows, age_ms),
         }
@@ -82,6 +87,7 @@
     /// new version.
     fn apply_operator_rows(&mut self, rows: &[Row], age_ms: u64) -> bool {
         let now = clock::now();
+        let declared_at = MonoMs(now.0.saturating_sub(age_ms.min(UNKNOWN_VERSION_AGE_MS)));
         let mut any_new = false;
         for row in rows {
             match decode_operator_row(row) {
@@ -89,8 +95,7 @@
                     self.apply_configuration(*configuration);
                 }
                 Ok(OperatorRow::Version(declared)) => {
-                    let learnt_at = MonoMs(now.0.saturating_sub(age_ms));
-                    any_new |= self.record_version(&declared, learnt_at, "store");
+                    any_new |= self.record_version(&declared, declared_at, "store");
                 }
                 Ok(OperatorRow::Other) => {}
                 Err(error) => log::warn!(
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
-use masticdock_core::serving::{PollLimits, change_age, poll_pause};
+use masticdock_core::serving::{PollLimits, PollReply, TableObservation, poll_pause};
 use masticdock_core::units::MonoMs;
 use rand::Rng;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::{clock, pauses};
 
@@ -24,6 +24,10 @@
 /// recovery of the store is noticed.
 const BACKOFF_MAX_MS: u64 = 400;
 
+/// Time after a pause of this process in which polls may fail although the store answers,
+/// in milliseconds.
+const WAKING_MS: u64 = 2_000;
+
 /// Time after the end of a long poll by which its successor has a reply, if the store
 /// answers.
 const POLL_SLACK: Duration = Duration::from_millis(1_500);
@@ -47,8 +51,8 @@
 /// Event that a [`TableWatcher`] delivers.
 #[derive(Debug)]
 pub(crate) enum TableEvent {
-    /// All rows of the table, and the greatest age in milliseconds that changes since the
-    /// previous event can have, unless the store lost its history.
+    /// All rows of the table, and the greatest age that changes since the previous event
+    /// can have, in milliseconds.
     Snapshot(Vec<Row>, u64),
     /// Rows that changed since the previous event, and the greatest age that the changes
     /// can have, in milliseconds.
@@ -82,29 +86,13 @@
     pub(crate) max: Duration,
 }
 
-/// Time before the reply to a poll in which this process may have missed a change.
-#[derive(Debug, Clone, Copy)]
-struct ObservationGap {
-    /// Time before the poll in which none was open; `None` after failed polls.
-    pause: Option<Duration>,
-    /// When the poll was sent.
-    sent_at: MonoMs,
-    /// When the process last ran before a pause that a former poll overlapped.
-    unobserved_since: Option<MonoMs>,
+/// Returns whether this process has paused shortly before.
+fn is_waking() -> bool {
+    pauses::after(MonoMs(clock::now().0.saturating_sub(WAKING_MS))).is_some()
 }
 
-impl ObservationGap {
-    /// Returns when the process last ran before it paused during this or a former poll.
-    fn unobserved_since(&self) -> Option<MonoMs> {
-        let paused_at = pauses::last_after(self.sent_at).map(|pause| pause.began_at);
-        self.unobserved_since.or(paused_at)
-    }
-
-    /// Returns the time since the process last ran before such a pause, or zero.
-    fn unobserved(&self) -> Duration {
-        let now = clock::now();
-        now.since(self.unobserved_since().unwrap_or(now))
-    }
+fn duration_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl TableWatcher {
@@ -114,9 +102,8 @@
         let store = StoreClient::new(self.store);
         let mut version = None;
         let mut failures = 0_u32;
-        let mut last_reply_at = Instant::now();
-        // Since when this process knows nothing of the table because it did not run.
-        let mut unobserved_since: Option<MonoMs> = None;
+        let mut attempt_ended_at = clock::now();
+        let mut observation = TableObservation::new(attempt_ended_at);
         loop {
             // After a failure, polls without waiting, so that the recovery of the store
             // is detected at once.
@@ -125,25 +112,18 @@
             } else {
                 Duration::ZERO
             };
-            let pause = (failures == 0).then(|| last_reply_at.elapsed());
-            let sent_at = clock::now();
-            let gap = ObservationGap {
-                pause,
-                sent_at,
-                unobserved_since,
-            };
-            let result = self.poll(&store, version, wait, gap).await;
+            if let Some(pause) = pauses::after(attempt_ended_at) {
+                observation.record_pause(&pause);
+            }
+            let result = self.poll(&store, version, wait, &mut observation).await;
+            attempt_ended_at = clock::now();
             let event = match result {
                 Ok((event, new_version)) => {
                     version = new_version;
-                    last_reply_at = Instant::now();
-                    // Without an event, the table is read as a whole next.
-                    unobserved_since = event.is_none().then(|| gap.unobserved_since()).flatten();
                     event
                 }
                 Err(error) => {
-                    // A poll that overlaps a pause can time out although the store answered.
-                    unobserved_since = pauses::last_after(sent_at).map(|pause| pause.began_at);
+                    observation.record_failure(is_waking());
                     self.back_off(&mut failures, &error).await;
                     continue;
                 }
@@ -175,33 +155,41 @@
         store: &StoreClient,
         version: Option<u64>,
         wait: Duration,
-        gap: ObservationGap,
+        observation: &mut TableObservation,
     ) -> Result<(Option<(TableEvent, Duration)>, Option<u64>), StoreError> {
+        let sent_at = clock::now();
+        // Returns the greatest age of the changes in the reply, in milliseconds.
+        let mut observe = |body_duration: Duration| {
+            let reply = PollReply {
+                sent_at,
+                read_at: MonoMs(clock::now().0.saturating_sub(duration_ms(body_duration))),
+                pause: pauses::after(sent_at),
+            };
+            let age = observation.change_age(&reply) + body_duration;
+            observation.record_reply(&reply);
+            duration_ms(age)
+        };
         let Some(version) = version else {
             let snapshot = store.read(self.table).await?;
-            let unobserved_ms = u64::try_from(gap.unobserved().as_millis()).unwrap_or(u64::MAX);
-            let event = TableEvent::Snapshot(snapshot.rows, unobserved_ms);
+            let event = TableEvent::Snapshot(snapshot.rows, observe(snapshot.body_duration));
             return Ok((
                 Some((event, snapshot.body_duration)),
                 Some(snapshot.version),
             ));
         };
-        let sent_at = Instant::now();
         match store
             .poll_changes(self.table, version, wait, RESPONSE_TIMEOUT)
             .await?
         {
-            Feed::Changes { rows, version, .. } if rows.is_empty() => {
-                Ok((Some((TableEvent::Unchanged, Duration::ZERO)), Some(version)))
-            }
             Feed::Changes {
                 rows,
                 version,
                 body_duration,
             } => {
-                let waited = sent_at.elapsed().saturating_sub(body_duration);
-                let age = change_age(waited, gap.pause, gap.unobserved()) + body_duration;
-                let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+                let age_ms = observe(body_duration);
+                if rows.is_empty() {
+                    return Ok((Some((TableEvent::Unchanged, Duration::ZERO)), Some(version)));
+                }
                 let event = TableEvent::Changes(rows, age_ms);
                 Ok((Some((event, body_duration)), Some(version)))
             }
@@ -212,6 +200,7 @@
                     version = version;
                     "the store no longer has the changes since this version; rereading the table"
                 );
+                observation.record_failure(is_waking());
                 Ok((None, None))
             }
         }
