Send no request to an expiring version that it would reach late

Cause: two requests were sent 1.17 and 1.25 s before the bound to an upstream behind a slow link and were 1.30 and 1.35 s on their way. The cancellation came in time, but its close queues behind the request. Class: a fixed allowance for the time on the way, though entries measure longer ones.

Change: the decision moves into the core (VersionTimeline::begin_window). No request is sent from max(1,000 ms, 600 ms + longest recent wait, 600 ms + the link delay of the agent's report) before the expiry on, at most 2,500 ms. UpstreamLoad keeps the longest wait of the last 2.5 to 5 s, less the time predicted at the engine, so that long prompts and queues do not count; attempts that end silent or cancelled count as well. The time is checked again after connecting: an attempt that is then too late is not sent and costs the upstream nothing (attempt.late). WaitLimits and LoadGuard move to files of their own.

The check after connecting has no test through a real entry.

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -11,7 +11,8 @@
 /// How an attempt at an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
-    /// Nothing was sent, because no connection was established.
+    /// Nothing was sent, because no connection was established or it was too late for the
+    /// upstream's version.
     NotSent,
     /// The upstream stated that it did not run the request.
     NotExecuted,
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -3,6 +3,7 @@
 use crate::units::MonoMs;
 
 use super::versions::VersionNumber;
+use super::waits::RecentMaximum;
 
 /// State of an engine, as read by the agent on its VM and reported to entries.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -104,6 +105,8 @@
     /// Smoothed ratio of observed to predicted times to the first event, and when it
     /// was last updated.
     slowdown: Option<(f64, MonoMs)>,
+    /// Parts of recent waits that the engine does not explain, in milliseconds.
+    excess_waits_ms: RecentMaximum,
     consecutive_failures: u32,
     backoff_until: MonoMs,
     last_activity_at: MonoMs,
@@ -205,6 +208,23 @@
         1.0 + (slowdown - 1.0) * decay
     }
 
+    /// Records how long a request waited for its first byte, its first event or the end
+    /// of an attempt without either. The `engine_ms` that the request was predicted to
+    /// spend at the engine do not count: a long prompt or a queue there says nothing about
+    /// the time on the way.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn record_wait(&mut self, waited_ms: f64, engine_ms: f64, now: MonoMs) {
+        let excess_ms = (waited_ms - engine_ms).max(0.0);
+        self.excess_waits_ms.record(excess_ms as u64, now);
+    }
+
+    /// Returns by how much the longest wait of the last seconds exceeded the predicted time
+    /// at the engine, in milliseconds.
+    #[must_use]
+    pub fn longest_excess_wait_ms(&self, now: MonoMs) -> u64 {
+        self.excess_waits_ms.get(now)
+    }
+
     /// Returns the estimated number of pending prefills of other entries;
     /// `mean_prefill_ms` is the time that the upstream takes for one.
     #[must_use]
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -18,6 +18,7 @@
 mod store_reads;
 mod switch_plan;
 mod versions;
+mod waits;
 
 pub use attempts::{
     AttemptHistory, AttemptOutcome, FinalResponse, NextStep, WindowedRetryBudget,
@@ -42,4 +43,4 @@
 pub use sse::{EventSplitter, StreamEvent};
 pub use store_reads::{StoreReadSchedule, StoreReadSettings};
 pub use switch_plan::{SwitchPlan, SwitchTiming};
-pub use versions::{VersionNumber, VersionTimeline};
+pub use versions::{BeginMargins, BeginWindow, PathDelays, VersionNumber, VersionTimeline};
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -24,6 +24,73 @@
     }
 }
 
+/// Delays of requests on their way to an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PathDelays {
+    /// Longest recent wait for a response, beyond the predicted time at the engine, in
+    /// milliseconds.
+    pub longest_wait_ms: u64,
+    /// Delay behind chunks of weights on the upstream's link, as its agent reports it, in
+    /// milliseconds.
+    pub link_delay_ms: u64,
+}
+
+/// Times before the expiry of a version at which requests to it end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BeginMargins {
+    /// Shortest time before the expiry from which no request is sent, in milliseconds.
+    pub send_min_ms: u64,
+    /// Longest time before the expiry from which no request is sent, in milliseconds; a
+    /// wait can have other causes than the way, and upstreams left too early are missed.
+    pub send_max_ms: u64,
+    /// Time for a request to begin beyond its delay on the way, in milliseconds.
+    pub begin_ms: u64,
+    /// Time before the expiry at which a request that has not begun is cancelled, in
+    /// milliseconds; covers the network delay of the cancellation and the age of the
+    /// declaration when it was read.
+    pub cancel_ms: u64,
+}
+
+impl Default for BeginMargins {
+    /// Returns margins for versions that expire some seconds after a declaration and
+    /// requests that usually begin within 0.4 s.
+    fn default() -> Self {
+        Self {
+            send_min_ms: 1_000,
+            send_max_ms: 2_500,
+            begin_ms: 600,
+            cancel_ms: 400,
+        }
+    }
+}
+
+impl BeginMargins {
+    /// Returns the time before the expiry from which no request is sent, in milliseconds.
+    fn send_ms(&self, delays: PathDelays) -> u64 {
+        let delay_ms = delays.longest_wait_ms.max(delays.link_delay_ms);
+        self.begin_ms
+            .saturating_add(delay_ms)
+            .clamp(self.send_min_ms, self.send_max_ms.max(self.send_min_ms))
+    }
+}
+
+/// Limits on the start of a request on a version that expires.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BeginWindow {
+    /// Time from which the request must not be sent.
+    pub send_until: MonoMs,
+    /// Time at which the request is cancelled if it has not begun.
+    pub cancel_at: MonoMs,
+}
+
+impl BeginWindow {
+    /// Returns true while a request may be sent.
+    #[must_use]
+    pub fn may_send(&self, now: MonoMs) -> bool {
+        now < self.send_until
+    }
+}
+
 /// Versions of one model, in the order in which this process learnt of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionTimeline {
@@ -102,4 +169,20 @@
         let (_, at) = self.learnt.iter().find(|(version, _)| *version > held)?;
         Some(at.plus_ms(self.in_force_ms))
     }
+
+    /// Returns the limits on the start of requests at an upstream that holds `held`, if a
+    /// newer version is declared.
+    #[must_use]
+    pub fn begin_window(
+        &self,
+        held: VersionNumber,
+        delays: PathDelays,
+        margins: &BeginMargins,
+    ) -> Option<BeginWindow> {
+        let until = self.begin_until(held)?;
+        Some(BeginWindow {
+            send_until: MonoMs(until.0.saturating_sub(margins.send_ms(delays))),
+            cancel_at: MonoMs(until.0.saturating_sub(margins.cancel_ms)),
+        })
+    }
 }
--- /dev/null
+++ b/crates/masticdock-core/tests/serving_load.rs
@@ -0,0 +1,49 @@
+//! Waits for an upstream, as one entry remembers them.
+
+use masticdock_core::serving::UpstreamLoad;
+use masticdock_core::units::MonoMs;
+
+/// Returns a load with one wait at 10 s.
+fn load_with_wait(waited_ms: f64, engine_ms: f64) -> UpstreamLoad {
+    let mut load = UpstreamLoad::default();
+    load.record_wait(waited_ms, engine_ms, MonoMs(10_000));
+    load
+}
+
+/// Guards against a long wait that quicker responses hide, or that is forgotten within the
+/// seconds before the expiry of a version.
+#[test]
+fn the_longest_wait_is_kept_for_some_seconds() {
+    for start_ms in [10_000, 11_000, 12_499] {
+        let mut load = UpstreamLoad::default();
+        load.record_wait(1_700.0, 300.0, MonoMs(start_ms));
+        for after_ms in (100..2_500).step_by(100) {
+            load.record_wait(200.0, 300.0, MonoMs(start_ms + after_ms));
+            let kept_ms = load.longest_excess_wait_ms(MonoMs(start_ms + after_ms));
+            assert_eq!(kept_ms, 1_400, "from {start_ms} after {after_ms}");
+        }
+    }
+}
+
+/// Guards against an upstream that is left early long after its link was slow, with and
+/// without newer responses.
+#[test]
+fn an_old_wait_is_forgotten() {
+    let mut load = load_with_wait(1_700.0, 300.0);
+    assert_eq!(load.longest_excess_wait_ms(MonoMs(15_000)), 0);
+    load.record_wait(350.0, 300.0, MonoMs(12_600));
+    load.record_wait(360.0, 300.0, MonoMs(15_100));
+    assert_eq!(load.longest_excess_wait_ms(MonoMs(15_100)), 60);
+    assert_eq!(load.longest_excess_wait_ms(MonoMs(60_000)), 0);
+}
+
+/// Guards against counting a long prompt or a queue at a full engine as time on the way.
+#[test]
+fn a_wait_that_the_engine_explains_does_not_count() {
+    let now = MonoMs(10_000);
+    assert_eq!(
+        load_with_wait(1_500.0, 1_450.0).longest_excess_wait_ms(now),
+        50
+    );
+    assert_eq!(load_with_wait(300.0, 450.0).longest_excess_wait_ms(now), 0);
+}
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -1,7 +1,9 @@
 //! Tests of declared versions and of the schedule by which upstreams switch to them.
 
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{SwitchPlan, Upstream, VersionNumber, VersionTimeline};
+use masticdock_core::serving::{
+    BeginMargins, PathDelays, SwitchPlan, Upstream, VersionNumber, VersionTimeline,
+};
 use masticdock_core::units::MonoMs;
 
 const IN_FORCE_MS: u64 = 8_000;
@@ -55,6 +57,57 @@
     assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(13_000)));
 }
 
+/// Returns the last time, counted back from the expiry of version 1, at which a request may
+/// be sent to an upstream with these delays, in milliseconds.
+fn last_send_before_ms(longest_wait_ms: u64, link_delay_ms: u64) -> u64 {
+    let mut timeline = VersionTimeline::new(IN_FORCE_MS);
+    timeline.declare(VersionNumber(2), MonoMs(1_000));
+    let delays = PathDelays {
+        longest_wait_ms,
+        link_delay_ms,
+    };
+    let margins = BeginMargins::default();
+    let window = timeline
+        .begin_window(VersionNumber(1), delays, &margins)
+        .unwrap();
+    assert_eq!(window.cancel_at, MonoMs(8_600));
+    let last = (0..9_000).rev().find(|ms| window.may_send(MonoMs(*ms)));
+    9_000 - last.unwrap()
+}
+
+/// Guards against requests that are sent before the expiry of a version and arrive after
+/// it, because they are longer on their way than a fixed margin.
+#[test]
+fn a_request_is_sent_only_if_it_can_arrive_before_its_version_expires() {
+    assert!(last_send_before_ms(1_300, 0) > 1_300 + 500);
+    assert!(last_send_before_ms(0, 1_300) > 1_300 + 500);
+    assert_eq!(last_send_before_ms(1_300, 700), 1_901);
+    assert_eq!(last_send_before_ms(700, 1_300), 1_901);
+}
+
+/// Guards against upstreams that are left early on ordinary days, and against waits with
+/// other causes that keep an old version from being used at all.
+#[test]
+fn usual_delays_keep_the_margin_and_none_exceeds_the_limit() {
+    assert_eq!(last_send_before_ms(0, 0), 1_001);
+    assert_eq!(last_send_before_ms(400, 400), 1_001);
+    assert_eq!(last_send_before_ms(60_000, 0), 2_501);
+    assert_eq!(last_send_before_ms(u64::MAX, u64::MAX), 2_501);
+}
+
+/// Guards against limits on a version that nothing replaces.
+#[test]
+fn the_newest_version_has_no_window() {
+    let mut timeline = VersionTimeline::new(IN_FORCE_MS);
+    let margins = BeginMargins::default();
+    let delays = PathDelays::default();
+    let window = |timeline: &VersionTimeline, held| timeline.begin_window(held, delays, &margins);
+    assert_eq!(window(&timeline, VersionNumber(1)), None);
+    timeline.declare(VersionNumber(2), MonoMs(1_000));
+    assert_eq!(window(&timeline, VersionNumber(2)), None);
+    assert!(window(&timeline, VersionNumber(1)).is_some());
+}
+
 fn upstreams(count: usize) -> Vec<UpstreamId> {
     (0..count)
         .map(|n| format!("u-{n}").parse().unwrap())
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -14,25 +14,17 @@
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, UpstreamLoad,
-    connect_timeout_ms,
+    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, connect_timeout_ms,
 };
-use masticdock_core::units::MonoMs;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::candidates::ChosenUpstream;
+use super::load_guard::LoadGuard;
 use super::request::Call;
 use super::state::Entry;
+use super::wait::{WaitLimits, await_upstream, record_wait};
 use crate::clock;
 
-/// Time without any byte from an upstream after which it counts as silent: the
-/// duration of four passes of a full batch with long prompts.
-const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time without a response after which a connection counts as silent, even if the
-/// upstream sends data on other connections.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Interval between checks for a silent upstream.
-const ACTIVITY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum size of a response that is not a stream, in bytes.
 const RESPONSE_BYTES_MAX: usize = 16 << 20;
 /// Maximum size of the body of a rejection that is read to reuse its connection, in bytes.
@@ -67,41 +59,6 @@
     pub(crate) load: LoadGuard,
 }
 
-/// Counts a request as in flight at an upstream until it is dropped.
-#[derive(Debug)]
-pub(crate) struct LoadGuard {
-    entry: Rc<Entry>,
-    upstream: UpstreamId,
-    /// Prompt tokens of the request; `None` once its first event has arrived.
-    pending_prompt_tokens: Option<u64>,
-}
-
-impl LoadGuard {
-    fn begin(entry: &Rc<Entry>, upstream: &UpstreamId, prompt_tokens: u64) -> Self {
-        entry.with_load(upstream, |load| load.begin_request(prompt_tokens));
-        Self {
-            entry: Rc::clone(entry),
-            upstream: upstream.clone(),
-            pending_prompt_tokens: Some(prompt_tokens),
-        }
-    }
-
-    fn mark_first_event(&mut self) {
-        if let Some(tokens) = self.pending_prompt_tokens.take() {
-            self.entry
-                .with_load(&self.upstream, |load| load.record_first_event(tokens));
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.mark_first_event();
-        self.entry
-            .with_load(&self.upstream, UpstreamLoad::end_request);
-    }
-}
-
 /// Sends a request to the chosen upstream.
 pub(crate) async fn run_attempt(
     entry: &Rc<Entry>,
@@ -126,6 +83,13 @@
             return AttemptResult::Failed(AttemptOutcome::NotSent, None);
         }
     };
+    // Connecting takes time, and the process may have been paused.
+    if chosen
+        .begin_window
+        .is_some_and(|window| !window.may_send(clock::now()))
+    {
+        return late_attempt(call, id);
+    }
     let remaining_ms = call.time_left_ms();
     let target = UpstreamTarget {
         id: id.clone(),
@@ -138,8 +102,9 @@
     let limits = WaitLimits {
         started_at: Instant::now(),
         started_mono: clock::now(),
-        begin_until: chosen.begin_until,
+        begin_window: chosen.begin_window,
         predicted_ms: chosen.nominal_ms,
+        engine_ms: chosen.engine_ms,
     };
     let result = exchange(entry, call, &target, connection, load, &limits).await;
     if let AttemptResult::Failed(failure, _) = &result {
@@ -193,7 +158,9 @@
     limits: &WaitLimits,
 ) -> AttemptResult {
     let sent = connection.send_request(build_request(call, target));
-    let response = match await_upstream(entry, call, target, limits, sent).await {
+    let response = await_upstream(entry, call, target, limits, sent).await;
+    record_wait(entry, target, limits);
+    let response = match response {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return broken_attempt(call, target, &error.to_string()),
         Err(waited) => return silent_attempt(call, target, waited),
@@ -327,7 +294,10 @@
                 stream.ended = true;
                 break;
             }
-            Err(waited) => return silent_attempt(call, target, waited),
+            Err(waited) => {
+                record_wait(entry, target, limits);
+                return silent_attempt(call, target, waited);
+            }
         };
         let Ok(bytes) = frame.into_data() else {
             continue;
@@ -337,66 +307,16 @@
             None => return broken_attempt(call, target, "an event exceeds the size limit"),
         }
     }
-    let first_event_ms = limits.started_at.elapsed().as_secs_f64() * 1_000.0;
+    record_wait(entry, target, limits);
     entry.with_load(&target.id, |load| {
         let now = clock::now();
         load.record_activity(now);
-        load.record_latency(first_event_ms, limits.predicted_ms, now);
+        load.record_latency(limits.waited_ms(), limits.predicted_ms, now);
     });
     stream.load.mark_first_event();
     AttemptResult::Stream(Box::new(stream))
 }
 
-/// Limits on the time that an attempt waits for its response.
-#[derive(Debug, Clone, Copy)]
-struct WaitLimits {
-    started_at: Instant,
-    started_mono: MonoMs,
-    /// When the upstream's version of the weights expires; a request that has not
-    /// begun by then must not begin there.
-    begin_until: Option<MonoMs>,
-    /// Predicted time to the first event, in milliseconds.
-    predicted_ms: f64,
-}
-
-/// Awaits a future of an upstream until the deadline. The wait also ends when the
-/// upstream's version expires or, for a retryable request, the upstream is silent.
-///
-/// # Errors
-///
-/// Returns the time since the start of the attempt if the wait ended first.
-async fn await_upstream<T>(
-    entry: &Entry,
-    call: &Call,
-    target: &UpstreamTarget,
-    limits: &WaitLimits,
-    future: impl Future<Output = T>,
-) -> Result<T, Duration> {
-    let mut future = std::pin::pin!(future);
-    let retryable = call.route.kind.is_safe_to_retry();
-    loop {
-        let mut check_at = call.deadline;
-        if retryable || limits.begin_until.is_some() {
-            check_at = check_at.min(Instant::now() + ACTIVITY_CHECK_INTERVAL);
-        }
-        tokio::select! {
-            done = &mut future => return Ok(done),
-            () = sleep_until(check_at) => {}
-        }
-        let waited = limits.started_at.elapsed();
-        let now = clock::now();
-        let version_ended = limits.begin_until.is_some_and(|until| now >= until);
-        if Instant::now() >= call.deadline || version_ended {
-            return Err(waited);
-        }
-        let active_at = entry.with_load(&target.id, |load| load.last_activity_at());
-        let idle = now.since(active_at.max(limits.started_mono));
-        if retryable && (idle >= UPSTREAM_IDLE_TIMEOUT || waited >= RESPONSE_TIMEOUT) {
-            return Err(waited);
-        }
-    }
-}
-
 fn record_head(entry: &Entry, target: &UpstreamTarget, head: &UpstreamHead) {
     let now = clock::now();
     entry.with_load(&target.id, |load| {
@@ -419,6 +339,17 @@
     head
 }
 
+/// Ends an attempt before it is sent, since the upstream's version expires too soon.
+fn late_attempt(call: &Call, upstream: &UpstreamId) -> AttemptResult {
+    log::info!(
+        event = "attempt.late",
+        request_id = call.head.request_id.as_str(),
+        upstream = upstream.as_str();
+        "a request is too late for an upstream's version"
+    );
+    AttemptResult::Failed(AttemptOutcome::NotSent, None)
+}
+
 fn broken_attempt(call: &Call, target: &UpstreamTarget, reason: &str) -> AttemptResult {
     log::warn!(
         event = "attempt.broken",
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -4,8 +4,8 @@
 
 use masticdock_core::ids::{RegionId, ServiceId, UpstreamId, ZoneId};
 use masticdock_core::serving::{
-    AgentReport, Candidate, EngineProfile, Placement, PlacementRules, RequestSize, SwitchPlan,
-    Upstream, VersionNumber, VersionTimeline, place,
+    AgentReport, BeginMargins, BeginWindow, Candidate, EngineProfile, PathDelays, Placement,
+    PlacementRules, RequestSize, SwitchPlan, Upstream, VersionNumber, VersionTimeline, place,
 };
 use masticdock_core::units::MonoMs;
 
@@ -16,13 +16,6 @@
 /// Maximum age of an agent's report that takes precedence over the upstream's row, in
 /// milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 2_500;
-/// Time before the expiry of an older version from which no request is sent to it, in
-/// milliseconds: a request may be queued at an upstream before it begins.
-const BEGIN_MARGIN_MS: u64 = 1_000;
-/// Time before the expiry of an older version at which a request that has not begun
-/// is cancelled, in milliseconds; covers the network delay to the upstream and the
-/// age of the declaration when it was read.
-const CANCEL_MARGIN_MS: u64 = 400;
 /// Cost of an upstream in another availability zone, as a delay in milliseconds.
 const CROSS_ZONE_PENALTY_MS: f64 = 40.0;
 /// Cost of an upstream in another region, as a delay in milliseconds.
@@ -34,12 +27,14 @@
     pub(crate) upstream: Upstream,
     /// Version of the weights that the upstream has to hold, if one is required.
     pub(crate) version: Option<VersionNumber>,
-    /// When the request is cancelled if it has not begun there.
-    pub(crate) begin_until: Option<MonoMs>,
+    /// Limits on the start of the request if the version there expires.
+    pub(crate) begin_window: Option<BeginWindow>,
     /// Predicted time to the first event, in milliseconds.
     pub(crate) predicted_ms: f64,
     /// Predicted time without the upstream's slowdown factor, in milliseconds.
     pub(crate) nominal_ms: f64,
+    /// Nominal time without the delay on the upstream's link, in milliseconds.
+    pub(crate) engine_ms: f64,
     /// Estimated number of requests at the upstream when it was chosen.
     pub(crate) requests_at_upstream: u32,
     /// Number of upstreams that were candidates.
@@ -96,7 +91,7 @@
         let Some(mut candidate) = build_candidate(entry, upstream, query.engine, now) else {
             continue;
         };
-        if bounds.begin_until.is_some()
+        if bounds.begin_window.is_some()
             && let Some(timeline) = timeline
         {
             let schedule = schedule
@@ -124,13 +119,16 @@
             predicted_ms,
         } => {
             let (upstream, bounds) = upstreams[index];
+            let candidate = &candidates[index];
+            let slowdown = candidate.slowdown.max(0.1);
             Ok(ChosenUpstream {
                 upstream: upstream.clone(),
                 version: bounds.required,
-                begin_until: bounds.begin_until,
+                begin_window: bounds.begin_window,
                 predicted_ms,
-                nominal_ms: predicted_ms / candidates[index].slowdown.max(0.1),
-                requests_at_upstream: candidates[index].total,
+                nominal_ms: predicted_ms / slowdown,
+                engine_ms: (predicted_ms - candidate.link_delay_ms).max(0.0) / slowdown,
+                requests_at_upstream: candidate.total,
                 candidates: count,
             })
         }
@@ -149,7 +147,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct VersionBounds {
     required: Option<VersionNumber>,
-    begin_until: Option<MonoMs>,
+    begin_window: Option<BeginWindow>,
 }
 
 /// Returns the limits for an upstream, or `None` if the request must not begin there.
@@ -179,15 +177,21 @@
     let Some(timeline) = timeline else {
         return Some(VersionBounds::default());
     };
-    let Some(begin_until) = timeline.begin_until(held_version) else {
+    let delays = PathDelays {
+        longest_wait_ms: (entry.loads.borrow().get(&upstream.id))
+            .map_or(0, |load| load.longest_excess_wait_ms(now)),
+        link_delay_ms: report.map_or(0, |(report, _)| report.link_delay_ms.into()),
+    };
+    let window = timeline.begin_window(held_version, delays, &BeginMargins::default());
+    let Some(window) = window else {
         return Some(VersionBounds {
             required: Some(held_version),
-            begin_until: None,
+            begin_window: None,
         });
     };
-    (now.plus_ms(BEGIN_MARGIN_MS) < begin_until).then_some(VersionBounds {
+    window.may_send(now).then_some(VersionBounds {
         required: None,
-        begin_until: Some(MonoMs(begin_until.0.saturating_sub(CANCEL_MARGIN_MS))),
+        begin_window: Some(window),
     })
 }
 
@@ -261,7 +265,7 @@
             position,
             count,
             self.learnt_at?,
-            bounds.begin_until,
+            bounds.begin_window.map(|window| window.cancel_at),
         );
         Some(switch_at.since_ms(now) as f64)
     }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod buffers;
 mod candidates;
 mod connections;
+mod load_guard;
 mod outcome;
 mod pool;
 mod relay;
@@ -13,6 +14,7 @@
 mod shutdown;
 mod state;
 mod upstreams_server;
+mod wait;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
