Recognise what requests that crash engines have in common, across entries

Cause: no process that runs on the platform keeps a record of what ran when an engine ended. Each entry forwards each new request with the part, and its retry. Ruled out: retries alone, which at most double the crashes.

Change: an entry reports which requests a broken connection interrupted to the agent on the VM. The agent confirms a crash when the process of its engine is gone, so lost answers and resets count for nothing, and tells all entries. Each of them explains the crashes by as few common features as possible (parts of prompts, or the whole request); a feature that explains enough of them is blocked: requests with it are rejected at once and not retried. A later success of a request refutes its parts for all entries. Crashes live in the memory of agents and entries; a starting entry says so in its hellos and is sent all of them, and counts those that others knew before it at once.

Engines that lose answers or crash for other reasons get no part blocked (two tests).

Not recognised: crashes of services without engines, which have no agent; what all processes knew after all of them end at once.

--- /dev/null
+++ b/crates/masticdock-core/src/serving/crashes/history.rs
@@ -0,0 +1,326 @@
+//! Crashes that an entry knows of, and the features that explain them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::units::MonoMs;
+
+use super::{CrashId, CrashRecord, RequestFeature, RequestFeatures, Suspect, WHOLE_REQUEST_DEPTH};
+
+/// Settings of a [`CrashHistory`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashHistorySettings {
+    /// Number of crashes from which a part of prompts is blocked.
+    pub part_crash_limit: u32,
+    /// Number of crashes from which a repeated request is blocked.
+    pub request_crash_limit: u32,
+    /// Crashes within this time count as one, in milliseconds: a loss of power ends many
+    /// engines at the same moment.
+    pub distinct_ms: u64,
+    /// Time for which successes of a service have to be observed before a crash, so that
+    /// it counts at once against a feature that was not among them, in milliseconds.
+    pub observe_ms: u64,
+    /// Time from the first success of a later request after which a crash counts against
+    /// other features, in milliseconds. By then one of the successes usually had the
+    /// feature if it is sound.
+    pub settle_ms: u64,
+    /// Age of a crash, when an entry learns of it, from which other entries have refuted the
+    /// sound suspects, so that it counts at once, in milliseconds.
+    pub refuted_ms: u64,
+    /// Time for which a crash and a success count, in milliseconds.
+    pub retention_ms: u64,
+    /// Maximum number of crashes.
+    pub records_max: usize,
+    /// Maximum number of suspects of a crash.
+    pub suspects_max: usize,
+    /// Maximum number of features whose successes are remembered.
+    pub sound_max: usize,
+}
+
+impl Default for CrashHistorySettings {
+    fn default() -> Self {
+        Self {
+            part_crash_limit: 4,
+            request_crash_limit: 3,
+            distinct_ms: 150,
+            observe_ms: 5_000,
+            settle_ms: 500,
+            refuted_ms: 3_000,
+            retention_ms: 600_000,
+            records_max: 256,
+            suspects_max: 512,
+            sound_max: 8_192,
+        }
+    }
+}
+
+/// Minimum interval between evaluations without a new crash or success, in milliseconds.
+const EVALUATION_INTERVAL_MS: u64 = 100;
+
+/// Feature that explains crashes; requests with it are not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BlockedFeature {
+    /// The feature and its depth.
+    pub suspect: Suspect,
+    /// Number of crashes at distinct moments that it explains.
+    pub crashes: u32,
+}
+
+/// Suspects of a crash that a later success has refuted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefutedSuspects {
+    /// Crash that had the suspects.
+    pub id: CrashId,
+    /// Features that did not cause it.
+    pub features: Vec<RequestFeature>,
+}
+
+/// Crash, and what is known since.
+#[derive(Debug, Clone)]
+struct KnownCrash {
+    record: CrashRecord,
+    /// True if other entries knew the crash long before this one.
+    learnt_late: bool,
+    /// Time of the first success of a request of the service that was sent after the
+    /// crash; without one, no engine may be left to run any request.
+    later_success_at: Option<MonoMs>,
+}
+
+/// Crashes of engines, and features of which requests succeeded.
+#[derive(Debug, Clone, Default)]
+pub struct CrashHistory {
+    settings: CrashHistorySettings,
+    crashes: BTreeMap<CrashId, KnownCrash>,
+    /// Time of the first success by service.
+    observed_since: HashMap<u64, MonoMs>,
+    /// Latest time at which a request with the feature was sent that succeeded.
+    sound: HashMap<RequestFeature, MonoMs>,
+    blocked: BTreeMap<RequestFeature, BlockedFeature>,
+    evaluate_at: MonoMs,
+}
+
+impl CrashHistory {
+    /// Creates an empty history.
+    #[must_use]
+    pub fn new(settings: CrashHistorySettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Records a crash, or adds suspects to a known one; returns true if the crash is new.
+    pub fn record(&mut self, record: &CrashRecord, now: MonoMs) -> bool {
+        self.evaluate_at = MonoMs(0);
+        if let Some(known) = self.crashes.get_mut(&record.id) {
+            let known = &mut known.record;
+            known.add_suspects(&record.suspects, self.settings.suspects_max);
+            return false;
+        }
+        if self.crashes.len() >= self.settings.records_max
+            && let Some(id) = self.least_useful_record()
+        {
+            self.crashes.remove(&id);
+        }
+        let mut stored = CrashRecord {
+            suspects: Vec::new(),
+            ..*record
+        };
+        stored.add_suspects(&record.suspects, self.settings.suspects_max);
+        let known = KnownCrash {
+            record: stored,
+            learnt_late: now.since_ms(record.at) >= self.settings.refuted_ms,
+            later_success_at: None,
+        };
+        self.crashes.insert(record.id, known);
+        true
+    }
+
+    /// Returns the oldest crash that no blocked feature explains, or the oldest one.
+    fn least_useful_record(&self) -> Option<CrashId> {
+        let records = self.crashes.values().map(|crash| &crash.record);
+        let oldest = records.min_by_key(|record| {
+            let is_explained = self.blocked.keys().any(|feature| record.has(*feature));
+            (is_explained, record.at)
+        });
+        oldest.map(|record| record.id)
+    }
+
+    /// Records that a request that was sent at `sent_at` succeeded. Its features did not
+    /// cause the crashes before that time; returns those suspects that this refutes.
+    pub fn record_success(
+        &mut self,
+        features: &RequestFeatures,
+        sent_at: MonoMs,
+        now: MonoMs,
+    ) -> Vec<RefutedSuspects> {
+        let service = features.whole.service();
+        self.observed_since.entry(service).or_insert(now);
+        for feature in features.shared() {
+            self.remember_success(*feature, sent_at, now);
+        }
+        let mut all_refuted = Vec::new();
+        for crash in self.crashes.values_mut() {
+            let record = &mut crash.record;
+            if sent_at <= record.at || !record.is_of(service) {
+                continue;
+            }
+            crash.later_success_at.get_or_insert(now);
+            let is_refuted = |suspect: &Suspect| features.iter().any(|f| f == suspect.feature);
+            let refuted: Vec<RequestFeature> = record
+                .suspects
+                .extract_if(.., |suspect| is_refuted(suspect))
+                .map(|suspect| suspect.feature)
+                .collect();
+            if !refuted.is_empty() {
+                all_refuted.push(RefutedSuspects {
+                    id: record.id,
+                    features: refuted,
+                });
+            }
+        }
+        for feature in all_refuted.iter().flat_map(|refuted| &refuted.features) {
+            // An agent may send the record again before it learns of the success.
+            self.sound.insert(*feature, sent_at);
+            self.evaluate_at = MonoMs(0);
+        }
+        all_refuted
+    }
+
+    fn remember_success(&mut self, feature: RequestFeature, sent_at: MonoMs, now: MonoMs) {
+        if let Some(latest) = self.sound.get_mut(&feature) {
+            *latest = sent_at.max(*latest);
+            return;
+        }
+        if self.sound.len() >= self.settings.sound_max {
+            let retention_ms = self.settings.retention_ms / 10;
+            self.sound
+                .retain(|_, sent_at| now.since_ms(*sent_at) < retention_ms);
+        }
+        if self.sound.len() < self.settings.sound_max {
+            self.sound.insert(feature, sent_at);
+        }
+    }
+
+    /// Returns the feature for which a request must not be sent, if it has one.
+    #[must_use]
+    pub fn blocked(&self, features: &RequestFeatures) -> Option<RequestFeature> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        features
+            .iter()
+            .find(|feature| self.blocked.contains_key(feature))
+    }
+
+    /// Evaluates the crashes again if necessary; returns the features that were not
+    /// blocked before.
+    pub fn refresh(&mut self, now: MonoMs) -> Vec<BlockedFeature> {
+        if now < self.evaluate_at || self.crashes.is_empty() && self.blocked.is_empty() {
+            return Vec::new();
+        }
+        self.evaluate_at = now.plus_ms(EVALUATION_INTERVAL_MS);
+        let retention_ms = self.settings.retention_ms;
+        self.crashes
+            .retain(|_, crash| now.since_ms(crash.record.at) < retention_ms);
+        let blocked = self.explain_crashes(now);
+        let before = std::mem::replace(&mut self.blocked, blocked);
+        let added = self.blocked.values();
+        added
+            .filter(|blocked| !before.contains_key(&blocked.suspect.feature))
+            .copied()
+            .collect()
+    }
+
+    /// Returns a small set of features that explains the crashes: repeatedly the one that
+    /// explains most of the remaining crashes; of several one that never succeeded, then
+    /// the most specific one. A sound part that merely occurs beside the cause is left with
+    /// too few crashes.
+    fn explain_crashes(&self, now: MonoMs) -> BTreeMap<RequestFeature, BlockedFeature> {
+        let mut blocked = BTreeMap::new();
+        let mut unexplained: Vec<&KnownCrash> = self.crashes.values().collect();
+        unexplained.sort_by_key(|crash| crash.record.at);
+        while let Some(cause) = self.most_frequent_cause(&unexplained, now) {
+            let feature = cause.suspect.feature;
+            unexplained.retain(|crash| !crash.record.has(feature));
+            blocked.insert(feature, cause);
+        }
+        blocked
+    }
+
+    /// Returns the feature that explains most of the crashes, if these reach its limit;
+    /// `crashes` are ordered by time.
+    fn most_frequent_cause(&self, crashes: &[&KnownCrash], now: MonoMs) -> Option<BlockedFeature> {
+        let mut tallies: HashMap<RequestFeature, Tally> = HashMap::new();
+        for crash in crashes {
+            for suspect in &crash.record.suspects {
+                if !self.counts_against(suspect.feature, crash, now) {
+                    continue;
+                }
+                let tally = tallies.entry(suspect.feature).or_default();
+                tally.depth = tally.depth.max(suspect.depth);
+                tally.count(crash.record.at, self.settings.distinct_ms);
+            }
+        }
+        tallies
+            .into_iter()
+            .filter(|(_, tally)| tally.crashes >= self.crash_limit(tally.depth))
+            .max_by_key(|(feature, tally)| {
+                let never_succeeded = !self.sound.contains_key(feature);
+                (tally.crashes, never_succeeded, tally.depth, *feature)
+            })
+            .map(|(feature, tally)| BlockedFeature {
+                suspect: Suspect {
+                    feature,
+                    depth: tally.depth,
+                },
+                crashes: tally.crashes,
+            })
+    }
+
+    /// Returns whether a crash counts against one of its suspects.
+    fn counts_against(&self, feature: RequestFeature, crash: &KnownCrash, now: MonoMs) -> bool {
+        let crashed_at = crash.record.at;
+        let succeeded = self.sound.get(&feature);
+        if succeeded.is_some_and(|sent_at| *sent_at > crashed_at) {
+            return false;
+        }
+        let observed_since = self.observed_since.get(&feature.service());
+        let observed_ms = observed_since.map_or(0, |since| crashed_at.since_ms(*since));
+        let is_settled = crash.learnt_late || observed_ms >= self.settings.observe_ms;
+        if succeeded.is_none() && is_settled {
+            return true;
+        }
+        crash
+            .later_success_at
+            .is_some_and(|at| now.since_ms(at) >= self.settings.settle_ms)
+    }
+
+    const fn crash_limit(&self, depth: u8) -> u32 {
+        if depth == WHOLE_REQUEST_DEPTH {
+            self.settings.request_crash_limit
+        } else {
+            self.settings.part_crash_limit
+        }
+    }
+}
+
+/// Crashes that a feature may explain.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    depth: u8,
+    crashes: u32,
+    last_counted_at: Option<MonoMs>,
+}
+
+impl Tally {
+    /// Counts a crash, unless one was counted shortly before.
+    fn count(&mut self, at: MonoMs, distinct_ms: u64) {
+        let is_distinct = self
+            .last_counted_at
+            .is_none_or(|last| at.since_ms(last) >= distinct_ms);
+        if is_distinct {
+            self.crashes += 1;
+            self.last_counted_at = Some(at);
+        }
+    }
+}
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -1,10 +1,11 @@
 //! Decision logic for serving requests with state from the platform's store:
-//! routing, upstream membership, placement, admission, retries, chunk sources and
-//! the switch to new versions of the weights.
+//! routing, upstream membership, placement, admission, retries, recognition of
+//! requests that crash engines, chunk sources and the switch to new versions of the weights.
 
 mod attempts;
 mod chunk_sources;
 mod configuration;
+mod crashes;
 mod deadline_estimate;
 mod directory;
 mod load;
@@ -31,6 +32,11 @@
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
 };
+pub use crashes::{
+    BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashId, CrashRecord,
+    EngineCrashes, EngineCrashesSettings, RefutedSuspects, RequestFeature, RequestFeatures,
+    Suspect, WHOLE_REQUEST_DEPTH,
+};
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
 pub use load::{AgentReport, UpstreamLoad};
--- /dev/null
+++ b/crates/masticdock-node/src/agent/crashes.rs
@@ -0,0 +1,80 @@
+//! Confirms crashes of the engine on this VM and tells the entries.
+
+use std::net::SocketAddr;
+
+use masticdock_adapter::EngineReport;
+use masticdock_core::serving::CrashRecord;
+use masticdock_core::units::MonoMs;
+use tokio::net::UdpSocket;
+
+use super::state::Agent;
+use crate::clock;
+use crate::datagram::{Crash, Datagram, Refuted, SUSPECTS_MAX, Suspects, encode};
+
+/// Time after a crash in which it is sent again with each hello of an entry, in
+/// milliseconds, since datagrams can be lost.
+const RESEND_MS: u64 = 5_000;
+
+/// Records whether the engine answers, and as which process.
+pub(crate) fn record_engine(agent: &Agent, report: Option<&EngineReport>) {
+    // 0 stands for a process whose start time is unknown.
+    let running = report.map(|report| report.started_at_ms.unwrap_or(0));
+    let now = clock::now();
+    if !agent.crashes.borrow_mut().record_engine(running, now) {
+        return;
+    }
+    if let Some(record) = agent.crashes.borrow().records().last() {
+        log::warn!(
+            event = "crash.confirmed",
+            started_at_ms = record.id.started_at_ms,
+            age_ms = now.since_ms(record.at),
+            suspects = record.suspects.len();
+            "the engine crashed while it ran requests"
+        );
+    }
+    agent.crashes_changed.notify_one();
+}
+
+/// Records which request an entry suspects of a crash.
+pub(crate) fn record_suspects(agent: &Agent, report: &Suspects) {
+    let mut crashes = agent.crashes.borrow_mut();
+    if crashes.record_suspects(report.started_at_ms, &report.suspects, clock::now()) {
+        agent.crashes_changed.notify_one();
+    }
+}
+
+/// Records which suspects an entry has refuted.
+pub(crate) fn record_refuted(agent: &Agent, refuted: &Refuted) {
+    let mut crashes = agent.crashes.borrow_mut();
+    crashes.record_refuted(refuted.started_at_ms, &refuted.features);
+}
+
+/// Sends the recent crashes to all known entries.
+pub(crate) fn send_recent_to_all(agent: &Agent, socket: &UdpSocket) {
+    let entries: Vec<SocketAddr> = agent.entries.borrow().keys().copied().collect();
+    for entry in entries {
+        send_crashes(agent, socket, entry, false);
+    }
+}
+
+/// Sends the recent crashes to an entry, or all of them if it may know none.
+pub(crate) fn send_crashes(agent: &Agent, socket: &UdpSocket, entry: SocketAddr, all: bool) {
+    let now = clock::now();
+    for record in agent.crashes.borrow().records() {
+        if all || now.since_ms(record.at) < RESEND_MS {
+            send_crash(socket, entry, record, now);
+        }
+    }
+}
+
+fn send_crash(socket: &UdpSocket, entry: SocketAddr, record: &CrashRecord, now: MonoMs) {
+    for suspects in record.suspects.chunks(SUSPECTS_MAX) {
+        let bytes = encode(&Datagram::Crash(Crash {
+            started_at_ms: record.id.started_at_ms,
+            age_ms: u32::try_from(now.since_ms(record.at)).unwrap_or(u32::MAX),
+            suspects: suspects.to_vec(),
+        }));
+        // A lost datagram is made up for with the next hello of the entry.
+        let _ = socket.try_send_to(&bytes, entry);
+    }
+}
--- a/crates/masticdock-node/src/agent/engine_poll.rs
+++ b/crates/masticdock-node/src/agent/engine_poll.rs
@@ -7,6 +7,7 @@
 use masticdock_adapter::EngineReport;
 use tokio::time::sleep;
 
+use super::crashes;
 use super::state::Agent;
 
 /// Interval between polls. It bounds the delay with which entries learn of a change.
@@ -31,6 +32,7 @@
                 None
             }
         };
+        crashes::record_engine(&agent, report.as_ref());
         if previous.is_none() && report.is_some() {
             log::info!(
                 event = "dependency.regained",
--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: brings the engine on its VM to the newest declared version of the model
 //! weights, and serves chunks of weights to other agents.
 
+mod crashes;
 mod engine_poll;
 mod fetch_loop;
 mod link_speeds;
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -1,4 +1,5 @@
-//! Sends reports of the engine to entries, and announces held chunks to agents.
+//! Sends reports of the engine and its crashes to entries, and announces held chunks to
+//! agents.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,8 +12,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, timeout_at};
 
+use super::crashes;
 use super::state::Agent;
-use crate::datagram::{DATAGRAM_BYTES_MAX, Datagram, decode, encode};
+use crate::datagram::{DATAGRAM_BYTES_MAX, Datagram, Hello, decode, encode};
 use crate::{clock, pauses};
 
 /// Minimum interval between two reports in which only the load differs.
@@ -21,6 +23,9 @@
 /// Interval after which free places are divided again although the load did not change.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Delay before a changed crash is sent, in which suspects of several entries arrive.
+const CRASH_SEND_DELAY: Duration = Duration::from_millis(30);
+
 /// Waits until `at`, or forever if there is no such time.
 async fn wait_until(at: Option<Instant>) {
     match at {
@@ -49,6 +54,7 @@
     let mut divide_at: Option<Instant> = None;
     let mut load_due_at = Instant::now();
     let mut announcer = Announcer::new();
+    let mut send_crashes_at: Option<Instant> = None;
     let mut bytes = [0; DATAGRAM_BYTES_MAX];
     loop {
         let wake = tokio::select! {
@@ -57,29 +63,37 @@
             () = tokio::time::sleep_until(load_due_at), if load_due_at > Instant::now() => None,
             () = announcer.wait_until_due() => None,
             () = wait_until(divide_at) => None,
+            () = agent.crashes_changed.notified() => {
+                send_crashes_at.get_or_insert_with(|| Instant::now() + CRASH_SEND_DELAY);
+                None
+            }
+            () = wait_until(send_crashes_at) => {
+                send_crashes_at = None;
+                crashes::send_recent_to_all(&agent, &socket);
+                None
+            }
         };
         announcer.announce_if_due(&agent, &socket);
         let report = agent.report_for_entries();
-        if let Some(Ok((length, entry))) = wake
-            && let Some(Datagram::Hello(hello)) = decode(&bytes[..length])
-        {
-            let now = clock::now();
-            let had_target = agent.target_model().is_some();
-            let is_new = agent.record_hello(entry, &hello, now);
-            record_versions(&agent, &hello.versions, now);
-            if !had_target {
-                agent.changed.notify_waiters();
+        if let Some(Ok((length, sender))) = wake {
+            match decode(&bytes[..length]) {
+                Some(Datagram::Hello(hello)) => {
+                    let is_new = record_hello(&agent, sender, &hello);
+                    if is_new {
+                        send_report(&socket, sender, report).await;
+                    }
+                    crashes::send_crashes(&agent, &socket, sender, is_new || hello.starting);
+                }
+                Some(Datagram::HeldChunks(version, held)) => {
+                    let mut peers = agent.peer_chunks.borrow_mut();
+                    peers.insert(sender.ip(), (version, held));
+                    agent.peers_changed.notify_one();
+                    continue;
+                }
+                Some(Datagram::Suspects(report)) => crashes::record_suspects(&agent, &report),
+                Some(Datagram::Refuted(refuted)) => crashes::record_refuted(&agent, &refuted),
+                Some(Datagram::Report(_) | Datagram::Crash(_)) | None => {}
             }
-            if is_new {
-                send_report(&socket, entry, report).await;
-            }
-        } else if let Some(Ok((length, peer))) = wake
-            && let Some(Datagram::HeldChunks(version, held)) = decode(&bytes[..length])
-        {
-            let mut peers = agent.peer_chunks.borrow_mut();
-            peers.insert(peer.ip(), (version, held));
-            agent.peers_changed.notify_one();
-            continue;
         }
         let urgent = last_sent.is_none_or(|last_sent| {
             last_sent.version != report.version
@@ -178,6 +192,18 @@
 /// milliseconds.
 const QUEUED_HELLOS_MS: u64 = 200;
 
+/// Records a hello; returns true if the entry was not known.
+fn record_hello(agent: &Agent, entry: SocketAddr, hello: &Hello) -> bool {
+    let now = clock::now();
+    let had_target = agent.target_model().is_some();
+    let is_new = agent.record_hello(entry, hello, now);
+    record_versions(agent, &hello.versions, now);
+    if !had_target {
+        agent.changed.notify_waiters();
+    }
+    is_new
+}
+
 /// Records the versions of a hello.
 fn record_versions(agent: &Agent, versions: &[(DeclaredVersion, u64)], now: MonoMs) {
     // A hello that arrived during a pause is as old as the pause at most.
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -9,8 +9,8 @@
 use masticdock_adapter::{EngineClient, EngineReport, Manifest, NodeSettings, StoreClient, Table};
 use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, ChunkPeer, ChunkSourceSelector, ModelTarget, StoreReadSchedule, StoreReadSettings,
-    VersionNumber, VersionTimeline,
+    AgentReport, ChunkPeer, ChunkSourceSelector, EngineCrashes, EngineCrashesSettings, ModelTarget,
+    StoreReadSchedule, StoreReadSettings, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -75,6 +75,10 @@
     pub(crate) peer_chunks: RefCell<HashMap<IpAddr, (VersionNumber, ChunkSet)>>,
     /// Notified when an agent of the region announces chunks.
     pub(crate) peers_changed: Notify,
+    /// Crashes of the engine.
+    pub(crate) crashes: RefCell<EngineCrashes>,
+    /// Notified when a crash is confirmed or has further suspects.
+    pub(crate) crashes_changed: Notify,
     /// Requests that the engine started between the last two polls.
     pub(crate) new_requests: Cell<u32>,
     /// Limits the concurrent reads from the same region.
@@ -116,6 +120,7 @@
             informed_ms: current_age_max_ms(&settings.bounds),
             ..StoreReadSettings::default()
         };
+        let crashes = EngineCrashes::new(settings.ip, EngineCrashesSettings::default());
         let upload_rate = BytesPerSecond(settings.link_rate.0 * UPLOAD_LINK_PERCENT / 100);
         Self {
             settings,
@@ -135,6 +140,8 @@
             target: RefCell::new(None),
             peer_chunks: RefCell::default(),
             peers_changed: Notify::new(),
+            crashes: RefCell::new(crashes),
+            crashes_changed: Notify::new(),
             new_requests: Cell::new(0),
             read_window: RefCell::default(),
             same_region_waiting: Cell::new(0),
--- a/crates/masticdock-node/src/clock/mod.rs
+++ b/crates/masticdock-node/src/clock/mod.rs
@@ -21,6 +21,11 @@
     MonoMs(elapsed_ms.saturating_add(EPOCH_OFFSET_MS))
 }
 
+/// Returns the time since the process started, in milliseconds.
+pub(crate) fn uptime_ms() -> u64 {
+    now().since_ms(MonoMs(EPOCH_OFFSET_MS))
+}
+
 fn since_boot() -> Duration {
     let time = ClockId::CLOCK_BOOTTIME.now();
     time.map_or(Duration::ZERO, Duration::from)
--- /dev/null
+++ b/crates/masticdock-node/src/datagram/crashes.rs
@@ -0,0 +1,142 @@
+//! Datagrams about crashes of engines: what entries suspect and refute, and what agents
+//! have confirmed.
+
+use masticdock_core::serving::{RequestFeature, Suspect};
+
+use super::DATAGRAM_BYTES_MAX;
+
+/// Prefix of a report of suspects.
+const SUSPECTS_MAGIC: [u8; 4] = *b"mds1";
+/// Prefix of a confirmed crash.
+const CRASH_MAGIC: [u8; 4] = *b"mdc1";
+/// Prefix of refuted suspects.
+const REFUTED_MAGIC: [u8; 4] = *b"mdf1";
+/// Length of an encoded suspect, in bytes.
+const SUSPECT_BYTES: usize = 9;
+/// Length of an encoded feature, in bytes.
+const FEATURE_BYTES: usize = 8;
+/// Length of the fields before the suspects or features, in bytes.
+const HEAD_BYTES_MAX: usize = 16;
+/// Maximum number of suspects or features in a datagram.
+pub(crate) const SUSPECTS_MAX: usize = (DATAGRAM_BYTES_MAX - HEAD_BYTES_MAX) / SUSPECT_BYTES;
+
+/// Report of an entry that the connection of a request to the engine broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Suspects {
+    /// Start time of the engine's process, in milliseconds since the Unix epoch, if the
+    /// entry knows it.
+    pub(crate) started_at_ms: Option<u64>,
+    /// Features of the request.
+    pub(crate) suspects: Vec<Suspect>,
+}
+
+/// Crash of the engine on the VM of the sender. A crash with many suspects takes several
+/// datagrams, which the receiver merges.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Crash {
+    /// Start time of the process that crashed, in milliseconds since the Unix epoch.
+    pub(crate) started_at_ms: u64,
+    /// Time since the crash, in milliseconds.
+    pub(crate) age_ms: u32,
+    /// Possible causes.
+    pub(crate) suspects: Vec<Suspect>,
+}
+
+/// Suspects of a crash that an entry has refuted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refuted {
+    /// Start time of the process that crashed, in milliseconds since the Unix epoch.
+    pub(crate) started_at_ms: u64,
+    /// Features of requests that succeeded after the crash.
+    pub(crate) features: Vec<RequestFeature>,
+}
+
+impl Suspects {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let mut bytes = SUSPECTS_MAGIC.to_vec();
+        // 0 encodes an unknown start time.
+        bytes.extend_from_slice(&self.started_at_ms.unwrap_or(0).to_le_bytes());
+        put_suspects(&mut bytes, &self.suspects);
+        bytes
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&SUSPECTS_MAGIC)?)?;
+        Some(Self {
+            started_at_ms: (started_at_ms > 0).then_some(started_at_ms),
+            suspects: read_suspects(rest)?,
+        })
+    }
+}
+
+impl Crash {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let mut bytes = CRASH_MAGIC.to_vec();
+        bytes.extend_from_slice(&self.started_at_ms.to_le_bytes());
+        bytes.extend_from_slice(&self.age_ms.to_le_bytes());
+        put_suspects(&mut bytes, &self.suspects);
+        bytes
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&CRASH_MAGIC)?)?;
+        let (age_ms, rest) = rest.split_first_chunk()?;
+        Some(Self {
+            started_at_ms,
+            age_ms: u32::from_le_bytes(*age_ms),
+            suspects: read_suspects(rest)?,
+        })
+    }
+}
+
+impl Refuted {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let mut bytes = REFUTED_MAGIC.to_vec();
+        bytes.extend_from_slice(&self.started_at_ms.to_le_bytes());
+        for feature in self.features.iter().take(SUSPECTS_MAX) {
+            bytes.extend_from_slice(&feature.0.to_le_bytes());
+        }
+        bytes
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&REFUTED_MAGIC)?)?;
+        let (features, rest) = rest.as_chunks::<FEATURE_BYTES>();
+        rest.is_empty().then(|| Self {
+            started_at_ms,
+            features: features
+                .iter()
+                .map(|feature| RequestFeature(u64::from_le_bytes(*feature)))
+                .collect(),
+        })
+    }
+}
+
+fn put_suspects(bytes: &mut Vec<u8>, suspects: &[Suspect]) {
+    for suspect in suspects.iter().take(SUSPECTS_MAX) {
+        bytes.extend_from_slice(&suspect.feature.0.to_le_bytes());
+        bytes.push(suspect.depth);
+    }
+}
+
+/// Decodes suspects; returns `None` if bytes are left over.
+fn read_suspects(bytes: &[u8]) -> Option<Vec<Suspect>> {
+    let (encoded, rest) = bytes.as_chunks::<SUSPECT_BYTES>();
+    if !rest.is_empty() {
+        return None;
+    }
+    let mut suspects = Vec::with_capacity(encoded.len());
+    for suspect in encoded {
+        let (feature, rest) = take_u64(suspect)?;
+        suspects.push(Suspect {
+            feature: RequestFeature(feature),
+            depth: *rest.first()?,
+        });
+    }
+    Some(suspects)
+}
+
+fn take_u64(bytes: &[u8]) -> Option<(u64, &[u8])> {
+    let (taken, rest) = bytes.split_first_chunk()?;
+    Some((u64::from_le_bytes(*taken), rest))
+}
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -13,12 +13,16 @@
 const HELLO_MAGIC: [u8; 4] = *b"mdh2";
 const RESUMABLE_FLAG: u8 = 1;
 const TARGET_FLAG: u8 = 2;
+const STARTING_FLAG: u8 = 4;
 
 /// Subscription of an entry to the reports of an agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Hello {
     /// True if every stream of an engine can be resumed on another upstream.
     pub(crate) resumable: bool,
+    /// True in the first seconds of the entry's process, which does not know yet what
+    /// agents told its predecessor.
+    pub(crate) starting: bool,
     /// Time since the entry's last successful poll of the operators' table, in
     /// milliseconds.
     pub(crate) poll_age_ms: u32,
@@ -59,6 +63,9 @@
         if self.target.is_some() {
             flags |= TARGET_FLAG;
         }
+        if self.starting {
+            flags |= STARTING_FLAG;
+        }
         bytes.push(flags);
         bytes.extend_from_slice(&self.poll_age_ms.to_le_bytes());
         put_text(&mut bytes, self.zone.as_str());
@@ -97,6 +104,7 @@
         }
         Some(Self {
             resumable: flags & RESUMABLE_FLAG != 0,
+            starting: flags & STARTING_FLAG != 0,
             poll_age_ms,
             zone,
             target,
--- a/crates/masticdock-node/src/datagram/mod.rs
+++ b/crates/masticdock-node/src/datagram/mod.rs
@@ -3,13 +3,15 @@
 //! An entry sends a hello to each agent once a second, and additionally when a version
 //! is declared; the hello carries what an agent needs from the store. An agent sends
 //! reports of its engine to the entries whose hello is recent. Datagrams are not
-//! acknowledged: the next one replaces a lost one.
+//! acknowledged: the next one replaces a lost one. Those about crashes are repeated.
 
+mod crashes;
 mod hello;
 
 use masticdock_core::serving::{AgentReport, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 
+pub(crate) use crashes::{Crash, Refuted, SUSPECTS_MAX, Suspects};
 pub(crate) use hello::{ConfiguredTarget, Hello};
 
 /// Prefix of an announcement of held chunks.
@@ -34,6 +36,12 @@
     Report(AgentReport),
     /// Announcement to the agents of the same region of the chunks that an agent holds.
     HeldChunks(VersionNumber, ChunkSet),
+    /// Report of an entry on a request that a crash may have interrupted.
+    Suspects(Suspects),
+    /// Crash that an agent has confirmed.
+    Crash(Crash),
+    /// Suspects of a crash that an entry has refuted.
+    Refuted(Refuted),
 }
 
 /// Encodes a datagram. Versions of a hello that exceed the maximum length are omitted;
@@ -43,6 +51,9 @@
         Datagram::Hello(hello) => hello.encode(),
         Datagram::Report(report) => encode_report(report),
         Datagram::HeldChunks(version, chunks) => encode_held_chunks(*version, chunks),
+        Datagram::Suspects(suspects) => suspects.encode(),
+        Datagram::Crash(crash) => crash.encode(),
+        Datagram::Refuted(refuted) => refuted.encode(),
     }
 }
 
@@ -103,6 +114,9 @@
     if let Some(rest) = bytes.strip_prefix(&HELD_CHUNKS_MAGIC) {
         return decode_held_chunks(rest);
     }
+    if let Some(datagram) = decode_crash(bytes) {
+        return Some(datagram);
+    }
     let rest: &[u8; REPORT_BODY_BYTES] = bytes.strip_prefix(&REPORT_MAGIC)?.try_into().ok()?;
     let version = u64::from_le_bytes(rest[4..12].try_into().ok()?);
     let started_at_ms = u64::from_le_bytes(rest[19..27].try_into().ok()?);
@@ -119,3 +133,10 @@
         places: (rest[27] != UNKNOWN_PLACES).then_some(rest[27].into()),
     }))
 }
+
+fn decode_crash(bytes: &[u8]) -> Option<Datagram> {
+    Suspects::decode(bytes)
+        .map(Datagram::Suspects)
+        .or_else(|| Crash::decode(bytes).map(Datagram::Crash))
+        .or_else(|| Refuted::decode(bytes).map(Datagram::Refuted))
+}
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -9,16 +9,19 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use masticdock_adapter::{
-    Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop, is_internal_response_header,
+    BodyEnd, Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop, is_internal_response_header,
     parse_upstream_head, rewrite_headers_for_upstream,
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, connect_timeout_ms,
+    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, Upstream,
+    connect_timeout_ms,
 };
+use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::candidates::ChosenUpstream;
+use super::crashes;
 use super::load_guard::LoadGuard;
 use super::request::Call;
 use super::state::Entry;
@@ -56,6 +59,9 @@
     pub(crate) ended: bool,
     pub(crate) connection: Connection,
     pub(crate) idle_timeout_ms: Option<u64>,
+    pub(crate) body_end: BodyEnd,
+    /// Time at which the request was sent to the upstream.
+    pub(crate) sent_at: MonoMs,
     pub(crate) load: LoadGuard,
 }
 
@@ -106,8 +112,20 @@
         predicted_ms: chosen.nominal_ms,
         engine_ms: chosen.engine_ms,
     };
-    let result = exchange(entry, call, &target, connection, load, &limits).await;
+    let result = exchange(
+        entry,
+        call,
+        &chosen.upstream,
+        &target,
+        connection,
+        load,
+        &limits,
+    )
+    .await;
     if let AttemptResult::Failed(failure, _) = &result {
+        if *failure == AttemptOutcome::Broken {
+            crashes::report_suspects(entry, call, &chosen.upstream);
+        }
         entry.with_load(id, |load| match failure {
             AttemptOutcome::NotExecuted => load.record_rejection(clock::now()),
             AttemptOutcome::Broken | AttemptOutcome::Silent => load.record_error(clock::now()),
@@ -152,6 +170,7 @@
 async fn exchange(
     entry: &Rc<Entry>,
     call: &Call,
+    upstream: &Upstream,
     target: &UpstreamTarget,
     mut connection: Connection,
     load: LoadGuard,
@@ -210,6 +229,8 @@
             ended: false,
             connection,
             idle_timeout_ms: head.idle_timeout_ms,
+            body_end: head.body_end,
+            sent_at: limits.started_mono,
             load,
         };
         return read_first_events(entry, call, target, limits, stream).await;
@@ -232,6 +253,13 @@
     if parts.status.is_server_error() {
         return AttemptResult::Failed(AttemptOutcome::ServerError, Some((forwarded, body)));
     }
+    match head.body_end {
+        BodyEnd::Marked if parts.status.is_success() => {
+            crashes::record_success(entry, call, limits.started_mono);
+        }
+        BodyEnd::Marked => {}
+        BodyEnd::WithConnection => crashes::report_suspects(entry, call, upstream),
+    }
     AttemptResult::Buffered(forwarded, body)
 }
 
@@ -290,6 +318,10 @@
             Ok(None) if stream.splitter.has_partial_event() => {
                 return broken_attempt(call, target, "the stream ended within its first event");
             }
+            // A stream that is resumed after its last event has no further one.
+            Ok(None) if target.last_event_id.is_none() => {
+                return broken_attempt(call, target, "the stream ended without an event");
+            }
             Ok(None) => {
                 stream.ended = true;
                 break;
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod buffers;
 mod candidates;
 mod connections;
+mod crashes;
 mod load_guard;
 mod outcome;
 mod pool;
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use masticdock_core::serving::{AttemptHistory, FinalResponse};
+use masticdock_core::serving::{AttemptHistory, FinalResponse, RequestFeature};
 
 use super::answer::{CallerResponseBody, buffered, empty};
 use super::candidates::{ChosenUpstream, NoUpstream};
@@ -15,6 +15,10 @@
 /// milliseconds; a crashed process is back after a few seconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: (u64, u64) = (900, 1_900);
 
+/// `Retry-After` delay of requests that crash engines, in milliseconds; they are not sent
+/// in the foreseeable future.
+const BLOCKED_RETRY_AFTER_MS: u64 = 30_000;
+
 /// Rejects a request before an upstream is chosen.
 pub(crate) fn reject(
     request_id: &str,
@@ -34,6 +38,29 @@
     empty(status, retry_after_ms, in_use)
 }
 
+/// Rejects a request that has a feature of requests that crash engines.
+pub(crate) fn reject_blocked(
+    call: &Call,
+    feature: RequestFeature,
+    in_use: InUseGuard,
+) -> Response<CallerResponseBody> {
+    let reason = "crashes_upstreams";
+    log::info!(
+        event = "request.rejected",
+        request_id = call.head.request_id.as_str(),
+        route = call.route.name.as_str(),
+        service = call.service.as_str(),
+        reason = reason,
+        feature:% = format_args!("{:016x}", feature.0),
+        retry_after_ms = BLOCKED_RETRY_AFTER_MS,
+        configuration = call.configuration.version;
+        "requests like this one crash engines"
+    );
+    metrics().requests.with_label_values(&[reason]).inc();
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    empty(status, Some(BLOCKED_RETRY_AFTER_MS), in_use)
+}
+
 /// Responds to a request for which no upstream has capacity. If an earlier attempt may
 /// have run the request, responds with an error and without a retry delay.
 pub(crate) fn reject_without_upstream(
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use masticdock_core::serving::{AttemptOutcome, NextStep, StreamEvent};
+use masticdock_adapter::BodyEnd;
+use masticdock_core::serving::{AttemptOutcome, CRASH_SUSPICION_MS, NextStep, StreamEvent};
+use masticdock_core::units::MonoMs;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::{Instant, sleep_until};
 
@@ -15,6 +17,7 @@
 use super::attempt::{AttemptResult, OpenStream, run_attempt};
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
+use super::crashes::{record_success, report_suspects};
 use super::outcome::{ResponseTimes, record_end};
 use super::request::{Call, FailedAttempts, choose_for_call, decide_next_step};
 use super::state::Entry;
@@ -36,6 +39,8 @@
     first_event_ms: u64,
     /// Longest pause between arrivals of events, in milliseconds.
     max_pause_ms: u64,
+    /// True once the present upstream wrote for so long that the request cannot crash it.
+    is_sound: bool,
 }
 
 /// Reason why the relay of one upstream's events ended.
@@ -65,6 +70,7 @@
     let relay = Relay {
         first_event_ms: call.age_ms(),
         max_pause_ms: 0,
+        is_sound: false,
         last_id: call.head.last_event_id,
         entry,
         call,
@@ -78,12 +84,21 @@
 impl Relay {
     async fn run(mut self, mut chosen: ChosenUpstream, mut stream: OpenStream) {
         loop {
+            let sent_at = stream.sent_at;
+            let body_end = stream.body_end;
             let reason = match self.relay_events(stream).await {
-                RelayEnd::Complete => return self.finish_request("answered", &chosen),
+                RelayEnd::Complete => {
+                    match body_end {
+                        BodyEnd::Marked => record_success(&self.entry, &self.call, sent_at),
+                        BodyEnd::WithConnection => self.report_unless_sound(&chosen),
+                    }
+                    return self.finish_request("answered", &chosen);
+                }
                 RelayEnd::CallerLeft => return self.finish_request("caller_left", &chosen),
                 RelayEnd::DeadlinePassed => return self.truncate("timed_out", &chosen).await,
                 RelayEnd::Broken(reason) => reason,
             };
+            self.report_unless_sound(&chosen);
             self.failures
                 .record(&chosen.upstream.id, AttemptOutcome::Broken);
             self.entry
@@ -104,6 +119,14 @@
         }
     }
 
+    /// Reports the request as the possible cause of a crash, unless the upstream has written
+    /// for longer than such a request lets it.
+    fn report_unless_sound(&self, chosen: &ChosenUpstream) {
+        if !self.is_sound {
+            report_suspects(&self.entry, &self.call, &chosen.upstream);
+        }
+    }
+
     /// Resumes the stream at another upstream; returns `None` if no retry is allowed or
     /// possible.
     async fn resume(
@@ -147,6 +170,8 @@
         if let Some(end) = self.send_events(first).await {
             return end;
         }
+        let first_event_at = clock::now();
+        self.is_sound = false;
         let mut ended = stream.ended;
         // Bytes that complete no event are no progress.
         let mut event_due_at = Instant::now() + EVENT_TIMEOUT;
@@ -181,6 +206,7 @@
                         return end;
                     }
                     if is_progress {
+                        self.note_progress(now.since_ms(first_event_at), stream.sent_at);
                         event_due_at = Instant::now() + EVENT_TIMEOUT;
                     }
                 }
@@ -195,6 +221,14 @@
         RelayEnd::Complete
     }
 
+    /// Records that the upstream still writes some time after its first event.
+    fn note_progress(&mut self, writing_ms: u64, sent_at: MonoMs) {
+        if !self.is_sound && writing_ms >= CRASH_SUSPICION_MS {
+            self.is_sound = true;
+            record_success(&self.entry, &self.call, sent_at);
+        }
+    }
+
     /// Sends events to the caller. Skips those that it already has, and returns an end if
     /// an id is missing, the caller left or the deadline passed.
     async fn send_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -1,4 +1,5 @@
-//! Subscribes to the agents' reports on their engines and applies them.
+//! Subscribes to the agents' reports on their engines and applies them, as well as the
+//! crashes that they confirm.
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -10,14 +11,19 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::crashes;
 use super::state::Entry;
 use crate::clock;
-use crate::datagram::{ConfiguredTarget, Datagram, Hello, decode, encode};
+use crate::datagram::{ConfiguredTarget, DATAGRAM_BYTES_MAX, Datagram, Hello, decode, encode};
 
 /// Interval between rounds of hellos; an agent removes an entry after three rounds
 /// without one.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time from the start of the process in which hellos say so, in milliseconds: some of
+/// them, or of the replies, can be lost.
+const STARTING_MS: u64 = 5_000;
+
 /// Interval between checks for upstreams that joined.
 const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -26,18 +32,19 @@
 pub(crate) async fn run(entry: Rc<Entry>) {
     let address = SocketAddr::new(entry.settings.ip, entry.settings.peer_port);
     let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => socket,
+        Ok(socket) => Rc::new(socket),
         Err(error) => {
             log::error!(event = "listener.failed", address:% = address, error:% = error; "cannot receive agents' reports; only upstream rows are used");
             return;
         }
     };
+    entry.crashes.set_socket(Rc::clone(&socket));
     let mut hello_timer = interval(HELLO_INTERVAL);
     hello_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut hello_sent_to: HashSet<IpAddr> = HashSet::new();
     let mut join_timer = interval(JOIN_CHECK_INTERVAL);
     join_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut bytes = [0; 64];
+    let mut bytes = [0; DATAGRAM_BYTES_MAX];
     loop {
         tokio::select! {
             received = socket.recv_from(&mut bytes) => {
@@ -45,8 +52,10 @@
                     // The error concerns an earlier datagram; receiving continues.
                     continue;
                 };
-                if let Some(Datagram::Report(report)) = decode(&bytes[..length]) {
-                    apply_report(&entry, from.ip(), report);
+                match decode(&bytes[..length]) {
+                    Some(Datagram::Report(report)) => apply_report(&entry, from.ip(), report),
+                    Some(Datagram::Crash(crash)) => crashes::record_crash(&entry, from.ip(), crash),
+                    _ => {}
                 }
                 continue;
             }
@@ -81,6 +90,7 @@
     Hello {
         resumable: configuration
             .is_some_and(|configuration| configuration.engine_streams_resumable()),
+        starting: clock::uptime_ms() < STARTING_MS,
         poll_age_ms: u32::try_from(poll_age_ms).unwrap_or(u32::MAX),
         zone: entry.settings.zone.clone(),
         target,
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -11,7 +11,8 @@
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, Configuration, NextStep, Route, RouteMatch, next_step,
+    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, RouteMatch,
+    next_step,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout_at};
@@ -20,7 +21,10 @@
 use super::attempt::{AttemptResult, run_attempt};
 use super::candidates::{ChosenUpstream, NoUpstream, PlacementQuery, choose_upstream};
 use super::connections::InUseGuard;
-use super::outcome::{forward_response, reject, reject_without_upstream, respond_after_failure};
+use super::crashes::request_features;
+use super::outcome::{
+    forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
+};
 use super::relay;
 use super::state::Entry;
 use crate::clock;
@@ -54,6 +58,8 @@
     pub(crate) deadline: Instant,
     /// True when the deadline suggests that the caller was rejected before.
     pub(crate) returning: bool,
+    /// Features by which crashes of engines are compared; `None` for other upstreams.
+    pub(crate) features: Option<RequestFeatures>,
     pub(crate) configuration: Rc<Configuration>,
 }
 
@@ -127,20 +133,32 @@
         .as_ref()
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
+    let workspace = workspace.map(|workspace| workspace.id);
+    let path = relative_uri(&parts.uri);
+    let runs_engines = configuration
+        .services
+        .get(&service)
+        .is_some_and(|service| service.engine.is_some());
+    let features = runs_engines.then(|| {
+        let path = path.to_string();
+        let method = parts.method.as_str();
+        request_features(&head, &service, method, &path, workspace.as_ref(), &body)
+    });
     let call = Call {
         head,
         method: parts.method,
-        path: relative_uri(&parts.uri),
+        path,
         headers: parts.headers,
         body,
         service,
-        workspace: workspace.map(|workspace| workspace.id),
+        workspace,
         priority,
         arrived_at,
         due_at: arrived_at.plus_ms(time_ms),
         deadline,
         returning,
         route,
+        features,
         configuration: Rc::clone(&configuration),
     };
     send_with_retries(entry, call, in_use).await
@@ -204,6 +222,9 @@
     in_use: InUseGuard,
 ) -> Response<CallerResponseBody> {
     entry.with_retry_budget(&call.service, |budget| budget.record_request(clock::now()));
+    if let Some(feature) = entry.crashes.blocked_feature(&call) {
+        return reject_blocked(&call, feature, in_use);
+    }
     let mut failures = FailedAttempts::default();
     let mut last_error = None;
     loop {
@@ -294,16 +315,21 @@
     )
 }
 
-/// Decides whether a failed attempt is retried; a retry spends the service's budget.
+/// Decides whether a failed attempt is retried; a retry spends the service's budget. A
+/// request that crashes engines is not retried.
 pub(crate) fn decide_next_step(
     entry: &Entry,
     call: &Call,
     history: &AttemptHistory,
     failure: AttemptOutcome,
 ) -> NextStep {
+    let attempts_max = match entry.crashes.blocked_feature(call) {
+        Some(_) => 0,
+        None => call.route.attempts_max,
+    };
     next_step(
         call.route.kind,
-        call.route.attempts_max,
+        attempts_max,
         history,
         failure,
         call.time_left_ms(),
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -17,6 +17,7 @@
 
 use super::buffers::ResponseBuffers;
 use super::connections::Connections;
+use super::crashes::SharedCrashes;
 use super::pool::ConnectionPools;
 use crate::clock;
 use crate::tables::Catalog;
@@ -46,6 +47,7 @@
     pub(crate) pools: ConnectionPools,
     pub(crate) buffers: ResponseBuffers,
     pub(crate) connections: Connections,
+    pub(crate) crashes: SharedCrashes,
     /// Notified when the operators' table may declare a new version.
     pub(crate) version_declared: Notify,
     stopping_since: Cell<Option<MonoMs>>,
@@ -65,6 +67,7 @@
             deadlines: RefCell::default(),
             pools: ConnectionPools::default(),
             connections: Connections::default(),
+            crashes: SharedCrashes::new(),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
 use crate::http_server::{respond, serve};
@@ -22,6 +22,10 @@
     pub(crate) requests: IntCounterVec,
     /// Number of failed attempts at upstreams by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Number of crashes of engines that agents confirmed.
+    pub(crate) crashes: IntCounter,
+    /// Number of times that a feature of requests was blocked.
+    pub(crate) blocked_features: IntCounter,
     /// Time to the first event or complete response by outcome, in seconds.
     pub(crate) first_event_seconds: HistogramVec,
     /// Time to the end of the response by outcome, in seconds.
@@ -58,6 +62,14 @@
             Opts::new("masticdock_attempts_total", "Attempts at upstreams by end."),
             &["end"],
         )?;
+        let crashes = IntCounter::new(
+            "masticdock_crashes_total",
+            "Crashes of engines that agents confirmed.",
+        )?;
+        let blocked_features = IntCounter::new(
+            "masticdock_blocked_features_total",
+            "Features of requests that were blocked because they crash engines.",
+        )?;
         let histogram = |name, help| {
             let options = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
             HistogramVec::new(options, &["outcome"])
@@ -76,6 +88,8 @@
         )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
+        registry.register(Box::new(crashes.clone()))?;
+        registry.register(Box::new(blocked_features.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(paused_seconds.clone()))?;
@@ -83,6 +97,8 @@
             registry,
             requests,
             attempts,
+            crashes,
+            blocked_features,
             first_event_seconds,
             request_seconds,
             paused_seconds,
