--- a/crates/masticdock-core/src/serving/crashes/engine.rs
+++ b/crates/masticdock-core/src/serving/crashes/engine.rs
@@ -120,15 +120,17 @@
         false
     }
 
-    /// Removes suspects that an entry has refuted from a crash.
-    pub fn record_refuted(&mut self, started_at_ms: u64, features: &[RequestFeature]) {
+    /// Removes suspects that an entry has refuted from a crash; returns true if this
+    /// changed it.
+    pub fn record_refuted(&mut self, started_at_ms: u64, features: &[RequestFeature]) -> bool {
         let Some(record) = self
             .records
             .iter_mut()
             .find(|record| record.id.started_at_ms == started_at_ms)
         else {
-            return;
+            return false;
         };
+        let mut changed = false;
         for feature in features {
             let count = record.suspects.len();
             record
@@ -136,11 +138,14 @@
                 .retain(|suspect| suspect.feature != *feature);
             if record.suspects.len() < count {
                 self.refuted.push_back((started_at_ms, *feature));
+                changed = true;
             }
         }
+        record.reviewed |= changed;
         while self.refuted.len() > self.settings.suspects_max {
             self.refuted.pop_front();
         }
+        changed
     }
 
     /// Iterates over the crashes, the oldest first.
@@ -167,6 +172,7 @@
             id,
             at,
             suspects: Vec::new(),
+            reviewed: false,
         };
         record.add_suspects(&suspects, suspects_max);
         if self.records.len() >= self.settings.records_max {
--- a/crates/masticdock-core/src/serving/crashes/mod.rs
+++ b/crates/masticdock-core/src/serving/crashes/mod.rs
@@ -155,6 +155,8 @@
     pub at: MonoMs,
     /// Possible causes.
     pub suspects: Vec<Suspect>,
+    /// True once an entry has refuted one of the suspects.
+    pub reviewed: bool,
 }
 
 impl CrashRecord {
--- a/crates/masticdock-node/src/agent/crashes.rs
+++ b/crates/masticdock-node/src/agent/crashes.rs
@@ -13,7 +13,7 @@
 
 /// Time after a crash in which it is sent again with each hello of an entry, in
 /// milliseconds, since datagrams can be lost.
-const RESEND_MS: u64 = 5_000;
+const RESEND_MS: u64 = 20_000;
 
 /// Records whether the engine answers, and as which process.
 pub(crate) fn record_engine(agent: &Agent, report: Option<&EngineReport>) {
@@ -43,10 +43,24 @@
     }
 }
 
-/// Records which suspects an entry has refuted.
-pub(crate) fn record_refuted(agent: &Agent, refuted: &Refuted) {
+/// Records which suspects an entry has refuted, and tells the other entries.
+pub(crate) fn record_refuted(
+    agent: &Agent,
+    socket: &UdpSocket,
+    sender: SocketAddr,
+    refuted: &Refuted,
+) {
     let mut crashes = agent.crashes.borrow_mut();
-    crashes.record_refuted(refuted.started_at_ms, &refuted.features);
+    if !crashes.record_refuted(refuted.started_at_ms, &refuted.features) {
+        return;
+    }
+    let bytes = encode(&Datagram::Refuted(refuted.clone()));
+    for entry in agent.entries.borrow().keys() {
+        if *entry != sender {
+            // An entry that misses this refutes the suspect by a success of its own.
+            let _ = socket.try_send_to(&bytes, *entry);
+        }
+    }
 }
 
 /// Sends the recent crashes to all known entries.
@@ -72,6 +86,7 @@
         let bytes = encode(&Datagram::Crash(Crash {
             started_at_ms: record.id.started_at_ms,
             age_ms: u32::try_from(now.since_ms(record.at)).unwrap_or(u32::MAX),
+            reviewed: record.reviewed,
             suspects: suspects.to_vec(),
         }));
         // A lost datagram is made up for with the next hello of the entry.
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -91,7 +91,9 @@
                     continue;
                 }
                 Some(Datagram::Suspects(report)) => crashes::record_suspects(&agent, &report),
-                Some(Datagram::Refuted(refuted)) => crashes::record_refuted(&agent, &refuted),
+                Some(Datagram::Refuted(refuted)) => {
+                    crashes::record_refuted(&agent, &socket, sender, &refuted);
+                }
                 Some(Datagram::Report(_) | Datagram::Crash(_)) | None => {}
             }
         }
--- a/crates/masticdock-node/src/datagram/crashes.rs
+++ b/crates/masticdock-node/src/datagram/crashes.rs
@@ -16,7 +16,7 @@
 /// Length of an encoded feature, in bytes.
 const FEATURE_BYTES: usize = 8;
 /// Length of the fields before the suspects or features, in bytes.
-const HEAD_BYTES_MAX: usize = 16;
+const HEAD_BYTES_MAX: usize = 17;
 /// Maximum number of suspects or features in a datagram.
 pub(crate) const SUSPECTS_MAX: usize = (DATAGRAM_BYTES_MAX - HEAD_BYTES_MAX) / SUSPECT_BYTES;
 
@@ -38,6 +38,8 @@
     pub(crate) started_at_ms: u64,
     /// Time since the crash, in milliseconds.
     pub(crate) age_ms: u32,
+    /// True once an entry has refuted one of the suspects.
+    pub(crate) reviewed: bool,
     /// Possible causes.
     pub(crate) suspects: Vec<Suspect>,
 }
@@ -74,6 +76,7 @@
         let mut bytes = CRASH_MAGIC.to_vec();
         bytes.extend_from_slice(&self.started_at_ms.to_le_bytes());
         bytes.extend_from_slice(&self.age_ms.to_le_bytes());
+        bytes.push(self.reviewed.into());
         put_suspects(&mut bytes, &self.suspects);
         bytes
     }
@@ -81,9 +84,11 @@
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
         let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&CRASH_MAGIC)?)?;
         let (age_ms, rest) = rest.split_first_chunk()?;
+        let (reviewed, rest) = rest.split_first()?;
         Some(Self {
             started_at_ms,
             age_ms: u32::from_le_bytes(*age_ms),
+            reviewed: *reviewed != 0,
             suspects: read_suspects(rest)?,
         })
     }
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -8,8 +8,8 @@
 use masticdock_adapter::CallerHead;
 use masticdock_core::ids::{ServiceId, WorkspaceId};
 use masticdock_core::serving::{
-    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, RequestFeature, RequestFeatures,
-    Upstream,
+    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, RefutedSuspects, RequestFeature,
+    RequestFeatures, Upstream,
 };
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
@@ -130,6 +130,19 @@
     }
 }
 
+/// Records that another entry has refuted suspects of a crash on `vm`.
+pub(crate) fn record_refuted(entry: &Entry, vm: IpAddr, refuted: Refuted) {
+    let refuted = RefutedSuspects {
+        id: CrashId {
+            vm,
+            started_at_ms: refuted.started_at_ms,
+        },
+        features: refuted.features,
+    };
+    let mut history = entry.crashes.history.borrow_mut();
+    history.record_refuted(&refuted, clock::now());
+}
+
 /// Records a crash that the agent on `vm` has confirmed.
 pub(crate) fn record_crash(entry: &Entry, vm: IpAddr, crash: Crash) {
     let now = clock::now();
@@ -140,6 +153,7 @@
         },
         at: MonoMs(now.0.saturating_sub(crash.age_ms.into())),
         suspects: crash.suspects,
+        reviewed: crash.reviewed,
     };
     if !entry.crashes.history.borrow_mut().record(&record, now) {
         return;
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -89,6 +89,7 @@
             let reason = match self.relay_events(stream).await {
                 RelayEnd::Complete => {
                     match body_end {
+                        BodyEnd::Marked if self.is_sound => {}
                         BodyEnd::Marked => record_success(&self.entry, &self.call, sent_at),
                         BodyEnd::WithConnection => self.report_unless_sound(&chosen),
                     }
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -55,6 +55,9 @@
                 match decode(&bytes[..length]) {
                     Some(Datagram::Report(report)) => apply_report(&entry, from.ip(), report),
                     Some(Datagram::Crash(crash)) => crashes::record_crash(&entry, from.ip(), crash),
+                    Some(Datagram::Refuted(refuted)) => {
+                        crashes::record_refuted(&entry, from.ip(), refuted);
+                    }
                     _ => {}
                 }
                 continue;
