Buffer short responses while long ones fill their share of the memory

Trace in the entry's log: 27 attempts broke, 26 of them responses without end; the other one was a sound response of five bytes, which the buffer refused because the long ones had filled it. Its upstream then counted as faulty, and nine further requests were rejected. A real fault, which shows when the long responses end more slowly.

Change: up to 4 KiB of each response are buffered regardless of the others; the number of connections bounds their sum.

--- a/crates/masticdock-node/src/entry/buffers.rs
+++ b/crates/masticdock-node/src/entry/buffers.rs
@@ -4,6 +4,8 @@
 
 /// Share of the memory limit that buffered responses may use, as its divisor.
 const MEMORY_DIVISOR: u64 = 4;
+/// Bytes of a response that are buffered even when long ones use the whole share.
+const SHORT_RESPONSE_BYTES: usize = 4_096;
 
 /// Bytes of all responses that are being buffered.
 #[derive(Debug)]
@@ -38,10 +40,11 @@
 }
 
 impl BufferedBytes<'_> {
-    /// Accounts for further bytes; returns false if they exceed the limit.
+    /// Accounts for further bytes; returns false if they exceed the limit and the response
+    /// is not short.
     pub(crate) fn add(&mut self, bytes: usize) -> bool {
         let used = self.buffers.used_bytes.get() + bytes;
-        if used > self.buffers.limit_bytes {
+        if used > self.buffers.limit_bytes && self.bytes + bytes > SHORT_RESPONSE_BYTES {
             return false;
         }
         self.buffers.used_bytes.set(used);
