Hash requests and their features with the same code

Cause: the features by which crashes are compared hashed a list of fields with a copy of the code of poison::Fingerprint.

Change: both call hash_fields. The bytes hashed are the same, so fingerprints are too.

--- a/crates/masticdock-core/src/lib.rs
+++ b/crates/masticdock-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod config_log;
 pub mod event;
+mod field_hash;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
--- a/crates/masticdock-core/src/poison/mod.rs
+++ b/crates/masticdock-core/src/poison/mod.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::field_hash::hash_fields;
 use crate::units::UnixMs;
 
 /// Hash of a request's workspace, service and body, which identifies the request.
@@ -28,15 +29,8 @@
     /// Computes the fingerprint of a request.
     #[must_use]
     pub fn of(workspace: &str, service: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [workspace.as_bytes(), service.as_bytes(), body] {
-            // The length prefix keeps different splits of the same bytes distinct.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut truncated = [0; 16];
-        truncated.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-        Self(truncated)
+        let fields = [workspace.as_bytes(), service.as_bytes(), body];
+        Self(hash_fields(&fields))
     }
 }
 
--- a/crates/masticdock-core/src/serving/crashes/mod.rs
+++ b/crates/masticdock-core/src/serving/crashes/mod.rs
@@ -13,6 +13,7 @@
 
 use std::net::IpAddr;
 
+use crate::field_hash::hash_fields;
 use crate::ids::{ServiceId, WorkspaceId};
 use crate::units::MonoMs;
 
@@ -58,26 +59,15 @@
     }
 
     fn of(service: &ServiceId, fields: &[&[u8]]) -> Self {
-        let service = Self::hash(&[service.as_str().as_bytes()]);
-        Self(service & !FIELDS_MASK | Self::hash(fields) & FIELDS_MASK)
+        let number = |fields: &[&[u8]]| u64::from_le_bytes(hash_fields(fields));
+        let service = number(&[service.as_str().as_bytes()]);
+        Self(service & !FIELDS_MASK | number(fields) & FIELDS_MASK)
     }
 
     /// Returns a number that features of the same service have in common.
     const fn service(self) -> u64 {
         self.0 & !FIELDS_MASK
     }
-
-    fn hash(fields: &[&[u8]]) -> u64 {
-        let mut hasher = blake3::Hasher::new();
-        for field in fields {
-            // The length prefix keeps different splits of the same bytes distinct.
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        let mut truncated = [0; 8];
-        truncated.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        u64::from_le_bytes(truncated)
-    }
 }
 
 /// Features of one request, from the most general to the most specific one.
