Record a sound feature in one place

Cause: three places kept the latest success of a feature, and the crashes of an entry had a constructor that equals their default.

Change: mark_sound, and the derived default. No change of behaviour.

--- a/crates/masticdock-core/src/serving/crashes/history.rs
+++ b/crates/masticdock-core/src/serving/crashes/history.rs
@@ -185,8 +185,7 @@
         }
         for feature in all_refuted.iter().flat_map(|refuted| &refuted.features) {
             // An agent may send the record again before it learns of the success.
-            let latest = self.sound.entry(*feature).or_insert(sent_at);
-            *latest = sent_at.max(*latest);
+            self.mark_sound(*feature, sent_at);
         }
         if !all_refuted.is_empty() {
             self.evaluate_soon();
@@ -200,14 +199,13 @@
             return;
         };
         crash.later_success_at.get_or_insert(now);
+        crash
+            .record
+            .suspects
+            .retain(|suspect| !refuted.features.contains(&suspect.feature));
         let succeeded_at = crash.record.at.plus_ms(1);
         for feature in &refuted.features {
-            let latest = self.sound.entry(*feature).or_insert(succeeded_at);
-            *latest = succeeded_at.max(*latest);
-            crash
-                .record
-                .suspects
-                .retain(|suspect| suspect.feature != *feature);
+            self.mark_sound(*feature, succeeded_at);
         }
         self.evaluate_soon();
     }
@@ -217,21 +215,24 @@
         self.evaluate_at = self.evaluate_at.min(earliest);
     }
 
+    /// Records a success of a feature that caused no crash so far, if there is room.
     fn remember_success(&mut self, feature: RequestFeature, sent_at: MonoMs, now: MonoMs) {
-        if let Some(latest) = self.sound.get_mut(&feature) {
-            *latest = sent_at.max(*latest);
-            return;
-        }
-        if self.sound.len() >= self.settings.sound_max {
+        let is_known = self.sound.contains_key(&feature);
+        if !is_known && self.sound.len() >= self.settings.sound_max {
             let retention_ms = self.settings.retention_ms / 10;
             self.sound
                 .retain(|_, sent_at| now.since_ms(*sent_at) < retention_ms);
         }
-        if self.sound.len() < self.settings.sound_max {
-            self.sound.insert(feature, sent_at);
+        if is_known || self.sound.len() < self.settings.sound_max {
+            self.mark_sound(feature, sent_at);
         }
     }
 
+    fn mark_sound(&mut self, feature: RequestFeature, sent_at: MonoMs) {
+        let latest = self.sound.entry(feature).or_insert(sent_at);
+        *latest = sent_at.max(*latest);
+    }
+
     /// Returns the feature for which a request must not be sent, if it has one.
     #[must_use]
     pub fn blocked(&self, features: &RequestFeatures) -> Option<RequestFeature> {
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -8,8 +8,7 @@
 use masticdock_adapter::CallerHead;
 use masticdock_core::ids::{ServiceId, WorkspaceId};
 use masticdock_core::serving::{
-    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, RefutedSuspects, RequestFeature,
-    RequestFeatures, Upstream,
+    CrashHistory, CrashId, CrashRecord, RefutedSuspects, RequestFeature, RequestFeatures, Upstream,
 };
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
@@ -37,13 +36,6 @@
 }
 
 impl SharedCrashes {
-    pub(crate) fn new() -> Self {
-        Self {
-            history: RefCell::new(CrashHistory::new(CrashHistorySettings::default())),
-            socket: OnceCell::new(),
-        }
-    }
-
     /// Sets the socket from which reports are sent.
     pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
         // The socket is bound once.
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -67,7 +67,7 @@
             deadlines: RefCell::default(),
             pools: ConnectionPools::default(),
             connections: Connections::default(),
-            crashes: SharedCrashes::new(),
+            crashes: SharedCrashes::default(),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
