Give the bodies of plain responses a file of their own

Cause: attempt.rs had 409 lines and two jobs, sending an attempt and reading bodies.

Change: collect_body and reuse_after_body move to body.rs, unchanged.

--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use masticdock_adapter::{
     BodyEnd, Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop, is_internal_response_header,
@@ -18,8 +18,9 @@
     connect_timeout_ms,
 };
 use masticdock_core::units::MonoMs;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
+use super::body::{collect_body, reuse_after_body};
 use super::candidates::ChosenUpstream;
 use super::crashes;
 use super::load_guard::LoadGuard;
@@ -28,13 +29,6 @@
 use super::wait::{WaitLimits, await_upstream, record_wait};
 use crate::clock;
 
-/// Maximum size of a response that is not a stream, in bytes.
-const RESPONSE_BYTES_MAX: usize = 16 << 20;
-/// Maximum size of the body of a rejection that is read to reuse its connection, in bytes.
-const UNUSED_BODY_BYTES_MAX: usize = 4 << 10;
-/// Maximum time for reading the body of a rejection.
-const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
@@ -263,47 +257,6 @@
     AttemptResult::Buffered(forwarded, body)
 }
 
-/// Buffers the body of a response, within the limits of one response and of all that the
-/// entry buffers at the same time.
-async fn collect_body(entry: &Entry, mut body: Incoming) -> Result<Bytes, String> {
-    let mut received = BytesMut::new();
-    let mut buffered = entry.buffers.begin();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        if received.len() + bytes.len() > RESPONSE_BYTES_MAX {
-            return Err("the response exceeds the size limit".to_owned());
-        }
-        if !buffered.add(bytes.len()) {
-            return Err("buffered responses exceed their share of the memory".to_owned());
-        }
-        received.extend_from_slice(&bytes);
-    }
-    Ok(received.freeze())
-}
-
-/// Returns a connection to the pool once a short body has been read; closes it if the
-/// body is long or slow.
-async fn reuse_after_body(
-    entry: Rc<Entry>,
-    upstream: UpstreamId,
-    connection: Connection,
-    body: Incoming,
-    head: UpstreamHead,
-) {
-    let body = Limited::new(body, UNUSED_BODY_BYTES_MAX).collect();
-    if timeout(UNUSED_BODY_TIMEOUT, body)
-        .await
-        .is_ok_and(|body| body.is_ok())
-    {
-        entry
-            .pools
-            .put_back(&upstream, connection, head.idle_timeout_ms);
-    }
-}
-
 async fn read_first_events(
     entry: &Entry,
     call: &Call,
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod body;
 mod buffers;
 mod candidates;
 mod connections;
