Log what broken attempts have in common

The logs named each broken attempt, but not whether they belong to one repeated request. Every request gets its features now, and attempt.broken logs that of the whole request; nothing is decided by it for services without engines.

--- a/crates/masticdock-core/src/serving/crashes/mod.rs
+++ b/crates/masticdock-core/src/serving/crashes/mod.rs
@@ -85,6 +85,12 @@
         Self { parts, whole }
     }
 
+    /// Returns the feature of the whole request.
+    #[must_use]
+    pub const fn whole(&self) -> RequestFeature {
+        self.whole
+    }
+
     /// Iterates over all features.
     pub fn iter(&self) -> impl Iterator<Item = RequestFeature> {
         self.parts.iter().copied().chain([self.whole])
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -342,6 +342,7 @@
     log::warn!(
         event = "attempt.broken",
         request_id = call.head.request_id.as_str(),
+        feature:% = format_args!("{:016x}", call.features.whole().0),
         upstream = target.id.as_str(),
         reason = reason;
         "a response was incomplete or invalid"
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -51,7 +51,6 @@
 
     /// Returns the feature for which a request must not be sent, if it has one.
     pub(crate) fn blocked_feature(&self, call: &Call) -> Option<RequestFeature> {
-        let features = call.features.as_ref()?;
         let mut history = self.history.borrow_mut();
         for blocked in history.refresh(clock::now()) {
             metrics().blocked_features.inc();
@@ -63,7 +62,7 @@
                 "requests with a common feature crash engines and are rejected from now on"
             );
         }
-        history.blocked(features)
+        history.blocked(&call.features)
     }
 }
 
@@ -88,12 +87,12 @@
 /// Reports a request whose connection broke to the agent of the upstream, which knows
 /// whether the engine crashed.
 pub(crate) fn report_suspects(entry: &Rc<Entry>, call: &Call, upstream: &Upstream) {
-    let Some(features) = &call.features else {
+    if !call.runs_on_engine() {
         return;
-    };
+    }
     let bytes = encode(&Datagram::Suspects(Suspects {
         started_at_ms: upstream.started_at_ms,
-        suspects: features.suspects(),
+        suspects: call.features.suspects(),
     }));
     let agent = SocketAddr::new(upstream.address.ip(), entry.settings.peer_port);
     let entry = Rc::clone(entry);
@@ -108,11 +107,11 @@
 /// Records that an engine wrote on a request without a crash, and tells the agents whose
 /// crashes this request cannot have caused.
 pub(crate) fn record_success(entry: &Entry, call: &Call, sent_at: MonoMs) {
-    let Some(features) = &call.features else {
+    if !call.runs_on_engine() {
         return;
-    };
+    }
     let mut history = entry.crashes.history.borrow_mut();
-    for refuted in history.record_success(features, sent_at, clock::now()) {
+    for refuted in history.record_success(&call.features, sent_at, clock::now()) {
         let bytes = encode(&Datagram::Refuted(Refuted {
             started_at_ms: refuted.id.started_at_ms,
             features: refuted.features,
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -58,8 +58,8 @@
     pub(crate) deadline: Instant,
     /// True when the deadline suggests that the caller was rejected before.
     pub(crate) returning: bool,
-    /// Features by which crashes of engines are compared; `None` for other upstreams.
-    pub(crate) features: Option<RequestFeatures>,
+    /// Features by which crashes of upstreams are compared.
+    pub(crate) features: RequestFeatures,
     pub(crate) configuration: Rc<Configuration>,
 }
 
@@ -69,6 +69,12 @@
         self.due_at.since_ms(clock::now())
     }
 
+    /// Returns whether the upstreams of the service are engines, which have agents.
+    pub(crate) fn runs_on_engine(&self) -> bool {
+        let service = self.configuration.services.get(&self.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Returns the time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         clock::now().since_ms(self.arrived_at)
@@ -135,15 +141,14 @@
         .unwrap_or(route.priority);
     let workspace = workspace.map(|workspace| workspace.id);
     let path = relative_uri(&parts.uri);
-    let runs_engines = configuration
-        .services
-        .get(&service)
-        .is_some_and(|service| service.engine.is_some());
-    let features = runs_engines.then(|| {
-        let path = path.to_string();
-        let method = parts.method.as_str();
-        request_features(&head, &service, method, &path, workspace.as_ref(), &body)
-    });
+    let features = request_features(
+        &head,
+        &service,
+        parts.method.as_str(),
+        &path.to_string(),
+        workspace.as_ref(),
+        &body,
+    );
     let call = Call {
         head,
         method: parts.method,
