Recognise repeated requests that crash upstreams without an agent

What callers saw: one repeated GET ended the three upstreams of a plain service again and again; the service was down half of the time, and 9 more sends followed long after the third crash.

Cause: only agents confirmed crashes, and they stand beside engines alone. For every other service nothing counted, so no request was ever withheld.

An entry whose connection to an upstream without an agent breaks now tries to connect again: a refused connection confirms the crash, since a lost response, a reset, a slow or a cut link does not close the port. It sends the crash to three agents, which all entries rank alike for the VM; these merge the suspects, tell every entry, and tell entries that start. A repeated request is blocked at its third crash also when a retry caused one shortly after the first attempt, as retries do within 0.1 s. Successes of requests without a prompt are remembered whole, so that a popular lookup is not blamed for crashes beside it.

--- a/crates/masticdock-core/src/serving/crashes/engine.rs
+++ b/crates/masticdock-core/src/serving/crashes/engine.rs
@@ -5,7 +5,7 @@
 
 use crate::units::MonoMs;
 
-use super::{CrashId, CrashRecord, RequestFeature, Suspect};
+use super::{CrashId, CrashRecord, CrashRecords, CrashRecordsSettings, RequestFeature, Suspect};
 
 /// Settings of [`EngineCrashes`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,21 +13,18 @@
     /// Time between a report of suspects and the loss of the engine's process within
     /// which they belong together, in milliseconds.
     pub match_ms: u64,
-    /// Time for which a crash is kept, in milliseconds.
-    pub retention_ms: u64,
-    /// Maximum number of crashes.
-    pub records_max: usize,
-    /// Maximum number of suspects of a crash, and of reports that wait for one.
-    pub suspects_max: usize,
+    /// Maximum number of reports that wait for a crash.
+    pub pending_max: usize,
+    /// Limits on what is kept of crashes.
+    pub records: CrashRecordsSettings,
 }
 
 impl Default for EngineCrashesSettings {
     fn default() -> Self {
         Self {
             match_ms: 1_500,
-            retention_ms: 600_000,
-            records_max: 16,
-            suspects_max: 512,
+            pending_max: 512,
+            records: CrashRecordsSettings::default(),
         }
     }
 }
@@ -53,23 +50,20 @@
     /// Start time of the process that was lost last, and when that was noticed.
     lost: Option<(u64, MonoMs)>,
     pending: VecDeque<PendingReport>,
-    records: VecDeque<CrashRecord>,
-    /// Suspects that were refuted, so that a late report does not add them again.
-    refuted: VecDeque<(u64, RequestFeature)>,
+    records: CrashRecords,
 }
 
 impl EngineCrashes {
     /// Creates a history without crashes for the engine on `vm`.
     #[must_use]
-    pub const fn new(vm: IpAddr, settings: EngineCrashesSettings) -> Self {
+    pub fn new(vm: IpAddr, settings: EngineCrashesSettings) -> Self {
         Self {
             vm,
             settings,
             running: None,
             lost: None,
             pending: VecDeque::new(),
-            records: VecDeque::new(),
-            refuted: VecDeque::new(),
+            records: CrashRecords::new(settings.records),
         }
     }
 
@@ -110,7 +104,7 @@
         {
             return self.add_suspects(lost, suspects, now);
         }
-        if self.running.is_some_and(is_of) && self.pending.len() < self.settings.suspects_max {
+        if self.running.is_some_and(is_of) && self.pending.len() < self.settings.pending_max {
             self.pending.push_back(PendingReport {
                 received_at: now,
                 started_at_ms,
@@ -122,30 +116,8 @@
 
     /// Removes suspects that an entry has refuted from a crash; returns true if this
     /// changed it.
-    pub fn record_refuted(&mut self, started_at_ms: u64, features: &[RequestFeature]) -> bool {
-        let Some(record) = self
-            .records
-            .iter_mut()
-            .find(|record| record.id.started_at_ms == started_at_ms)
-        else {
-            return false;
-        };
-        let mut changed = false;
-        for feature in features {
-            let count = record.suspects.len();
-            record
-                .suspects
-                .retain(|suspect| suspect.feature != *feature);
-            if record.suspects.len() < count {
-                self.refuted.push_back((started_at_ms, *feature));
-                changed = true;
-            }
-        }
-        record.reviewed |= changed;
-        while self.refuted.len() > self.settings.suspects_max {
-            self.refuted.pop_front();
-        }
-        changed
+    pub fn record_refuted(&mut self, id: CrashId, features: &[RequestFeature]) -> bool {
+        self.records.record_refuted(id, features)
     }
 
     /// Iterates over the crashes, the oldest first.
@@ -154,43 +126,22 @@
     }
 
     fn add_suspects(&mut self, started_at_ms: u64, suspects: &[Suspect], at: MonoMs) -> bool {
-        let refuted = &self.refuted;
-        let suspects: Vec<Suspect> = suspects
-            .iter()
-            .filter(|suspect| !refuted.contains(&(started_at_ms, suspect.feature)))
-            .copied()
-            .collect();
-        let id = CrashId {
-            vm: self.vm,
-            started_at_ms,
-        };
-        let suspects_max = self.settings.suspects_max;
-        if let Some(record) = self.records.iter_mut().find(|record| record.id == id) {
-            return record.add_suspects(&suspects, suspects_max);
-        }
-        let mut record = CrashRecord {
-            id,
+        let record = CrashRecord {
+            id: CrashId {
+                vm: self.vm,
+                started_at_ms,
+            },
             at,
-            suspects: Vec::new(),
+            suspects: suspects.to_vec(),
             reviewed: false,
         };
-        record.add_suspects(&suspects, suspects_max);
-        if self.records.len() >= self.settings.records_max {
-            self.records.pop_front();
-        }
-        self.records.push_back(record);
-        true
+        self.records.record(&record, at)
     }
 
     fn expire(&mut self, now: MonoMs) {
-        let EngineCrashesSettings {
-            match_ms,
-            retention_ms,
-            ..
-        } = self.settings;
+        let match_ms = self.settings.match_ms;
         self.pending
             .retain(|report| now.since_ms(report.received_at) < match_ms);
-        self.records
-            .retain(|record| now.since_ms(record.at) < retention_ms);
+        self.records.expire(now);
     }
 }
--- a/crates/masticdock-core/src/serving/crashes/history.rs
+++ b/crates/masticdock-core/src/serving/crashes/history.rs
@@ -9,10 +9,13 @@
 /// Settings of a [`CrashHistory`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashHistorySettings {
-    /// Number of crashes from which a part of prompts is blocked.
+    /// Number of crashes at distinct moments from which a part of prompts is blocked.
     pub part_crash_limit: u32,
-    /// Number of crashes from which a repeated request is blocked.
+    /// Number of crashes from which a repeated request is blocked, also if a retry caused
+    /// one of them shortly after the first attempt.
     pub request_crash_limit: u32,
+    /// Number of distinct moments of these crashes.
+    pub request_moments_min: u32,
     /// Crashes within this time count as one, in milliseconds: a loss of power ends many
     /// engines at the same moment.
     pub distinct_ms: u64,
@@ -34,6 +37,8 @@
     pub suspects_max: usize,
     /// Maximum number of features whose successes are remembered.
     pub sound_max: usize,
+    /// Minimum interval between removals of old successes, in milliseconds.
+    pub sound_cleanup_ms: u64,
 }
 
 impl Default for CrashHistorySettings {
@@ -41,6 +46,7 @@
         Self {
             part_crash_limit: 4,
             request_crash_limit: 3,
+            request_moments_min: 2,
             distinct_ms: 150,
             observe_ms: 5_000,
             settle_ms: 500,
@@ -49,6 +55,7 @@
             records_max: 256,
             suspects_max: 512,
             sound_max: 8_192,
+            sound_cleanup_ms: 1_000,
         }
     }
 }
@@ -96,6 +103,7 @@
     observed_since: HashMap<u64, MonoMs>,
     /// Latest time at which a request with the feature was sent that succeeded.
     sound: HashMap<RequestFeature, MonoMs>,
+    sound_cleaned_at: MonoMs,
     blocked: BTreeMap<RequestFeature, BlockedFeature>,
     evaluated_at: MonoMs,
     evaluate_at: MonoMs,
@@ -218,7 +226,10 @@
     /// Records a success of a feature that caused no crash so far, if there is room.
     fn remember_success(&mut self, feature: RequestFeature, sent_at: MonoMs, now: MonoMs) {
         let is_known = self.sound.contains_key(&feature);
-        if !is_known && self.sound.len() >= self.settings.sound_max {
+        let is_full = self.sound.len() >= self.settings.sound_max;
+        let cleaned_ms = now.since_ms(self.sound_cleaned_at);
+        if !is_known && is_full && cleaned_ms >= self.settings.sound_cleanup_ms {
+            self.sound_cleaned_at = now;
             let retention_ms = self.settings.retention_ms / 10;
             self.sound
                 .retain(|_, sent_at| now.since_ms(*sent_at) < retention_ms);
@@ -296,17 +307,17 @@
         }
         tallies
             .into_iter()
-            .filter(|(_, tally)| tally.crashes >= self.crash_limit(tally.depth))
+            .filter(|(_, tally)| self.reaches_limit(tally))
             .max_by_key(|(feature, tally)| {
                 let never_succeeded = !self.sound.contains_key(feature);
-                (tally.crashes, never_succeeded, tally.depth, *feature)
+                (tally.moments, never_succeeded, tally.depth, *feature)
             })
             .map(|(feature, tally)| BlockedFeature {
                 suspect: Suspect {
                     feature,
                     depth: tally.depth,
                 },
-                crashes: tally.crashes,
+                crashes: tally.moments,
             })
     }
 
@@ -328,11 +339,13 @@
             .is_some_and(|at| now.since_ms(at) >= self.settings.settle_ms)
     }
 
-    const fn crash_limit(&self, depth: u8) -> u32 {
-        if depth == WHOLE_REQUEST_DEPTH {
-            self.settings.request_crash_limit
+    const fn reaches_limit(&self, tally: &Tally) -> bool {
+        let settings = &self.settings;
+        if tally.depth == WHOLE_REQUEST_DEPTH {
+            tally.crashes >= settings.request_crash_limit
+                && tally.moments >= settings.request_moments_min
         } else {
-            self.settings.part_crash_limit
+            tally.moments >= settings.part_crash_limit
         }
     }
 }
@@ -342,18 +355,21 @@
 struct Tally {
     depth: u8,
     crashes: u32,
-    last_counted_at: Option<MonoMs>,
+    /// Number of crashes that were not shortly after another one.
+    moments: u32,
+    last_moment_at: Option<MonoMs>,
 }
 
 impl Tally {
-    /// Counts a crash, unless one was counted shortly before.
+    /// Counts a crash.
     fn count(&mut self, at: MonoMs, distinct_ms: u64) {
+        self.crashes += 1;
         let is_distinct = self
-            .last_counted_at
+            .last_moment_at
             .is_none_or(|last| at.since_ms(last) >= distinct_ms);
         if is_distinct {
-            self.crashes += 1;
-            self.last_counted_at = Some(at);
+            self.moments += 1;
+            self.last_moment_at = Some(at);
         }
     }
 }
--- a/crates/masticdock-core/src/serving/crashes/mod.rs
+++ b/crates/masticdock-core/src/serving/crashes/mod.rs
@@ -1,15 +1,18 @@
-//! Recognition of requests that crash engines, by what the requests have in common.
+//! Recognition of requests that crash upstreams, by what the requests have in common.
 //!
 //! A part of a prompt may crash each engine that begins to write on it, so requests that
 //! are never sent twice still crash one engine after another. Entries report which
 //! requests a crash interrupted, the agent on the VM confirms the crash, and every entry
-//! compares the confirmed crashes.
+//! compares the confirmed crashes. An upstream without an agent is one whose crash the entry
+//! confirms itself; it tells some agents, which pass it on to every entry.
 
 mod engine;
 mod history;
+mod records;
 
 pub use engine::{EngineCrashes, EngineCrashesSettings};
 pub use history::{BlockedFeature, CrashHistory, CrashHistorySettings, RefutedSuspects};
+pub use records::{CrashRecords, CrashRecordsSettings};
 
 use std::net::IpAddr;
 
@@ -97,10 +100,13 @@
     }
 
     /// Returns the features that other requests usually share. The last part of a prompt
-    /// belongs to its request or session.
+    /// belongs to its request or session; a request without a prompt is often repeated.
     #[must_use]
     pub fn shared(&self) -> &[RequestFeature] {
-        &self.parts[..self.parts.len().saturating_sub(1)]
+        match self.parts.split_last() {
+            Some((_, shared)) => shared,
+            None => std::slice::from_ref(&self.whole),
+        }
     }
 
     /// Returns the features as possible causes of a crash.
@@ -133,16 +139,16 @@
     pub depth: u8,
 }
 
-/// Identifies a crash: a process of an engine crashes once.
+/// Identifies a crash: a process of an upstream crashes once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashId {
-    /// VM of the engine.
+    /// VM of the upstream.
     pub vm: IpAddr,
     /// Start time of the process, in milliseconds since the Unix epoch.
     pub started_at_ms: u64,
 }
 
-/// Crash of an engine and its possible causes.
+/// Crash of an upstream and its possible causes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRecord {
     /// Process that crashed.
@@ -171,7 +177,7 @@
         self.suspects.len() > count
     }
 
-    /// Returns whether an engine of the service crashed.
+    /// Returns whether an upstream of the service crashed.
     fn is_of(&self, service: u64) -> bool {
         let suspect = self.suspects.first();
         suspect.is_some_and(|suspect| suspect.feature.service() == service)
--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use crate::field_hash::hash_fields;
 use crate::ids::{ModelId, ServiceId, UpstreamId, ZoneId};
 use crate::units::MonoMs;
 
@@ -66,6 +67,16 @@
     pub started_at_ms: Option<u64>,
 }
 
+impl Upstream {
+    /// Returns a number that differs between processes of upstreams at one address: their
+    /// start time, or a hash of the id if the row does not tell it.
+    #[must_use]
+    pub fn process_number(&self) -> u64 {
+        self.started_at_ms
+            .unwrap_or_else(|| u64::from_le_bytes(hash_fields(&[self.id.as_str().as_bytes()])))
+    }
+}
+
 /// Change to the directory that follows from a change of rows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DirectoryChange {
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -34,8 +34,8 @@
 };
 pub use crashes::{
     BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashId, CrashRecord,
-    EngineCrashes, EngineCrashesSettings, RefutedSuspects, RequestFeature, RequestFeatures,
-    Suspect, WHOLE_REQUEST_DEPTH,
+    CrashRecords, CrashRecordsSettings, EngineCrashes, EngineCrashesSettings, RefutedSuspects,
+    RequestFeature, RequestFeatures, Suspect, WHOLE_REQUEST_DEPTH,
 };
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
--- a/crates/masticdock-core/tests/serving_crashes.rs
+++ b/crates/masticdock-core/tests/serving_crashes.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use masticdock_core::serving::{
-    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, EngineCrashes, EngineCrashesSettings,
-    RefutedSuspects, RequestFeature, RequestFeatures,
+    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, CrashRecords, CrashRecordsSettings,
+    EngineCrashes, EngineCrashesSettings, RefutedSuspects, RequestFeature, RequestFeatures,
 };
 use masticdock_core::units::MonoMs;
 
@@ -311,7 +311,7 @@
     for refuted in before.record_success(&sound, now.plus_ms(1), now.plus_ms(700)) {
         for agent in &mut agents {
             if agent.records().any(|record| record.id == refuted.id) {
-                agent.record_refuted(refuted.id.started_at_ms, &refuted.features);
+                agent.record_refuted(refuted.id, &refuted.features);
             }
         }
     }
@@ -379,6 +379,94 @@
     assert!(!is_blocked(&mut history, &without_parts, at(3_000)));
 }
 
+/// Returns the features of a request without a prompt.
+fn lookup(path: &str) -> RequestFeatures {
+    let service = "pickups".parse().unwrap();
+    let whole = RequestFeature::of_request(&service, "GET", path, None, b"");
+    RequestFeatures::new(Vec::new(), whole)
+}
+
+/// Returns the history of an entry that has served other lookups for a while.
+fn history_of_lookups() -> CrashHistory {
+    let mut history = CrashHistory::new(CrashHistorySettings::default());
+    history.record_success(&lookup("/other"), MonoMs(40_000), MonoMs(40_100));
+    history
+}
+
+/// Guards against retries that crash a second upstream shortly after the first one and
+/// count as the same crash.
+#[test]
+fn a_crash_by_a_retry_counts_against_a_repeated_request() {
+    let mut history = history_of_lookups();
+    let bad = lookup("/bad");
+    for (engine, ms) in [(1, 0), (2, 60), (3, 3_000)] {
+        assert!(!is_blocked(&mut history, &bad, at(ms)));
+        history.record(&crash(engine, at(ms), std::slice::from_ref(&bad)), at(ms));
+    }
+    assert!(is_blocked(&mut history, &bad, at(3_025)));
+    assert!(!is_blocked(&mut history, &lookup("/good"), at(3_025)));
+}
+
+/// Guards against a repeated request that is blocked because its upstreams all end at the
+/// same moment, or crash for another reason while it runs there.
+#[test]
+fn a_repeated_request_that_succeeds_is_not_blocked() {
+    let mut history = history_of_lookups();
+    let same_moment = lookup("/first");
+    for engine in 1..=20 {
+        let now = at(u64::from(engine) * 5);
+        history.record(&crash(engine, now, std::slice::from_ref(&same_moment)), now);
+    }
+    assert!(!is_blocked(&mut history, &same_moment, at(10_000)));
+    let popular = lookup("/popular");
+    history.record_success(&popular, at(10_000), at(10_050));
+    for engine in 21..=60 {
+        let now = at(u64::from(engine) * 1_000);
+        history.record(&crash(engine, now, std::slice::from_ref(&popular)), now);
+        assert!(!is_blocked(&mut history, &popular, now));
+        history.record_success(&popular, now.plus_ms(300), now.plus_ms(400));
+        assert!(!is_blocked(&mut history, &popular, now.plus_ms(450)));
+    }
+}
+
+/// Guards against a report that arrives at the keeper of a crash twice, late or after one
+/// of its suspects was refuted.
+#[test]
+fn a_keeper_merges_the_reports_of_several_entries() {
+    let mut records = CrashRecords::new(CrashRecordsSettings {
+        records_max: 2,
+        ..CrashRecordsSettings::default()
+    });
+    let (bad, good) = (lookup("/bad"), lookup("/good"));
+    let first = crash(1, at(0), &[bad.clone(), good.clone()]);
+    assert!(records.record(&first, at(10)));
+    assert!(!records.record(&first, at(20)));
+    assert!(records.record(&crash(1, at(5), &[lookup("/third")]), at(30)));
+    assert!(records.record_refuted(first.id, &[good.whole()]));
+    assert!(!records.record_refuted(first.id, &[good.whole()]));
+    assert!(!records.record(&first, at(40)));
+    let kept = records.iter().next().unwrap();
+    assert_eq!((kept.at, kept.reviewed), (at(0), true));
+    assert!(
+        kept.suspects
+            .iter()
+            .any(|suspect| suspect.feature == bad.whole())
+    );
+    assert_eq!(kept.suspects.len(), 2);
+    for engine in 2..=3 {
+        let now = at(u64::from(engine) * 100);
+        assert!(records.record(&crash(engine, now, std::slice::from_ref(&bad)), now));
+    }
+    let ids: Vec<CrashId> = records.iter().map(|record| record.id).collect();
+    assert_eq!(ids, [crash_id(2), crash_id(3)]);
+    let retention_ms = CrashRecordsSettings::default().retention_ms;
+    records.record(
+        &crash(4, at(retention_ms + 500), &[bad]),
+        at(retention_ms + 500),
+    );
+    assert_eq!(records.iter().count(), 1);
+}
+
 /// Guards against memory that grows with the crashes of a long disturbance, and against a
 /// blocked part that such a disturbance displaces.
 #[test]
--- a/crates/masticdock-core/tests/serving_engine_crashes.rs
+++ b/crates/masticdock-core/tests/serving_engine_crashes.rs
@@ -3,7 +3,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use masticdock_core::serving::{
-    CrashRecord, EngineCrashes, EngineCrashesSettings, RequestFeature, RequestFeatures, Suspect,
+    CrashId, CrashRecord, EngineCrashes, EngineCrashesSettings, RequestFeature, RequestFeatures,
+    Suspect,
 };
 use masticdock_core::units::MonoMs;
 
@@ -83,7 +84,11 @@
     crashes.record_engine(Some(5), at(0));
     crashes.record_suspects(Some(5), &features.suspects(), at(10));
     crashes.record_engine(None, at(100));
-    crashes.record_refuted(5, &[part("head")]);
+    let id = CrashId {
+        vm: VM,
+        started_at_ms: 5,
+    };
+    crashes.record_refuted(id, &[part("head")]);
     assert!(!crashes.record_suspects(Some(5), &features.suspects(), at(200)));
     let record = crashes.records().next().unwrap();
     assert_eq!(record.suspects, features.suspects()[1..]);
--- a/crates/masticdock-node/src/agent/crashes.rs
+++ b/crates/masticdock-node/src/agent/crashes.rs
@@ -1,15 +1,16 @@
-//! Confirms crashes of the engine on this VM and tells the entries.
+//! Confirms crashes of the engine on this VM, keeps those of upstreams without an agent
+//! that entries confirmed, and tells all entries.
 
 use std::net::SocketAddr;
 
 use masticdock_adapter::EngineReport;
-use masticdock_core::serving::CrashRecord;
+use masticdock_core::serving::{CrashId, CrashRecord};
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
 
 use super::state::Agent;
 use crate::clock;
-use crate::datagram::{Crash, Datagram, Refuted, SUSPECTS_MAX, Suspects, encode};
+use crate::datagram::{Crash, Datagram, Refuted, Suspects, encode};
 
 /// Time after a crash in which it is sent again with each hello of an entry, in
 /// milliseconds, since datagrams can be lost.
@@ -43,6 +44,15 @@
     }
 }
 
+/// Records a crash that an entry has confirmed, so that the other entries learn of it.
+pub(crate) fn record_crash(agent: &Agent, crash: &Crash) {
+    let now = clock::now();
+    let record = crash.to_record(now);
+    if agent.kept_crashes.borrow_mut().record(&record, now) {
+        agent.crashes_changed.notify_one();
+    }
+}
+
 /// Records which suspects an entry has refuted, and tells the other entries.
 pub(crate) fn record_refuted(
     agent: &Agent,
@@ -50,8 +60,15 @@
     sender: SocketAddr,
     refuted: &Refuted,
 ) {
-    let mut crashes = agent.crashes.borrow_mut();
-    if !crashes.record_refuted(refuted.started_at_ms, &refuted.features) {
+    let CrashId { vm, .. } = refuted.id;
+    let changed = if vm == agent.settings.ip {
+        let mut crashes = agent.crashes.borrow_mut();
+        crashes.record_refuted(refuted.id, &refuted.features)
+    } else {
+        let mut kept = agent.kept_crashes.borrow_mut();
+        kept.record_refuted(refuted.id, &refuted.features)
+    };
+    if !changed {
         return;
     }
     let bytes = encode(&Datagram::Refuted(refuted.clone()));
@@ -74,7 +91,8 @@
 /// Sends the recent crashes to an entry, or all of them if it may know none.
 pub(crate) fn send_crashes(agent: &Agent, socket: &UdpSocket, entry: SocketAddr, all: bool) {
     let now = clock::now();
-    for record in agent.crashes.borrow().records() {
+    let (crashes, kept) = (agent.crashes.borrow(), agent.kept_crashes.borrow());
+    for record in crashes.records().chain(kept.iter()) {
         if all || now.since_ms(record.at) < RESEND_MS {
             send_crash(socket, entry, record, now);
         }
@@ -82,14 +100,8 @@
 }
 
 fn send_crash(socket: &UdpSocket, entry: SocketAddr, record: &CrashRecord, now: MonoMs) {
-    for suspects in record.suspects.chunks(SUSPECTS_MAX) {
-        let bytes = encode(&Datagram::Crash(Crash {
-            started_at_ms: record.id.started_at_ms,
-            age_ms: u32::try_from(now.since_ms(record.at)).unwrap_or(u32::MAX),
-            reviewed: record.reviewed,
-            suspects: suspects.to_vec(),
-        }));
+    for crash in Crash::of_record(record, now) {
         // A lost datagram is made up for with the next hello of the entry.
-        let _ = socket.try_send_to(&bytes, entry);
+        let _ = socket.try_send_to(&encode(&Datagram::Crash(crash)), entry);
     }
 }
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -94,7 +94,8 @@
                 Some(Datagram::Refuted(refuted)) => {
                     crashes::record_refuted(&agent, &socket, sender, &refuted);
                 }
-                Some(Datagram::Report(_) | Datagram::Crash(_)) | None => {}
+                Some(Datagram::Crash(crash)) => crashes::record_crash(&agent, &crash),
+                Some(Datagram::Report(_)) | None => {}
             }
         }
         let urgent = last_sent.is_none_or(|last_sent| {
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -9,8 +9,9 @@
 use masticdock_adapter::{EngineClient, EngineReport, Manifest, NodeSettings, StoreClient, Table};
 use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, ChunkPeer, ChunkSourceSelector, EngineCrashes, EngineCrashesSettings, ModelTarget,
-    StoreReadSchedule, StoreReadSettings, VersionNumber, VersionTimeline,
+    AgentReport, ChunkPeer, ChunkSourceSelector, CrashRecords, CrashRecordsSettings, EngineCrashes,
+    EngineCrashesSettings, ModelTarget, StoreReadSchedule, StoreReadSettings, VersionNumber,
+    VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -39,6 +40,9 @@
 /// matter, since one pass of an engine takes some tens of milliseconds.
 const LINK_DELAY_STEP_MS: u32 = 20;
 
+/// Maximum number of crashes of upstreams without an agent that are kept.
+const KEPT_CRASHES_MAX: usize = 64;
+
 /// State of the agent.
 #[derive(Debug)]
 pub(crate) struct Agent {
@@ -77,6 +81,8 @@
     pub(crate) peers_changed: Notify,
     /// Crashes of the engine.
     pub(crate) crashes: RefCell<EngineCrashes>,
+    /// Crashes of upstreams without an agent, kept for all entries.
+    pub(crate) kept_crashes: RefCell<CrashRecords>,
     /// Notified when a crash is confirmed or has further suspects.
     pub(crate) crashes_changed: Notify,
     /// Requests that the engine started between the last two polls.
@@ -141,6 +147,10 @@
             peer_chunks: RefCell::default(),
             peers_changed: Notify::new(),
             crashes: RefCell::new(crashes),
+            kept_crashes: RefCell::new(CrashRecords::new(CrashRecordsSettings {
+                records_max: KEPT_CRASHES_MAX,
+                ..CrashRecordsSettings::default()
+            })),
             crashes_changed: Notify::new(),
             new_requests: Cell::new(0),
             read_window: RefCell::default(),
--- a/crates/masticdock-node/src/datagram/crashes.rs
+++ b/crates/masticdock-node/src/datagram/crashes.rs
@@ -1,24 +1,27 @@
-//! Datagrams about crashes of engines: what entries suspect and refute, and what agents
-//! have confirmed.
+//! Datagrams about crashes of upstreams: what entries suspect and refute, and what agents
+//! or, where none stands beside the upstream, entries have confirmed.
 
-use masticdock_core::serving::{RequestFeature, Suspect};
+use std::net::{IpAddr, Ipv6Addr};
+
+use masticdock_core::serving::{CrashId, CrashRecord, RequestFeature, Suspect};
+use masticdock_core::units::MonoMs;
 
 use super::DATAGRAM_BYTES_MAX;
 
 /// Prefix of a report of suspects.
 const SUSPECTS_MAGIC: [u8; 4] = *b"mds1";
 /// Prefix of a confirmed crash.
-const CRASH_MAGIC: [u8; 4] = *b"mdc1";
+const CRASH_MAGIC: [u8; 4] = *b"mdc2";
 /// Prefix of refuted suspects.
-const REFUTED_MAGIC: [u8; 4] = *b"mdf1";
+const REFUTED_MAGIC: [u8; 4] = *b"mdf2";
 /// Length of an encoded suspect, in bytes.
 const SUSPECT_BYTES: usize = 9;
 /// Length of an encoded feature, in bytes.
 const FEATURE_BYTES: usize = 8;
 /// Length of the fields before the suspects or features, in bytes.
-const HEAD_BYTES_MAX: usize = 17;
+const HEAD_BYTES_MAX: usize = 33;
 /// Maximum number of suspects or features in a datagram.
-pub(crate) const SUSPECTS_MAX: usize = (DATAGRAM_BYTES_MAX - HEAD_BYTES_MAX) / SUSPECT_BYTES;
+const SUSPECTS_MAX: usize = (DATAGRAM_BYTES_MAX - HEAD_BYTES_MAX) / SUSPECT_BYTES;
 
 /// Report of an entry that the connection of a request to the engine broke.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,12 +33,12 @@
     pub(crate) suspects: Vec<Suspect>,
 }
 
-/// Crash of the engine on the VM of the sender. A crash with many suspects takes several
-/// datagrams, which the receiver merges.
+/// Confirmed crash of an upstream. A crash with many suspects takes several datagrams, which
+/// the receiver merges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Crash {
-    /// Start time of the process that crashed, in milliseconds since the Unix epoch.
-    pub(crate) started_at_ms: u64,
+    /// Process that crashed.
+    pub(crate) id: CrashId,
     /// Time since the crash, in milliseconds.
     pub(crate) age_ms: u32,
     /// True once an entry has refuted one of the suspects.
@@ -47,8 +50,8 @@
 /// Suspects of a crash that an entry has refuted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Refuted {
-    /// Start time of the process that crashed, in milliseconds since the Unix epoch.
-    pub(crate) started_at_ms: u64,
+    /// Process that crashed.
+    pub(crate) id: CrashId,
     /// Features of requests that succeeded after the crash.
     pub(crate) features: Vec<RequestFeature>,
 }
@@ -72,9 +75,31 @@
 }
 
 impl Crash {
+    /// Returns the datagrams of a crash; one without suspects needs none.
+    pub(crate) fn of_record(record: &CrashRecord, now: MonoMs) -> impl Iterator<Item = Self> {
+        let age_ms = u32::try_from(now.since_ms(record.at)).unwrap_or(u32::MAX);
+        let chunks = record.suspects.chunks(SUSPECTS_MAX);
+        chunks.map(move |suspects| Self {
+            id: record.id,
+            age_ms,
+            reviewed: record.reviewed,
+            suspects: suspects.to_vec(),
+        })
+    }
+
+    /// Returns the crash as a record that was received at `now`.
+    pub(crate) fn to_record(&self, now: MonoMs) -> CrashRecord {
+        CrashRecord {
+            id: self.id,
+            at: MonoMs(now.0.saturating_sub(self.age_ms.into())),
+            suspects: self.suspects.clone(),
+            reviewed: self.reviewed,
+        }
+    }
+
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut bytes = CRASH_MAGIC.to_vec();
-        bytes.extend_from_slice(&self.started_at_ms.to_le_bytes());
+        put_crash_id(&mut bytes, self.id);
         bytes.extend_from_slice(&self.age_ms.to_le_bytes());
         bytes.push(self.reviewed.into());
         put_suspects(&mut bytes, &self.suspects);
@@ -82,11 +107,11 @@
     }
 
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&CRASH_MAGIC)?)?;
+        let (id, rest) = take_crash_id(bytes.strip_prefix(&CRASH_MAGIC)?)?;
         let (age_ms, rest) = rest.split_first_chunk()?;
         let (reviewed, rest) = rest.split_first()?;
         Some(Self {
-            started_at_ms,
+            id,
             age_ms: u32::from_le_bytes(*age_ms),
             reviewed: *reviewed != 0,
             suspects: read_suspects(rest)?,
@@ -97,7 +122,7 @@
 impl Refuted {
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut bytes = REFUTED_MAGIC.to_vec();
-        bytes.extend_from_slice(&self.started_at_ms.to_le_bytes());
+        put_crash_id(&mut bytes, self.id);
         for feature in self.features.iter().take(SUSPECTS_MAX) {
             bytes.extend_from_slice(&feature.0.to_le_bytes());
         }
@@ -105,10 +130,10 @@
     }
 
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (started_at_ms, rest) = take_u64(bytes.strip_prefix(&REFUTED_MAGIC)?)?;
+        let (id, rest) = take_crash_id(bytes.strip_prefix(&REFUTED_MAGIC)?)?;
         let (features, rest) = rest.as_chunks::<FEATURE_BYTES>();
         rest.is_empty().then(|| Self {
-            started_at_ms,
+            id,
             features: features
                 .iter()
                 .map(|feature| RequestFeature(u64::from_le_bytes(*feature)))
@@ -117,6 +142,22 @@
     }
 }
 
+fn put_crash_id(bytes: &mut Vec<u8>, id: CrashId) {
+    let vm = match id.vm {
+        IpAddr::V4(vm) => vm.to_ipv6_mapped(),
+        IpAddr::V6(vm) => vm,
+    };
+    bytes.extend_from_slice(&vm.octets());
+    bytes.extend_from_slice(&id.started_at_ms.to_le_bytes());
+}
+
+fn take_crash_id(bytes: &[u8]) -> Option<(CrashId, &[u8])> {
+    let (vm, rest) = bytes.split_first_chunk::<16>()?;
+    let (started_at_ms, rest) = take_u64(rest)?;
+    let vm = Ipv6Addr::from(*vm).to_canonical();
+    Some((CrashId { vm, started_at_ms }, rest))
+}
+
 fn put_suspects(bytes: &mut Vec<u8>, suspects: &[Suspect]) {
     for suspect in suspects.iter().take(SUSPECTS_MAX) {
         bytes.extend_from_slice(&suspect.feature.0.to_le_bytes());
--- a/crates/masticdock-node/src/datagram/mod.rs
+++ b/crates/masticdock-node/src/datagram/mod.rs
@@ -11,7 +11,7 @@
 use masticdock_core::serving::{AgentReport, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 
-pub(crate) use crashes::{Crash, Refuted, SUSPECTS_MAX, Suspects};
+pub(crate) use crashes::{Crash, Refuted, Suspects};
 pub(crate) use hello::{ConfiguredTarget, Hello};
 
 /// Prefix of an announcement of held chunks.
@@ -38,7 +38,7 @@
     HeldChunks(VersionNumber, ChunkSet),
     /// Report of an entry on a request that a crash may have interrupted.
     Suspects(Suspects),
-    /// Crash that an agent has confirmed.
+    /// Crash that an agent or an entry has confirmed.
     Crash(Crash),
     /// Suspects of a crash that an entry has refuted.
     Refuted(Refuted),
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -251,8 +251,12 @@
         BodyEnd::Marked if parts.status.is_success() => {
             crashes::record_success(entry, call, limits.started_mono);
         }
-        BodyEnd::Marked => {}
-        BodyEnd::WithConnection => crashes::report_suspects(entry, call, upstream),
+        // Plain services often end a response like this; checking each one would cost them a
+        // connection.
+        BodyEnd::WithConnection if call.runs_on_engine() => {
+            crashes::report_suspects(entry, call, upstream);
+        }
+        BodyEnd::Marked | BodyEnd::WithConnection => {}
     }
     AttemptResult::Buffered(forwarded, body)
 }
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -1,37 +1,53 @@
-//! Shares crashes of engines with their agents, and rejects requests that cause them.
+//! Shares crashes of upstreams through agents, and rejects requests that cause them.
 
 use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticdock_adapter::CallerHead;
+use masticdock_adapter::{CallError, CallerHead};
 use masticdock_core::ids::{ServiceId, WorkspaceId};
+use masticdock_core::rendezvous;
 use masticdock_core::serving::{
-    CrashHistory, CrashId, CrashRecord, RefutedSuspects, RequestFeature, RequestFeatures, Upstream,
+    CrashHistory, CrashId, CrashRecord, RefutedSuspects, RequestFeature, RequestFeatures, Suspect,
+    Upstream,
 };
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::reports;
 use super::request::Call;
 use super::state::Entry;
 use crate::clock;
 use crate::datagram::{Crash, Datagram, Refuted, Suspects, encode};
 use crate::metrics::metrics;
 
-/// Pauses before each sending of a report of suspects, since datagrams can be lost.
+/// Pauses before each sending of a report, since datagrams can be lost.
 const REPORT_PAUSES: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(150),
     Duration::from_millis(250),
 ];
 
+/// Pauses before each attempt to connect to an upstream whose connection broke. Its port may
+/// close shortly after its connections.
+const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(150)];
+/// Maximum time of such an attempt.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of agents that keep the crashes of an upstream without an agent: some may be
+/// stopped, unreachable or restart at the same time.
+const KEEPERS: usize = 3;
+
 /// Crashes that the entry knows of, and its socket for datagrams to agents.
 #[derive(Debug, Default)]
 pub(crate) struct SharedCrashes {
     history: RefCell<CrashHistory>,
+    /// Requests that a possible crash interrupted, while it is being confirmed.
+    unconfirmed: RefCell<HashMap<CrashId, Vec<Suspect>>>,
     socket: OnceCell<Rc<UdpSocket>>,
 }
 
@@ -59,7 +75,7 @@
                 feature:% = format_args!("{:016x}", blocked.suspect.feature.0),
                 depth = blocked.suspect.depth,
                 crashes = blocked.crashes;
-                "requests with a common feature crash engines and are rejected from now on"
+                "requests with a common feature crash upstreams and are rejected from now on"
             );
         }
         history.blocked(&call.features)
@@ -85,77 +101,145 @@
 }
 
 /// Reports a request whose connection broke to the agent of the upstream, which knows
-/// whether the engine crashed.
+/// whether the engine crashed. An upstream without an agent is checked by the entry.
 pub(crate) fn report_suspects(entry: &Rc<Entry>, call: &Call, upstream: &Upstream) {
     if !call.runs_on_engine() {
+        confirm_crash(entry, call, upstream);
         return;
     }
-    let bytes = encode(&Datagram::Suspects(Suspects {
+    let report = Datagram::Suspects(Suspects {
         started_at_ms: upstream.started_at_ms,
         suspects: call.features.suspects(),
-    }));
+    });
     let agent = SocketAddr::new(upstream.address.ip(), entry.settings.peer_port);
-    let entry = Rc::clone(entry);
+    spawn_local(send_repeatedly(Rc::clone(entry), report, vec![agent]));
+}
+
+async fn send_repeatedly(entry: Rc<Entry>, report: Datagram, agents: Vec<SocketAddr>) {
+    let bytes = encode(&report);
+    for pause in REPORT_PAUSES {
+        sleep(pause).await;
+        for agent in &agents {
+            entry.crashes.send(&bytes, *agent);
+        }
+    }
+}
+
+/// Records a crash of an upstream without an agent if its port is closed, and tells the
+/// agents that keep its crashes.
+fn confirm_crash(entry: &Rc<Entry>, call: &Call, upstream: &Upstream) {
+    let id = CrashId {
+        vm: upstream.address.ip(),
+        started_at_ms: upstream.process_number(),
+    };
+    let suspects = call.features.suspects();
+    let mut unconfirmed = entry.crashes.unconfirmed.borrow_mut();
+    if let Some(interrupted) = unconfirmed.get_mut(&id) {
+        interrupted.extend(suspects);
+        return;
+    }
+    unconfirmed.insert(id, suspects);
+    let keepers = crash_keepers(entry, call, id.vm);
+    let (entry, upstream, at) = (Rc::clone(entry), upstream.clone(), clock::now());
     spawn_local(async move {
-        for pause in REPORT_PAUSES {
-            sleep(pause).await;
-            entry.crashes.send(&bytes, agent);
+        let is_gone = is_gone(&entry, &upstream).await;
+        let suspects = entry.crashes.unconfirmed.borrow_mut().remove(&id);
+        if !is_gone {
+            return;
+        }
+        let record = CrashRecord {
+            id,
+            at,
+            suspects: suspects.unwrap_or_default(),
+            reviewed: false,
+        };
+        record_crash(&entry, &record);
+        for crash in Crash::of_record(&record, clock::now()) {
+            let report = Datagram::Crash(crash);
+            spawn_local(send_repeatedly(Rc::clone(&entry), report, keepers.clone()));
         }
     });
 }
 
-/// Records that an engine wrote on a request without a crash, and tells the agents whose
-/// crashes this request cannot have caused.
-pub(crate) fn record_success(entry: &Entry, call: &Call, sent_at: MonoMs) {
-    if !call.runs_on_engine() {
-        return;
+/// Returns whether an upstream refuses connections. An unreachable one does not answer, and
+/// one that lost a response or reset a connection accepts others.
+async fn is_gone(entry: &Entry, upstream: &Upstream) -> bool {
+    for pause in PROBE_PAUSES {
+        sleep(pause).await;
+        match entry.pools.open(upstream.address, PROBE_TIMEOUT).await {
+            Ok(connection) => {
+                entry.pools.put_back(&upstream.id, connection, None);
+                return false;
+            }
+            Err(CallError::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return true;
+            }
+            Err(_) => {}
+        }
     }
+    false
+}
+
+/// Returns the agents that keep the crashes of a call's upstream on `vm` for all entries: the
+/// one on that VM, or some others if there is none.
+fn crash_keepers(entry: &Entry, call: &Call, vm: IpAddr) -> Vec<SocketAddr> {
+    let address = |ip| SocketAddr::new(ip, entry.settings.peer_port);
+    if call.runs_on_engine() {
+        return vec![address(vm)];
+    }
+    let ips_by_service = reports::agent_ips_by_service(entry);
+    let agents: Vec<(IpAddr, String)> = ips_by_service
+        .into_values()
+        .flatten()
+        .map(|ip| (ip, ip.to_string()))
+        .collect();
+    let key = vm.to_string();
+    rendezvous::rank(key.as_bytes(), &agents, |(_, name)| name.as_str())
+        .into_iter()
+        .take(KEEPERS)
+        .map(|(ip, _)| address(*ip))
+        .collect()
+}
+
+/// Records that an upstream ran a request without a crash, and tells the agents that keep
+/// crashes which this request cannot have caused.
+pub(crate) fn record_success(entry: &Entry, call: &Call, sent_at: MonoMs) {
     let mut history = entry.crashes.history.borrow_mut();
     for refuted in history.record_success(&call.features, sent_at, clock::now()) {
+        let keepers = crash_keepers(entry, call, refuted.id.vm);
         let bytes = encode(&Datagram::Refuted(Refuted {
-            started_at_ms: refuted.id.started_at_ms,
+            id: refuted.id,
             features: refuted.features,
         }));
-        let agent = SocketAddr::new(refuted.id.vm, entry.settings.peer_port);
-        entry.crashes.send(&bytes, agent);
+        for agent in keepers {
+            entry.crashes.send(&bytes, agent);
+        }
     }
 }
 
-/// Records that another entry has refuted suspects of a crash on `vm`.
-pub(crate) fn record_refuted(entry: &Entry, vm: IpAddr, refuted: Refuted) {
+/// Records that another entry has refuted suspects of a crash.
+pub(crate) fn record_refuted(entry: &Entry, refuted: Refuted) {
     let refuted = RefutedSuspects {
-        id: CrashId {
-            vm,
-            started_at_ms: refuted.started_at_ms,
-        },
+        id: refuted.id,
         features: refuted.features,
     };
     let mut history = entry.crashes.history.borrow_mut();
     history.record_refuted(&refuted, clock::now());
 }
 
-/// Records a crash that the agent on `vm` has confirmed.
-pub(crate) fn record_crash(entry: &Entry, vm: IpAddr, crash: Crash) {
+/// Records a confirmed crash.
+pub(crate) fn record_crash(entry: &Entry, record: &CrashRecord) {
     let now = clock::now();
-    let record = CrashRecord {
-        id: CrashId {
-            vm,
-            started_at_ms: crash.started_at_ms,
-        },
-        at: MonoMs(now.0.saturating_sub(crash.age_ms.into())),
-        suspects: crash.suspects,
-        reviewed: crash.reviewed,
-    };
-    if !entry.crashes.history.borrow_mut().record(&record, now) {
+    if !entry.crashes.history.borrow_mut().record(record, now) {
         return;
     }
     metrics().crashes.inc();
     log::info!(
         event = "crash.recorded",
-        vm:% = vm,
-        started_at_ms = crash.started_at_ms,
-        age_ms = crash.age_ms,
+        vm:% = record.id.vm,
+        started_at_ms = record.id.started_at_ms,
+        age_ms = now.since_ms(record.at),
         suspects = record.suspects.len();
-        "an agent confirmed a crash of its engine"
+        "an upstream crashed while it ran requests"
     );
 }
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -1,5 +1,5 @@
 //! Subscribes to the agents' reports on their engines and applies them, as well as the
-//! crashes that they confirm.
+//! crashes that they know of.
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -54,10 +54,10 @@
                 };
                 match decode(&bytes[..length]) {
                     Some(Datagram::Report(report)) => apply_report(&entry, from.ip(), report),
-                    Some(Datagram::Crash(crash)) => crashes::record_crash(&entry, from.ip(), crash),
-                    Some(Datagram::Refuted(refuted)) => {
-                        crashes::record_refuted(&entry, from.ip(), refuted);
+                    Some(Datagram::Crash(crash)) => {
+                        crashes::record_crash(&entry, &crash.to_record(clock::now()));
                     }
+                    Some(Datagram::Refuted(refuted)) => crashes::record_refuted(&entry, refuted),
                     _ => {}
                 }
                 continue;
@@ -103,7 +103,7 @@
 
 /// Returns the addresses of the VMs whose upstream has an engine and thus an agent, by
 /// service.
-fn agent_ips_by_service(entry: &Entry) -> BTreeMap<ServiceId, Vec<IpAddr>> {
+pub(super) fn agent_ips_by_service(entry: &Entry) -> BTreeMap<ServiceId, Vec<IpAddr>> {
     let catalog = entry.catalog.borrow();
     let mut ips: BTreeMap<ServiceId, Vec<IpAddr>> = BTreeMap::new();
     let Some(configuration) = &catalog.configuration else {
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -321,7 +321,7 @@
 }
 
 /// Decides whether a failed attempt is retried; a retry spends the service's budget. A
-/// request that crashes engines is not retried.
+/// request that crashes upstreams is not retried.
 pub(crate) fn decide_next_step(
     entry: &Entry,
     call: &Call,
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -22,7 +22,7 @@
     pub(crate) requests: IntCounterVec,
     /// Number of failed attempts at upstreams by outcome.
     pub(crate) attempts: IntCounterVec,
-    /// Number of crashes of engines that agents confirmed.
+    /// Number of confirmed crashes of upstreams.
     pub(crate) crashes: IntCounter,
     /// Number of times that a feature of requests was blocked.
     pub(crate) blocked_features: IntCounter,
@@ -64,11 +64,11 @@
         )?;
         let crashes = IntCounter::new(
             "masticdock_crashes_total",
-            "Crashes of engines that agents confirmed.",
+            "Confirmed crashes of upstreams.",
         )?;
         let blocked_features = IntCounter::new(
             "masticdock_blocked_features_total",
-            "Features of requests that were blocked because they crash engines.",
+            "Features of requests that were blocked because they crash upstreams.",
         )?;
         let histogram = |name, help| {
             let options = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
