Count crashes of plain upstreams on the product's own path

Agents of masticdockd confirmed a crash by the engine's status alone, so a request that crashed plain upstreams was never rejected, whatever the crash limit.

In front of a plain service, the agent now tries to connect after a broken call; a refused connection confirms the crash.

A lost response of a live service is still no crash.

--- a/crates/masticdock-daemon/src/agent/proxy/run.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/run.rs
@@ -307,7 +307,7 @@
             if let Some(crash) = shared.running.report_if_crashed(&admitted.running) {
                 return Err(Problem::unknown(
                     ProblemKind::UpstreamCrashed,
-                    "the engine died while it ran the request",
+                    "the upstream died while it ran the request",
                 )
                 .with_crash(crash));
             }
--- a/crates/masticdock-daemon/src/agent/proxy/running.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/running.rs
@@ -1,6 +1,8 @@
 //! Tracking of running requests, the load of the upstream and its crashes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread;
 use std::time::Duration;
@@ -11,6 +13,7 @@
 use masticdock_core::units::UnixMs;
 use masticdock_platform::{EngineClient, EngineStatus, HttpSettings, PlatformErrorKind};
 use serde::{Deserialize, Serialize};
+use url::Url;
 
 use super::now_unix_ms;
 use crate::agent::{GateState, ServingGate};
@@ -70,6 +73,8 @@
 /// Tracks the running requests of the upstream and reports its crashes.
 pub(super) struct RunningRequests {
     vm: VmId,
+    upstream_url: String,
+    /// Client of an engine; `None` in front of a plain service.
     engine: Option<EngineClient>,
     control: ControlHandle,
     state: Mutex<State>,
@@ -87,6 +92,7 @@
         };
         let running = Arc::new(Self {
             vm,
+            upstream_url: upstream.url.clone(),
             engine: upstream
                 .engine
                 .then(|| EngineClient::new(upstream.url.clone(), http)),
@@ -153,7 +159,10 @@
     /// Checks whether the upstream crashed while it ran a request whose connection
     /// failed, and if so reports the crash for each running fingerprint.
     pub(super) fn report_if_crashed(&self, guard: &RunningGuard) -> Option<CrashRecord> {
-        let engine = self.engine.as_ref()?;
+        let Some(engine) = &self.engine else {
+            let crashed = refuses_connections(&self.upstream_url);
+            return crashed.then(|| self.report(guard));
+        };
         for _ in 0..CRASH_CHECKS_MAX {
             let crashed = match engine.status() {
                 Ok(status) => guard.boot.as_ref().is_some_and(|boot| *boot != status.boot),
@@ -184,7 +193,7 @@
             state.reported.clear();
             log_event!(
                 masticdock_core::event::ENGINE_CRASHED,
-                "engine of {} (boot {boot}) crashed with {} requests in progress",
+                "upstream of {} (boot {boot}) crashed with {} requests in progress",
                 self.vm,
                 state.running.values().sum::<u32>()
             );
@@ -207,6 +216,21 @@
     }
 }
 
+/// Returns whether a plain service, which reports no status, has crashed: nothing listens on
+/// its port any more.
+fn refuses_connections(url: &str) -> bool {
+    let addrs = url.parse::<Url>().ok();
+    let addrs = addrs.and_then(|url| url.socket_addrs(|| None).ok());
+    let Some(addr) = addrs.as_ref().and_then(|addrs| addrs.first()) else {
+        return false;
+    };
+    let timeout = Duration::from_millis(STATUS_TIMEOUT_MS);
+    // The port may close shortly after the connections.
+    thread::sleep(CRASH_CHECK_INTERVAL);
+    TcpStream::connect_timeout(addr, timeout)
+        .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Reads the engine's status until the tracker is dropped.
 fn poll_status(weak: &Weak<RunningRequests>) {
     loop {
--- a/crates/masticdock-daemon/src/tests/request_path/cluster.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/cluster.rs
@@ -142,7 +142,12 @@
 
     /// Starts an agent in front of a fake plain service and publishes it.
     pub(super) fn plain_agent(&self, id: &str, plain: &FakeService) -> Agent {
-        self.agent(id, false, plain.addr, GateState::Serving(None))
+        self.plain_agent_at(id, plain.addr)
+    }
+
+    /// Starts an agent in front of the plain service at an address and publishes it.
+    pub(super) fn plain_agent_at(&self, id: &str, plain: SocketAddr) -> Agent {
+        self.agent(id, false, plain, GateState::Serving(None))
     }
 
     /// Starts the callers' listener of an entry.
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -1,10 +1,11 @@
 //! Fakes of an engine, a plain service and the table.
 
 use std::collections::BTreeMap;
-use std::io::Write as _;
-use std::net::SocketAddr;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -196,6 +197,22 @@
     }
 }
 
+/// Starts a plain service that crashes on its first request: its port closes, then the
+/// connection. Counts the request in `runs`.
+pub(super) fn spawn_crashing_service(runs: &Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let runs = Arc::clone(runs);
+    thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a connection");
+        // The connection is closed at the end, when its caller has sent a part at least.
+        let _ = connection.read(&mut [0; 4_096]);
+        runs.fetch_add(1, Ordering::SeqCst);
+        drop(listener);
+    });
+    addr
+}
+
 /// Behavior of the fake table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum TableMode {
