Log the limits that upstreams name

The logs said nothing of Server-Limit, so nobody could tell whether an entry knew a limit that it exceeded. Entries read the header and log each change with the number of entries that share it; no send is withheld yet.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -2,6 +2,7 @@
 
 use crate::units::MonoMs;
 
+use super::rate_limit::RateLimitShare;
 use super::versions::VersionNumber;
 use super::waits::RecentMaximum;
 
@@ -102,6 +103,8 @@
     /// Number of requests that this entry may still send until the next report, and when
     /// its agent granted them.
     places: Option<(u32, MonoMs)>,
+    /// Limit that the upstream names in its answers.
+    pub rate_limit: RateLimitShare,
     /// Smoothed ratio of observed to predicted times to the first event, and when it
     /// was last updated.
     slowdown: Option<(f64, MonoMs)>,
--- a/crates/masticdock-core/src/units/mod.rs
+++ b/crates/masticdock-core/src/units/mod.rs
@@ -3,5 +3,5 @@
 mod quantity;
 mod time;
 
-pub use quantity::{ByteCount, BytesPerSecond, ParseQuantityError, Share};
+pub use quantity::{ByteCount, BytesPerSecond, ParseQuantityError, RequestRate, Share};
 pub use time::{MonoMs, UnixMs};
--- a/crates/masticdock-core/src/units/quantity.rs
+++ b/crates/masticdock-core/src/units/quantity.rs
@@ -119,6 +119,58 @@
     }
 }
 
+/// Rate in requests per second, stored in thousandths.
+///
+/// # Examples
+///
+/// ```
+/// use masticdock_core::units::RequestRate;
+///
+/// let rate: RequestRate = "1.5".parse().unwrap();
+/// assert_eq!(rate, RequestRate::from_milli(1_500));
+/// assert_eq!(rate.to_string(), "1.5/s");
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// Creates a rate from thousandths of a request per second.
+    #[must_use]
+    pub const fn from_milli(milli: u64) -> Self {
+        Self(milli)
+    }
+
+    /// Returns the rate in thousandths of a request per second.
+    #[must_use]
+    pub const fn as_milli(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    #[allow(clippy::cast_precision_loss)]
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0 as f64 / 1_000.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseQuantityError;
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").unwrap_or(text).trim();
+        let rate = number.parse::<f64>().ok();
+        rate.filter(|rate| rate.is_finite() && *rate >= 0.0)
+            .map(|rate| Self((rate * 1_000.0).round() as u64))
+            .ok_or_else(|| ParseQuantityError {
+                what: "rate",
+                text: text.to_owned(),
+                tip: "write a number of requests per second, for example `1.5`",
+            })
+    }
+}
+
 /// Fraction from 0 to 1, stored in thousandths (0 to 1000).
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/masticdock-node/src/entry/load_guard.rs
+++ b/crates/masticdock-node/src/entry/load_guard.rs
@@ -6,6 +6,7 @@
 use masticdock_core::serving::UpstreamLoad;
 
 use super::state::Entry;
+use crate::clock;
 
 /// Counts a request as in flight at an upstream until it is dropped.
 #[derive(Debug)]
@@ -19,7 +20,10 @@
 impl LoadGuard {
     /// Counts a request with a prompt of `prompt_tokens`.
     pub(super) fn begin(entry: &Rc<Entry>, upstream: &UpstreamId, prompt_tokens: u64) -> Self {
-        entry.with_load(upstream, |load| load.begin_request(prompt_tokens));
+        entry.with_load(upstream, |load| {
+            load.begin_request(prompt_tokens);
+            load.rate_limit.record_send(clock::now());
+        });
         Self {
             entry: Rc::clone(entry),
             upstream: upstream.clone(),
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod candidates;
 mod connections;
 mod crashes;
+mod entry_count;
 mod load_guard;
 mod outcome;
 mod pool;
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -124,6 +124,7 @@
 /// Applies a report to the upstreams whose rows name the agent's VM: usually one, and
 /// after a restart of the engine also its former incarnation.
 fn apply_report(entry: &Entry, ip: IpAddr, report: AgentReport) {
+    entry.entry_count.record(report.entries, clock::now());
     let listed: Vec<(UpstreamId, Option<u64>)> = {
         let catalog = entry.catalog.borrow();
         let on_vm = catalog.directory.iter();
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -18,6 +18,7 @@
 use super::buffers::ResponseBuffers;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
+use super::entry_count::EntryCount;
 use super::pool::ConnectionPools;
 use crate::clock;
 use crate::tables::Catalog;
@@ -48,6 +49,7 @@
     pub(crate) buffers: ResponseBuffers,
     pub(crate) connections: Connections,
     pub(crate) crashes: SharedCrashes,
+    pub(crate) entry_count: EntryCount,
     /// Notified when the operators' table may declare a new version.
     pub(crate) version_declared: Notify,
     stopping_since: Cell<Option<MonoMs>>,
@@ -68,6 +70,7 @@
             pools: ConnectionPools::default(),
             connections: Connections::default(),
             crashes: SharedCrashes::default(),
+            entry_count: EntryCount::default(),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
