Keep to the limit on requests that an upstream names

What users saw: two engines that asked for 1.8 requests a second got as many as the others, up to 21 in 4 s where 16 are allowed.

Cause: Server-Limit was passed on to callers and read by nobody. The class: what an upstream says of itself in its answers is not acted upon.

An upstream is no candidate meanwhile, also for retries and resumed streams; where all are limited, a request is rejected at once with the time of the next possible one.

--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -46,6 +46,8 @@
 pub(crate) struct NoUpstream {
     /// Predicted time at the fastest candidate, in milliseconds; `None` without a candidate.
     pub(crate) best_ms: Option<f64>,
+    /// Earliest time at which the limit of an upstream allows a request.
+    pub(crate) limited_until: Option<MonoMs>,
     pub(crate) candidates: usize,
 }
 
@@ -81,10 +83,15 @@
     let mut schedule = None;
     let mut upstreams = Vec::new();
     let mut candidates = Vec::new();
+    let mut limited_until: Option<MonoMs> = None;
     for upstream in catalog.directory.serving(query.service) {
         if query.excluded.contains(&upstream.id) {
             continue;
         }
+        if let Some(until) = rate_limited_until(entry, &upstream.id, now) {
+            limited_until = Some(limited_until.map_or(until, |earliest| earliest.min(until)));
+            continue;
+        }
         let Some(bounds) = version_bounds(entry, upstream, query.engine, timeline, now) else {
             continue;
         };
@@ -134,15 +141,24 @@
         }
         Placement::Full { best_ms } => Err(NoUpstream {
             best_ms: Some(best_ms),
+            limited_until,
             candidates: count,
         }),
         Placement::NoCandidate => Err(NoUpstream {
             best_ms: None,
+            limited_until,
             candidates: 0,
         }),
     }
 }
 
+/// Returns when the limit that an upstream named allows this entry another request, unless
+/// it allows one now.
+fn rate_limited_until(entry: &Entry, id: &UpstreamId, now: MonoMs) -> Option<MonoMs> {
+    let loads = entry.loads.borrow();
+    loads.get(id)?.rate_limit.blocked_until(now)
+}
+
 /// Limits that the version held by an upstream sets to a request.
 #[derive(Debug, Clone, Copy, Default)]
 struct VersionBounds {
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -9,6 +9,7 @@
 use super::connections::InUseGuard;
 use super::request::Call;
 use super::state::Entry;
+use crate::clock;
 use crate::metrics::metrics;
 
 /// Range of the `Retry-After` delay while a service has no usable upstream, in
@@ -79,18 +80,29 @@
         return respond_with_error(call, "failed", None, status, None, history, in_use);
     }
     entry.record_admission(&call.service, true);
-    let (delay_ms, rejected_share) = if no_upstream.best_ms.is_some() {
-        entry.retry_after(&call.service)
-    } else {
-        let (min_ms, max_ms) = NO_UPSTREAM_RETRY_AFTER_MS;
-        (rand::random_range(min_ms..=max_ms), 1.0)
+    let (reason, (delay_ms, rejected_share)) = match no_upstream {
+        NoUpstream {
+            best_ms: Some(_), ..
+        } => ("full", entry.retry_after(&call.service)),
+        NoUpstream {
+            limited_until: Some(until),
+            ..
+        } => {
+            let (delay_ms, rejected_share) = entry.retry_after(&call.service);
+            let delay_ms = delay_ms.max(until.since_ms(clock::now()));
+            ("rate_limited", (delay_ms, rejected_share))
+        }
+        _ => {
+            let (min_ms, max_ms) = NO_UPSTREAM_RETRY_AFTER_MS;
+            ("no_upstream", (rand::random_range(min_ms..=max_ms), 1.0))
+        }
     };
     log::info!(
         event = "request.rejected",
         request_id = call.head.request_id.as_str(),
         route = call.route.name.as_str(),
         service = call.service.as_str(),
-        reason = if no_upstream.best_ms.is_some() { "full" } else { "no_upstream" },
+        reason = reason,
         candidates = no_upstream.candidates,
         best_ms = no_upstream.best_ms.filter(|best_ms| best_ms.is_finite()).unwrap_or(-1.0),
         returning = call.returning,
