Tell the other entries of a limit that an upstream names

Each entry learnt of a limit from an answer of its own, so with many entries each still sent a request or more after the limit was named: in the simulation of sends_from_before_a_limit_count 15 entries send 16 requests in 4 s, where 15 are allowed; the test failed before.

The first entry that gets an answer with a limit sends it to the three agents that rank first for the upstream's VM, which pass it on to all other entries. An entry that knows the limit keeps what its own answers say, and only these end it.

The test passes with up to 40 entries.

Sending to agents has a module of its own, since crashes and limits both use it; CrashId is UpstreamProcess, as a limit belongs to a process too.

--- a/crates/masticdock-core/src/serving/crashes/engine.rs
+++ b/crates/masticdock-core/src/serving/crashes/engine.rs
@@ -5,7 +5,9 @@
 
 use crate::units::MonoMs;
 
-use super::{CrashId, CrashRecord, CrashRecords, CrashRecordsSettings, RequestFeature, Suspect};
+use super::{
+    CrashRecord, CrashRecords, CrashRecordsSettings, RequestFeature, Suspect, UpstreamProcess,
+};
 
 /// Settings of [`EngineCrashes`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -116,7 +118,7 @@
 
     /// Removes suspects that an entry has refuted from a crash; returns true if this
     /// changed it.
-    pub fn record_refuted(&mut self, id: CrashId, features: &[RequestFeature]) -> bool {
+    pub fn record_refuted(&mut self, id: UpstreamProcess, features: &[RequestFeature]) -> bool {
         self.records.record_refuted(id, features)
     }
 
@@ -127,7 +129,7 @@
 
     fn add_suspects(&mut self, started_at_ms: u64, suspects: &[Suspect], at: MonoMs) -> bool {
         let record = CrashRecord {
-            id: CrashId {
+            id: UpstreamProcess {
                 vm: self.vm,
                 started_at_ms,
             },
--- a/crates/masticdock-core/src/serving/crashes/history.rs
+++ b/crates/masticdock-core/src/serving/crashes/history.rs
@@ -4,7 +4,9 @@
 
 use crate::units::MonoMs;
 
-use super::{CrashId, CrashRecord, RequestFeature, RequestFeatures, Suspect, WHOLE_REQUEST_DEPTH};
+use super::{
+    CrashRecord, RequestFeature, RequestFeatures, Suspect, UpstreamProcess, WHOLE_REQUEST_DEPTH,
+};
 
 /// Settings of a [`CrashHistory`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +83,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RefutedSuspects {
     /// Crash that had the suspects.
-    pub id: CrashId,
+    pub id: UpstreamProcess,
     /// Features that did not cause it.
     pub features: Vec<RequestFeature>,
 }
@@ -101,7 +103,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashHistory {
     settings: CrashHistorySettings,
-    crashes: BTreeMap<CrashId, KnownCrash>,
+    crashes: BTreeMap<UpstreamProcess, KnownCrash>,
     /// Time of the first success by service.
     observed_since: HashMap<u64, MonoMs>,
     /// Latest time at which a request with the feature was sent that succeeded.
@@ -152,7 +154,7 @@
     }
 
     /// Returns the oldest crash that no blocked feature explains, or the oldest one.
-    fn least_useful_record(&self) -> Option<CrashId> {
+    fn least_useful_record(&self) -> Option<UpstreamProcess> {
         let records = self.crashes.values().map(|crash| &crash.record);
         let oldest = records.min_by_key(|record| {
             let is_explained = self.blocked.keys().any(|feature| record.has(*feature));
--- a/crates/masticdock-core/src/serving/crashes/mod.rs
+++ b/crates/masticdock-core/src/serving/crashes/mod.rs
@@ -139,9 +139,9 @@
     pub depth: u8,
 }
 
-/// Identifies a crash: a process of an upstream crashes once.
+/// Identifies a process of an upstream; it crashes once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CrashId {
+pub struct UpstreamProcess {
     /// VM of the upstream.
     pub vm: IpAddr,
     /// Start time of the process, in milliseconds since the Unix epoch.
@@ -152,7 +152,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRecord {
     /// Process that crashed.
-    pub id: CrashId,
+    pub id: UpstreamProcess,
     /// Time of the crash.
     pub at: MonoMs,
     /// Possible causes.
--- a/crates/masticdock-core/src/serving/crashes/records.rs
+++ b/crates/masticdock-core/src/serving/crashes/records.rs
@@ -4,7 +4,7 @@
 
 use crate::units::MonoMs;
 
-use super::{CrashId, CrashRecord, RequestFeature};
+use super::{CrashRecord, RequestFeature, UpstreamProcess};
 
 /// Settings of [`CrashRecords`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     settings: CrashRecordsSettings,
     records: VecDeque<CrashRecord>,
     /// Suspects that were refuted, so that a late report does not add them again.
-    refuted: VecDeque<(CrashId, RequestFeature)>,
+    refuted: VecDeque<(UpstreamProcess, RequestFeature)>,
 }
 
 impl CrashRecords {
@@ -71,7 +71,7 @@
 
     /// Removes suspects that an entry has refuted from a crash; returns true if this
     /// changed it.
-    pub fn record_refuted(&mut self, id: CrashId, features: &[RequestFeature]) -> bool {
+    pub fn record_refuted(&mut self, id: UpstreamProcess, features: &[RequestFeature]) -> bool {
         let Some(record) = self.find_mut(id) else {
             return false;
         };
@@ -100,7 +100,7 @@
             .retain(|record| now.since_ms(record.at) < retention_ms);
     }
 
-    fn find_mut(&mut self, id: CrashId) -> Option<&mut CrashRecord> {
+    fn find_mut(&mut self, id: UpstreamProcess) -> Option<&mut CrashRecord> {
         self.records.iter_mut().find(|record| record.id == id)
     }
 }
--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -11,6 +11,7 @@
 use crate::ids::{ModelId, ServiceId, UpstreamId, ZoneId};
 use crate::units::MonoMs;
 
+use super::crashes::UpstreamProcess;
 use super::versions::VersionNumber;
 
 /// Contiguous layers of one version that an upstream holds.
@@ -68,12 +69,15 @@
 }
 
 impl Upstream {
-    /// Returns a number that differs between processes of upstreams at one address: their
-    /// start time, or a hash of the id if the row does not tell it.
+    /// Returns the process of the upstream. A hash of the id stands for the start time if the
+    /// row does not tell it.
     #[must_use]
-    pub fn process_number(&self) -> u64 {
-        self.started_at_ms
-            .unwrap_or_else(|| u64::from_le_bytes(hash_fields(&[self.id.as_str().as_bytes()])))
+    pub fn process(&self) -> UpstreamProcess {
+        let id_hash = || u64::from_le_bytes(hash_fields(&[self.id.as_str().as_bytes()]));
+        UpstreamProcess {
+            vm: self.address.ip(),
+            started_at_ms: self.started_at_ms.unwrap_or_else(id_hash),
+        }
     }
 }
 
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -34,9 +34,9 @@
     RouteMatch, Service, Workspace,
 };
 pub use crashes::{
-    BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashId, CrashRecord,
+    BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashRecord,
     CrashRecords, CrashRecordsSettings, EngineCrashes, EngineCrashesSettings, RefutedSuspects,
-    RequestFeature, RequestFeatures, Suspect, WHOLE_REQUEST_DEPTH,
+    RequestFeature, RequestFeatures, Suspect, UpstreamProcess, WHOLE_REQUEST_DEPTH,
 };
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
--- a/crates/masticdock-core/src/serving/rate_limit.rs
+++ b/crates/masticdock-core/src/serving/rate_limit.rs
@@ -3,7 +3,9 @@
 //! Load pattern: an upstream in need names in its answers how many requests a second it
 //! takes from all entries together, which can be less than one for each entry. Every entry
 //! learns of the limit from its own answers and spaces its requests by the time in which the
-//! limit allows one to each entry. What it sent before it knew the limit counts as well.
+//! limit allows one to each entry. What it sent before it knew the limit counts as well. The
+//! first entry that learns of a limit tells the others, so that not each of them sends a
+//! request to learn of it.
 //!
 //! Load pattern: requests are rare for a while, then arrive at all entries at the same
 //! moment. A request that an entry could have sent earlier may be sent late only for a short
@@ -106,6 +108,18 @@
         true
     }
 
+    /// Records a limit that the upstream named to another entry, unless one is known. Returns
+    /// true if none was.
+    pub fn record_elsewhere(
+        &mut self,
+        rate: RequestRate,
+        entries: u32,
+        now: MonoMs,
+        draw: f64,
+    ) -> bool {
+        self.limit.is_none() && self.record_answer(Some(rate), entries, now, now, draw)
+    }
+
     /// Returns the limit that the upstream names, if it names one.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
--- a/crates/masticdock-core/tests/serving_crashes.rs
+++ b/crates/masticdock-core/tests/serving_crashes.rs
@@ -3,8 +3,9 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use masticdock_core::serving::{
-    CrashHistory, CrashHistorySettings, CrashId, CrashRecord, CrashRecords, CrashRecordsSettings,
+    CrashHistory, CrashHistorySettings, CrashRecord, CrashRecords, CrashRecordsSettings,
     EngineCrashes, EngineCrashesSettings, RefutedSuspects, RequestFeature, RequestFeatures,
+    UpstreamProcess,
 };
 use masticdock_core::units::MonoMs;
 
@@ -38,8 +39,8 @@
     RequestFeatures::new(features, whole(&own))
 }
 
-fn crash_id(engine: u8) -> CrashId {
-    CrashId {
+fn process(engine: u8) -> UpstreamProcess {
+    UpstreamProcess {
         vm: IpAddr::V4(Ipv4Addr::new(10, 0, 0, engine)),
         started_at_ms: 1_000 + u64::from(engine),
     }
@@ -48,7 +49,7 @@
 /// Returns the crash of an engine that interrupted these requests.
 fn crash(engine: u8, at: MonoMs, requests: &[RequestFeatures]) -> CrashRecord {
     CrashRecord {
-        id: crash_id(engine),
+        id: process(engine),
         at,
         suspects: requests
             .iter()
@@ -289,7 +290,7 @@
     for engine in 1..=9 {
         now = now.plus_ms(CRASH_INTERVAL_MS);
         let number = u64::from(engine);
-        let CrashId { vm, started_at_ms } = crash_id(engine);
+        let UpstreamProcess { vm, started_at_ms } = process(engine);
         let mut agent = EngineCrashes::new(vm, EngineCrashesSettings::default());
         agent.record_engine(Some(started_at_ms), now);
         // Every second engine crashes for another reason.
@@ -486,8 +487,8 @@
         let now = at(u64::from(engine) * 100);
         assert!(records.record(&crash(engine, now, std::slice::from_ref(&bad)), now));
     }
-    let ids: Vec<CrashId> = records.iter().map(|record| record.id).collect();
-    assert_eq!(ids, [crash_id(2), crash_id(3)]);
+    let ids: Vec<UpstreamProcess> = records.iter().map(|record| record.id).collect();
+    assert_eq!(ids, [process(2), process(3)]);
     let retention_ms = CrashRecordsSettings::default().retention_ms;
     records.record(
         &crash(4, at(retention_ms + 500), &[bad]),
@@ -558,7 +559,7 @@
     assert!(is_blocked(&mut history, &features, now));
     for engine in 1..=5 {
         let refuted = RefutedSuspects {
-            id: crash_id(engine),
+            id: process(engine),
             features: vec![part("head"), part("bad")],
         };
         history.record_refuted(&refuted, now);
--- a/crates/masticdock-core/tests/serving_engine_crashes.rs
+++ b/crates/masticdock-core/tests/serving_engine_crashes.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use masticdock_core::serving::{
-    CrashId, CrashRecord, EngineCrashes, EngineCrashesSettings, RequestFeature, RequestFeatures,
-    Suspect,
+    CrashRecord, EngineCrashes, EngineCrashesSettings, RequestFeature, RequestFeatures, Suspect,
+    UpstreamProcess,
 };
 use masticdock_core::units::MonoMs;
 
@@ -84,7 +84,7 @@
     crashes.record_engine(Some(5), at(0));
     crashes.record_suspects(Some(5), &features.suspects(), at(10));
     crashes.record_engine(None, at(100));
-    let id = CrashId {
+    let id = UpstreamProcess {
         vm: VM,
         started_at_ms: 5,
     };
--- a/crates/masticdock-core/tests/serving_rate_limit.rs
+++ b/crates/masticdock-core/tests/serving_rate_limit.rs
@@ -11,6 +11,8 @@
 const NAMED_AT_MS: u64 = 8_000;
 /// Time from a request to its answer, in milliseconds.
 const ANSWER_MS: u64 = 120;
+/// Time until the other entries hear of the first answer with the limit, in milliseconds.
+const PASS_ON_MS: u64 = 20;
 
 fn at(ms: u64) -> MonoMs {
     MonoMs(60_000 + ms)
@@ -51,6 +53,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut states: Vec<Entry> = (0..entries).map(|_| Entry::default()).collect();
     let mut sent = Vec::new();
+    let mut passed_on_at = None;
     for ms in 0..60_000_u64 {
         let now = at(ms);
         for entry in &mut states {
@@ -64,8 +67,16 @@
                 let draw = rng.random();
                 entry.told_ms = entry.told_ms.or(named.map(|_| ms));
                 let share = &mut entry.share;
+                if named.is_some() && share.rate().is_none() {
+                    passed_on_at = passed_on_at.or(Some(ms + PASS_ON_MS));
+                }
                 share.record_answer(named, entries, at(sent_ms), now, draw);
             }
+            if passed_on_at == Some(ms) {
+                let draw = rng.random();
+                let share = &mut entry.share;
+                share.record_elsewhere(rate(limit_milli), entries, now, draw);
+            }
             let demand_milli = match (ms < NAMED_AT_MS, demand.bursts) {
                 (true, _) => demand.before_milli,
                 (false, true) if ms % 5_000 >= 1_000 => 0,
@@ -127,7 +138,8 @@
     }
 }
 
-/// Guards against entries that learn of a limit and do not count what they sent before.
+/// Guards against entries that learn of a limit and do not count what they sent before, or
+/// each of which sends a request to learn of it.
 #[test]
 fn sends_from_before_a_limit_count() {
     let demand = Demand {
@@ -135,10 +147,13 @@
         after_milli: 4_700,
         bursts: false,
     };
-    for seed in 0..50 {
-        let sent = simulate(3, 1_800, &demand, seed);
-        let most = most_in_window(sent.into_iter(), NAMED_AT_MS + 3_000);
-        assert!(most <= allowed(1_800), "{most}, seed {seed}");
+    for entries in [1, 3, 15, 40] {
+        for seed in 0..25 {
+            let sent = simulate(entries, 1_800, &demand, seed);
+            let most = most_in_window(sent.into_iter(), NAMED_AT_MS + 3_000);
+            let at_most = allowed(1_800);
+            assert!(most <= at_most, "{most} by {entries} entries, seed {seed}");
+        }
     }
 }
 
--- a/crates/masticdock-node/src/agent/crashes.rs
+++ b/crates/masticdock-node/src/agent/crashes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use masticdock_adapter::EngineReport;
-use masticdock_core::serving::{CrashId, CrashRecord};
+use masticdock_core::serving::{CrashRecord, UpstreamProcess};
 use masticdock_core::units::MonoMs;
 use tokio::net::UdpSocket;
 
@@ -60,7 +60,7 @@
     sender: SocketAddr,
     refuted: &Refuted,
 ) {
-    let CrashId { vm, .. } = refuted.id;
+    let UpstreamProcess { vm, .. } = refuted.id;
     let changed = if vm == agent.settings.ip {
         let mut crashes = agent.crashes.borrow_mut();
         crashes.record_refuted(refuted.id, &refuted.features)
@@ -71,10 +71,21 @@
     if !changed {
         return;
     }
-    let bytes = encode(&Datagram::Refuted(refuted.clone()));
+    // An entry that misses this refutes the suspect by a success of its own.
+    send_to_others(agent, socket, sender, &Datagram::Refuted(refuted.clone()));
+}
+
+/// Sends a datagram of an entry to all other known entries.
+pub(crate) fn send_to_others(
+    agent: &Agent,
+    socket: &UdpSocket,
+    sender: SocketAddr,
+    datagram: &Datagram,
+) {
+    let bytes = encode(datagram);
     for entry in agent.entries.borrow().keys() {
         if *entry != sender {
-            // An entry that misses this refutes the suspect by a success of its own.
+            // Lost datagrams are repeated by their sender or do not matter.
             let _ = socket.try_send_to(&bytes, *entry);
         }
     }
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -95,6 +95,9 @@
                     crashes::record_refuted(&agent, &socket, sender, &refuted);
                 }
                 Some(Datagram::Crash(crash)) => crashes::record_crash(&agent, &crash),
+                Some(limited @ Datagram::Limited(_)) => {
+                    crashes::send_to_others(&agent, &socket, sender, &limited);
+                }
                 Some(Datagram::Report(_)) | None => {}
             }
         }
--- a/crates/masticdock-node/src/datagram/crashes.rs
+++ b/crates/masticdock-node/src/datagram/crashes.rs
@@ -1,10 +1,10 @@
-//! Datagrams about crashes of upstreams: what entries suspect and refute, and what agents
-//! or, where none stands beside the upstream, entries have confirmed.
+//! Datagrams about upstreams: their crashes, which requests entries suspect and refute, and
+//! limits that upstreams name.
 
 use std::net::{IpAddr, Ipv6Addr};
 
-use masticdock_core::serving::{CrashId, CrashRecord, RequestFeature, Suspect};
-use masticdock_core::units::MonoMs;
+use masticdock_core::serving::{CrashRecord, RequestFeature, Suspect, UpstreamProcess};
+use masticdock_core::units::{MonoMs, RequestRate};
 
 use super::DATAGRAM_BYTES_MAX;
 
@@ -14,6 +14,8 @@
 const CRASH_MAGIC: [u8; 4] = *b"mdc2";
 /// Prefix of refuted suspects.
 const REFUTED_MAGIC: [u8; 4] = *b"mdf2";
+/// Prefix of a limit.
+const LIMITED_MAGIC: [u8; 4] = *b"mdl1";
 /// Length of an encoded suspect, in bytes.
 const SUSPECT_BYTES: usize = 9;
 /// Length of an encoded feature, in bytes.
@@ -38,7 +40,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Crash {
     /// Process that crashed.
-    pub(crate) id: CrashId,
+    pub(crate) id: UpstreamProcess,
     /// Time since the crash, in milliseconds.
     pub(crate) age_ms: u32,
     /// True once an entry has refuted one of the suspects.
@@ -51,11 +53,38 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Refuted {
     /// Process that crashed.
-    pub(crate) id: CrashId,
+    pub(crate) id: UpstreamProcess,
     /// Features of requests that succeeded after the crash.
     pub(crate) features: Vec<RequestFeature>,
 }
 
+/// Limit that an upstream named in an answer to an entry. Agents pass it on to all entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Limited {
+    /// Process that named the limit.
+    pub(crate) process: UpstreamProcess,
+    /// Requests a second that it takes from all entries together.
+    pub(crate) rate: RequestRate,
+}
+
+impl Limited {
+    pub(super) fn encode(self) -> Vec<u8> {
+        let mut bytes = LIMITED_MAGIC.to_vec();
+        put_process(&mut bytes, self.process);
+        bytes.extend_from_slice(&self.rate.as_milli().to_le_bytes());
+        bytes
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (process, rest) = take_process(bytes.strip_prefix(&LIMITED_MAGIC)?)?;
+        let rate = u64::from_le_bytes(rest.try_into().ok()?);
+        Some(Self {
+            process,
+            rate: RequestRate::from_milli(rate),
+        })
+    }
+}
+
 impl Suspects {
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut bytes = SUSPECTS_MAGIC.to_vec();
@@ -99,7 +128,7 @@
 
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut bytes = CRASH_MAGIC.to_vec();
-        put_crash_id(&mut bytes, self.id);
+        put_process(&mut bytes, self.id);
         bytes.extend_from_slice(&self.age_ms.to_le_bytes());
         bytes.push(self.reviewed.into());
         put_suspects(&mut bytes, &self.suspects);
@@ -107,7 +136,7 @@
     }
 
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (id, rest) = take_crash_id(bytes.strip_prefix(&CRASH_MAGIC)?)?;
+        let (id, rest) = take_process(bytes.strip_prefix(&CRASH_MAGIC)?)?;
         let (age_ms, rest) = rest.split_first_chunk()?;
         let (reviewed, rest) = rest.split_first()?;
         Some(Self {
@@ -122,7 +151,7 @@
 impl Refuted {
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut bytes = REFUTED_MAGIC.to_vec();
-        put_crash_id(&mut bytes, self.id);
+        put_process(&mut bytes, self.id);
         for feature in self.features.iter().take(SUSPECTS_MAX) {
             bytes.extend_from_slice(&feature.0.to_le_bytes());
         }
@@ -130,7 +159,7 @@
     }
 
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (id, rest) = take_crash_id(bytes.strip_prefix(&REFUTED_MAGIC)?)?;
+        let (id, rest) = take_process(bytes.strip_prefix(&REFUTED_MAGIC)?)?;
         let (features, rest) = rest.as_chunks::<FEATURE_BYTES>();
         rest.is_empty().then(|| Self {
             id,
@@ -142,7 +171,7 @@
     }
 }
 
-fn put_crash_id(bytes: &mut Vec<u8>, id: CrashId) {
+fn put_process(bytes: &mut Vec<u8>, id: UpstreamProcess) {
     let vm = match id.vm {
         IpAddr::V4(vm) => vm.to_ipv6_mapped(),
         IpAddr::V6(vm) => vm,
@@ -151,11 +180,11 @@
     bytes.extend_from_slice(&id.started_at_ms.to_le_bytes());
 }
 
-fn take_crash_id(bytes: &[u8]) -> Option<(CrashId, &[u8])> {
+fn take_process(bytes: &[u8]) -> Option<(UpstreamProcess, &[u8])> {
     let (vm, rest) = bytes.split_first_chunk::<16>()?;
     let (started_at_ms, rest) = take_u64(rest)?;
     let vm = Ipv6Addr::from(*vm).to_canonical();
-    Some((CrashId { vm, started_at_ms }, rest))
+    Some((UpstreamProcess { vm, started_at_ms }, rest))
 }
 
 fn put_suspects(bytes: &mut Vec<u8>, suspects: &[Suspect]) {
--- a/crates/masticdock-node/src/datagram/mod.rs
+++ b/crates/masticdock-node/src/datagram/mod.rs
@@ -11,7 +11,7 @@
 use masticdock_core::serving::{AgentReport, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 
-pub(crate) use crashes::{Crash, Refuted, Suspects};
+pub(crate) use crashes::{Crash, Limited, Refuted, Suspects};
 pub(crate) use hello::{ConfiguredTarget, Hello};
 
 /// Prefix of an announcement of held chunks.
@@ -42,6 +42,8 @@
     Crash(Crash),
     /// Suspects of a crash that an entry has refuted.
     Refuted(Refuted),
+    /// Limit that an upstream named.
+    Limited(Limited),
 }
 
 /// Encodes a datagram. Versions of a hello that exceed the maximum length are omitted;
@@ -54,6 +56,7 @@
         Datagram::Suspects(suspects) => suspects.encode(),
         Datagram::Crash(crash) => crash.encode(),
         Datagram::Refuted(refuted) => refuted.encode(),
+        Datagram::Limited(limited) => limited.encode(),
     }
 }
 
@@ -139,4 +142,5 @@
         .map(Datagram::Suspects)
         .or_else(|| Crash::decode(bytes).map(Datagram::Crash))
         .or_else(|| Refuted::decode(bytes).map(Datagram::Refuted))
+        .or_else(|| Limited::decode(bytes).map(Datagram::Limited))
 }
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -24,6 +24,7 @@
 use super::candidates::ChosenUpstream;
 use super::crashes;
 use super::load_guard::LoadGuard;
+use super::rate_limits;
 use super::request::Call;
 use super::state::Entry;
 use super::wait::{WaitLimits, await_upstream, record_wait};
@@ -188,7 +189,7 @@
     {
         return broken_attempt(call, target, "the response belongs to another request");
     }
-    record_rate_limit(entry, call, target, &head, limits);
+    rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
     if head.not_executed {
         log::warn!(
             event = "attempt.not_executed",
@@ -320,37 +321,6 @@
     });
 }
 
-/// Records the limit that an upstream names in an answer. One that it did not run may come
-/// from a queue that does not tell the limit.
-fn record_rate_limit(
-    entry: &Entry,
-    call: &Call,
-    target: &UpstreamTarget,
-    head: &UpstreamHead,
-    limits: &WaitLimits,
-) {
-    if head.rate_limit.is_none() && head.not_executed {
-        return;
-    }
-    let now = clock::now();
-    let entries = entry.entry_count.get();
-    let changed = entry.with_load(&target.id, |load| {
-        let sent_at = limits.started_mono;
-        let limit = &mut load.rate_limit;
-        limit.record_answer(head.rate_limit, entries, sent_at, now, rand::random())
-    });
-    if changed {
-        log::info!(
-            event = "upstream.limited",
-            request_id = call.head.request_id.as_str(),
-            upstream = target.id.as_str(),
-            limit:% = head.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
-            entries = entries;
-            "an upstream changed the limit on the requests of all entries"
-        );
-    }
-}
-
 /// Returns the response head without hop-by-hop and internal headers.
 fn forwarded_head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
     let mut head = Response::new(());
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -1,70 +1,43 @@
 //! Shares crashes of upstreams through agents, and rejects requests that cause them.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use masticdock_adapter::{CallError, CallerHead};
 use masticdock_core::ids::{ServiceId, WorkspaceId};
-use masticdock_core::rendezvous;
 use masticdock_core::serving::{
-    CrashHistory, CrashId, CrashRecord, RefutedSuspects, RequestFeature, RequestFeatures, Suspect,
-    Upstream,
+    CrashHistory, CrashRecord, RefutedSuspects, RequestFeature, RequestFeatures, Suspect, Upstream,
+    UpstreamProcess,
 };
 use masticdock_core::units::MonoMs;
-use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::reports;
+use super::agents::{relays, send_repeatedly};
 use super::request::Call;
 use super::state::Entry;
 use crate::clock;
 use crate::datagram::{Crash, Datagram, Refuted, Suspects, encode};
 use crate::metrics::metrics;
 
-/// Pauses before each sending of a report, since datagrams can be lost.
-const REPORT_PAUSES: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(150),
-    Duration::from_millis(250),
-];
-
 /// Pauses before each attempt to connect to an upstream whose connection broke. Its port may
 /// close shortly after its connections.
 const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(150)];
 /// Maximum time of such an attempt.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Number of agents that keep the crashes of an upstream without an agent: some may be
-/// stopped, unreachable or restart at the same time.
-const KEEPERS: usize = 3;
-
-/// Crashes that the entry knows of, and its socket for datagrams to agents.
+/// Crashes that the entry knows of.
 #[derive(Debug, Default)]
 pub(crate) struct SharedCrashes {
     history: RefCell<CrashHistory>,
     /// Requests that a possible crash interrupted, while it is being confirmed.
-    unconfirmed: RefCell<HashMap<CrashId, Vec<Suspect>>>,
-    socket: OnceCell<Rc<UdpSocket>>,
+    unconfirmed: RefCell<HashMap<UpstreamProcess, Vec<Suspect>>>,
 }
 
 impl SharedCrashes {
-    /// Sets the socket from which reports are sent.
-    pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
-        // The socket is bound once.
-        let _ = self.socket.set(socket);
-    }
-
-    /// Sends a datagram to the agent on a VM; a lost one is repeated or does not matter.
-    fn send(&self, bytes: &[u8], agent: SocketAddr) {
-        if let Some(socket) = self.socket.get() {
-            let _ = socket.try_send_to(bytes, agent);
-        }
-    }
-
     /// Returns whether a request may be sent to another upstream after a failed attempt.
     pub(crate) fn allows_retry(&self, call: &Call) -> bool {
         self.refresh();
@@ -126,23 +99,10 @@
     spawn_local(send_repeatedly(Rc::clone(entry), report, vec![agent]));
 }
 
-async fn send_repeatedly(entry: Rc<Entry>, report: Datagram, agents: Vec<SocketAddr>) {
-    let bytes = encode(&report);
-    for pause in REPORT_PAUSES {
-        sleep(pause).await;
-        for agent in &agents {
-            entry.crashes.send(&bytes, *agent);
-        }
-    }
-}
-
 /// Records a crash of an upstream without an agent if its port is closed, and tells the
 /// agents that keep its crashes.
 fn confirm_crash(entry: &Rc<Entry>, call: &Call, upstream: &Upstream) {
-    let id = CrashId {
-        vm: upstream.address.ip(),
-        started_at_ms: upstream.process_number(),
-    };
+    let id = upstream.process();
     let suspects = call.features.suspects();
     let mut unconfirmed = entry.crashes.unconfirmed.borrow_mut();
     if let Some(interrupted) = unconfirmed.get_mut(&id) {
@@ -150,7 +110,7 @@
         return;
     }
     unconfirmed.insert(id, suspects);
-    let keepers = crash_keepers(entry, id.vm);
+    let agents = relays(entry, id.vm);
     let (entry, upstream, at) = (Rc::clone(entry), upstream.clone(), clock::now());
     spawn_local(async move {
         let is_gone = is_gone(&entry, &upstream).await;
@@ -167,7 +127,7 @@
         record_crash(&entry, &record);
         for crash in Crash::of_record(&record, clock::now()) {
             let report = Datagram::Crash(crash);
-            spawn_local(send_repeatedly(Rc::clone(&entry), report, keepers.clone()));
+            spawn_local(send_repeatedly(Rc::clone(&entry), report, agents.clone()));
         }
     });
 }
@@ -191,40 +151,23 @@
     false
 }
 
-/// Returns the agents that keep the crashes of an upstream on `vm`, which has no agent, for
-/// all entries.
-fn crash_keepers(entry: &Entry, vm: IpAddr) -> Vec<SocketAddr> {
-    let ips_by_service = reports::agent_ips_by_service(entry);
-    let agents: Vec<(IpAddr, String)> = ips_by_service
-        .into_values()
-        .flatten()
-        .map(|ip| (ip, ip.to_string()))
-        .collect();
-    let key = vm.to_string();
-    rendezvous::rank(key.as_bytes(), &agents, |(_, name)| name.as_str())
-        .into_iter()
-        .take(KEEPERS)
-        .map(|(ip, _)| SocketAddr::new(*ip, entry.settings.peer_port))
-        .collect()
-}
-
 /// Records that an upstream ran a request without a crash, and tells the agents that keep
 /// crashes which this request cannot have caused.
 pub(crate) fn record_success(entry: &Entry, call: &Call, sent_at: MonoMs) {
     let mut history = entry.crashes.history.borrow_mut();
     for refuted in history.record_success(&call.features, sent_at, clock::now()) {
         let vm = refuted.id.vm;
-        let keepers = if call.runs_on_engine() {
+        let agents = if call.runs_on_engine() {
             vec![SocketAddr::new(vm, entry.settings.peer_port)]
         } else {
-            crash_keepers(entry, vm)
+            relays(entry, vm)
         };
         let bytes = encode(&Datagram::Refuted(Refuted {
             id: refuted.id,
             features: refuted.features,
         }));
-        for agent in keepers {
-            entry.crashes.send(&bytes, agent);
+        for agent in agents {
+            entry.agent_socket.send(&bytes, agent);
         }
     }
 }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Entry role: accepts requests from callers and routes them to upstreams.
 
+mod agents;
 mod answer;
 mod attempt;
 mod body;
@@ -11,6 +12,7 @@
 mod load_guard;
 mod outcome;
 mod pool;
+mod rate_limits;
 mod relay;
 mod reports;
 mod request;
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -1,5 +1,5 @@
 //! Subscribes to the agents' reports on their engines and applies them, as well as the
-//! crashes that they know of.
+//! crashes and limits that they pass on.
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -12,6 +12,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::crashes;
+use super::rate_limits;
 use super::state::Entry;
 use crate::clock;
 use crate::datagram::{ConfiguredTarget, DATAGRAM_BYTES_MAX, Datagram, Hello, decode, encode};
@@ -38,7 +39,7 @@
             return;
         }
     };
-    entry.crashes.set_socket(Rc::clone(&socket));
+    entry.agent_socket.set(Rc::clone(&socket));
     let mut hello_timer = interval(HELLO_INTERVAL);
     hello_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut hello_sent_to: HashSet<IpAddr> = HashSet::new();
@@ -58,6 +59,9 @@
                         crashes::record_crash(&entry, &crash.to_record(clock::now()));
                     }
                     Some(Datagram::Refuted(refuted)) => crashes::record_refuted(&entry, refuted),
+                    Some(Datagram::Limited(limited)) => {
+                        rate_limits::record_elsewhere(&entry, limited);
+                    }
                     _ => {}
                 }
                 continue;
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -15,6 +15,7 @@
 
 use tokio::sync::Notify;
 
+use super::agents::AgentSocket;
 use super::buffers::ResponseBuffers;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
@@ -48,6 +49,7 @@
     pub(crate) pools: ConnectionPools,
     pub(crate) buffers: ResponseBuffers,
     pub(crate) connections: Connections,
+    pub(crate) agent_socket: AgentSocket,
     pub(crate) crashes: SharedCrashes,
     pub(crate) entry_count: EntryCount,
     /// Notified when the operators' table may declare a new version.
@@ -69,6 +71,7 @@
             deadlines: RefCell::default(),
             pools: ConnectionPools::default(),
             connections: Connections::default(),
+            agent_socket: AgentSocket::default(),
             crashes: SharedCrashes::default(),
             entry_count: EntryCount::default(),
             version_declared: Notify::new(),
