Keep a stream whose upstream is silent

Callers saw a stream cut after its first events although its upstream was sound: it had sent nothing for a little more than 1.2 s. On routes that may be resumed the stream was also cut if no other upstream took it. Besides, the sound upstream got a backoff, and the request was reported as the possible cause of a crash.

Cause: Relay ended a stream after EVENT_TIMEOUT without an event, as if silence proved a failure. Class: a guess from a timeout that is treated as a fact and whose consequence cannot be undone.

Change: silence ends no stream. After 1.2 s without a byte the stream is resumed at another upstream where its kind, its attempts, the retry budget and free places allow that, and the silent one stays open. The stream that delivers the next event is relayed and the other one is closed, so events of both are never mixed; a resumed stream that ends without an event does not replace a silent one. The resumption spends the retry budget and counts as an attempt, as before. What is certain still ends a stream: an error or the end of its connection, or a row or report that names a later process of the upstream. Bytes that complete no event are no silence and are limited to 1.2 s of writing; a pause between them counts as silence. A late check shows that the entry itself was paused and counts as one interval.

Placement learns of silence without a backoff: other upstreams are preferred, for as long as the upstream has been silent (1 to 4 s) or until it sends anything.

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -22,13 +22,18 @@
     Broken,
     /// The upstream sent nothing within the timeout.
     Silent,
+    /// The response was not needed or cannot continue the caller's stream.
+    Discarded,
 }
 
 impl AttemptOutcome {
     /// Returns true when the request may have run.
     #[must_use]
     pub const fn may_have_run(self) -> bool {
-        matches!(self, Self::ServerError | Self::Broken | Self::Silent)
+        matches!(
+            self,
+            Self::ServerError | Self::Broken | Self::Silent | Self::Discarded
+        )
     }
 
     /// Returns the name used in logs and metrics.
@@ -40,6 +45,7 @@
             Self::ServerError => "server_error",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::Discarded => "discarded",
         }
     }
 }
@@ -112,6 +118,53 @@
 /// Minimum remaining time for another attempt, in milliseconds.
 const ATTEMPT_TIME_MIN_MS: u64 = 100;
 
+/// Reason why a request is never sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDenial {
+    /// The request may have run and must not run twice.
+    NotRepeatable,
+    /// All attempts are used.
+    AttemptsUsed,
+    /// Too little time remains.
+    NoTimeLeft,
+}
+
+impl RetryDenial {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::AttemptsUsed => "attempts_used",
+            Self::NoTimeLeft => "no_time_left",
+        }
+    }
+}
+
+/// Checks whether a request may be sent again after the attempts in `history`, apart from
+/// the retry budget and the capacity of upstreams, which change.
+///
+/// # Errors
+///
+/// Returns a [`RetryDenial`] that holds for the rest of the request.
+pub fn check_retry(
+    kind: RequestKind,
+    attempts_max: u32,
+    history: &AttemptHistory,
+    remaining_ms: u64,
+) -> Result<(), RetryDenial> {
+    if history.may_have_run && !kind.is_safe_to_retry() {
+        return Err(RetryDenial::NotRepeatable);
+    }
+    if history.sent >= attempts_max || history.not_sent >= CONNECT_FAILURES_MAX {
+        return Err(RetryDenial::AttemptsUsed);
+    }
+    if remaining_ms < ATTEMPT_TIME_MIN_MS {
+        return Err(RetryDenial::NoTimeLeft);
+    }
+    Ok(())
+}
+
 /// Decides what follows an attempt; `history` includes it.
 pub fn next_step(
     kind: RequestKind,
@@ -130,13 +183,7 @@
     } else {
         FinalResponse::NotRun
     };
-    if history.may_have_run && !kind.is_safe_to_retry() {
-        return NextStep::End(response);
-    }
-    if history.sent >= attempts_max
-        || history.not_sent >= CONNECT_FAILURES_MAX
-        || remaining_ms < ATTEMPT_TIME_MIN_MS
-    {
+    if check_retry(kind, attempts_max, history, remaining_ms).is_err() {
         return NextStep::End(response);
     }
     // The first send after failed connections is not a retry.
--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -79,6 +79,16 @@
             started_at_ms: self.started_at_ms.unwrap_or_else(id_hash),
         }
     }
+
+    /// Returns whether `started_at_ms`, the start of a process that was seen later in the
+    /// place of this one, shows that this process is gone.
+    #[must_use]
+    pub fn is_replaced_by(&self, started_at_ms: Option<u64>) -> bool {
+        match (self.started_at_ms, started_at_ms) {
+            (Some(own), Some(later)) => own < later,
+            _ => false,
+        }
+    }
 }
 
 /// Change to the directory that follows from a change of rows.
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -60,6 +60,11 @@
 /// Backoff after the upstream rejected a request, in milliseconds: in a full batch
 /// about one request ends in that time.
 const REJECTION_BACKOFF_MS: u64 = 100;
+/// Time without a byte from which an upstream counts as silent, in milliseconds.
+const SILENCE_MIN_MS: u64 = 500;
+/// Range of the time for which other upstreams are preferred to a silent one, in
+/// milliseconds.
+const SILENCE_AVOIDANCE_RANGE_MS: (u64, u64) = (1_000, 4_000);
 /// Age from which a load report is stale, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 3_000;
 
@@ -113,6 +118,8 @@
     consecutive_failures: u32,
     backoff_until: MonoMs,
     last_activity_at: MonoMs,
+    /// Time until which other upstreams are preferred, since this one was silent.
+    avoided_until: MonoMs,
     /// Smoothed service time, in milliseconds; 0 before the first sample.
     service_ms: f64,
 }
@@ -257,6 +264,25 @@
     pub fn record_activity(&mut self, now: MonoMs) {
         self.last_activity_at = now;
         self.consecutive_failures = 0;
+        self.avoided_until = MonoMs(0);
+    }
+
+    /// Records that a request has waited for `waited_ms` without a byte. If the upstream sent
+    /// none on other connections either, it is avoided for as long as it has been silent.
+    pub fn record_silence(&mut self, waited_ms: u64, now: MonoMs) {
+        let silent_ms = now.since_ms(self.last_activity_at);
+        if waited_ms.min(silent_ms) < SILENCE_MIN_MS {
+            return;
+        }
+        let (min_ms, max_ms) = SILENCE_AVOIDANCE_RANGE_MS;
+        let avoided_ms = silent_ms.clamp(min_ms, max_ms);
+        self.avoided_until = now.plus_ms(avoided_ms);
+    }
+
+    /// Returns true while other upstreams are preferred because this one is silent.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoMs) -> bool {
+        now < self.avoided_until
     }
 
     /// Returns when the upstream last sent data.
@@ -299,6 +325,7 @@
     pub fn record_recovery(&mut self, now: MonoMs) {
         self.consecutive_failures = 0;
         self.backoff_until = self.backoff_until.min(now);
+        self.avoided_until = MonoMs(0);
     }
 
     /// Returns true while no requests are sent to the upstream.
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -18,13 +18,14 @@
 mod retry_after;
 mod sse;
 mod store_reads;
+mod stream_progress;
 mod switch_plan;
 mod versions;
 mod waits;
 
 pub use attempts::{
-    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, WindowedRetryBudget,
-    WindowedRetryBudgetSettings, connect_timeout_ms, next_step,
+    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, RetryDenial, WindowedRetryBudget,
+    WindowedRetryBudgetSettings, check_retry, connect_timeout_ms, next_step,
 };
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
@@ -50,5 +51,6 @@
 pub use retry_after::{RetryAfter, RetryAfterSettings};
 pub use sse::{EventSplitter, StreamEvent};
 pub use store_reads::{StoreReadSchedule, StoreReadSettings};
+pub use stream_progress::{StreamProgress, StreamProgressSettings};
 pub use switch_plan::{SwitchPlan, SwitchTiming};
 pub use versions::{BeginMargins, BeginWindow, PathDelays, VersionNumber, VersionTimeline};
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -8,7 +8,8 @@
 //! Where agents divide the free places of their engines among the entries, a request
 //! goes to an engine that grants this entry a place. Without any, it goes to an engine
 //! with free slots as long as nothing was rejected recently, because then the places that
-//! other entries hold are not all used.
+//! other entries hold are not all used. An upstream that is silent comes last: it may be
+//! sound and go on, or never answer.
 //!
 //! A returning request, which its caller sends after an earlier rejection, is late
 //! already. It is admitted slightly more readily than a new one, because a second
@@ -50,6 +51,8 @@
     pub distance_ms: f64,
     /// True when its agent grants this entry a place; `None` if no agent divides them.
     pub has_place: Option<bool>,
+    /// True if it sends nothing at the moment although requests wait for it.
+    pub silent: bool,
     /// Random number in 0..1 that breaks ties between candidates.
     pub draw: f64,
 }
@@ -128,6 +131,7 @@
 ) -> Placement {
     let mut best: Option<Choice> = None;
     let mut best_without_place: Option<Choice> = None;
+    let mut best_silent: Option<Choice> = None;
     let mut best_rejected_ms = f64::INFINITY;
     let objective_share = if returning {
         rules.returning_objective_share
@@ -153,6 +157,11 @@
             best_rejected_ms = best_rejected_ms.min(predicted_ms);
             continue;
         };
+        let slot = if candidate.silent {
+            &mut best_silent
+        } else {
+            slot
+        };
         if slot.is_none_or(|chosen| cost_ms < chosen.cost_ms) {
             *slot = Some(Choice {
                 index,
@@ -161,7 +170,7 @@
             });
         }
     }
-    match best.or(best_without_place) {
+    match best.or(best_without_place).or(best_silent) {
         Some(choice) => Placement::Send {
             index: choice.index,
             predicted_ms: choice.predicted_ms,
--- a/crates/masticdock-core/src/serving/sse.rs
+++ b/crates/masticdock-core/src/serving/sse.rs
@@ -9,6 +9,18 @@
     pub id: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Returns whether the event comes after the event `last_id`. An event without an id has
+    /// no position.
+    #[must_use]
+    pub fn follows(&self, last_id: Option<u64>) -> bool {
+        match (self.id, last_id) {
+            (Some(id), Some(last_id)) => id > last_id,
+            _ => true,
+        }
+    }
+}
+
 /// Incrementally splits the bytes of a stream into complete events.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
--- a/crates/masticdock-core/tests/serving_attempts.rs
+++ b/crates/masticdock-core/tests/serving_attempts.rs
@@ -8,12 +8,13 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const OUTCOMES: [AttemptOutcome; 5] = [
+const OUTCOMES: [AttemptOutcome; 6] = [
     AttemptOutcome::NotSent,
     AttemptOutcome::NotExecuted,
     AttemptOutcome::ServerError,
     AttemptOutcome::Broken,
     AttemptOutcome::Silent,
+    AttemptOutcome::Discarded,
 ];
 
 fn kinds() -> impl Strategy<Value = RequestKind> {
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -116,3 +116,14 @@
     assert_eq!(state(0, 15).complete_version(16), None);
     assert_eq!(state(1, 16).complete_version(16), None);
 }
+
+/// Guards against a sound process that counts as gone because an old row or report of its
+/// predecessor arrives late.
+#[test]
+fn only_a_later_process_replaces_an_upstream() {
+    let running = upstream("u-1", false, 1_000);
+    assert!(running.is_replaced_by(Some(2_000)));
+    for started_at_ms in [None, Some(1_000), Some(500)] {
+        assert!(!running.is_replaced_by(started_at_ms));
+    }
+}
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -268,6 +268,7 @@
         service_ms: 0.0,
         distance_ms: 0.0,
         has_place: load.has_place(now),
+        silent: load.is_silent(now),
         draw,
     }
 }
@@ -496,3 +497,26 @@
         "{without_queue} against {with_queue}"
     );
 }
+
+/// Guards against new requests that wait at a silent upstream beside a busier one, and
+/// against a rejection where only silent ones have room.
+#[test]
+fn silent_upstreams_are_chosen_last() {
+    let now = MonoMs(60_000);
+    let mut load = UpstreamLoad::default();
+    load.record_activity(now);
+    load.record_silence(1_200, now.plus_ms(100));
+    assert!(!load.is_silent(now), "it sent data on another connection");
+    load.record_silence(1_200, now.plus_ms(1_200));
+    assert!(!load.is_backing_off(now.plus_ms(1_200)));
+    let silent = candidate(&load, now.plus_ms(1_200), 0.0);
+    let busier = Candidate { total: 8, ..idle() };
+    let index = |candidates: &[Candidate]| match place_request(candidates, 50, false) {
+        Placement::Send { index, .. } => index,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(index(&[silent, busier]), 1);
+    assert_eq!(index(&[silent]), 0);
+    load.record_activity(now.plus_ms(1_300));
+    assert!(!load.is_silent(now.plus_ms(1_300)));
+}
--- a/crates/masticdock-core/tests/serving_streams.rs
+++ b/crates/masticdock-core/tests/serving_streams.rs
@@ -1,6 +1,9 @@
 //! Tests of splitting streams into events, and of returning callers.
 
-use masticdock_core::serving::{DeadlineEstimate, EventSplitter, RetryAfter, RetryAfterSettings};
+use masticdock_core::serving::{
+    DeadlineEstimate, EventSplitter, RetryAfter, RetryAfterSettings, StreamProgress,
+    StreamProgressSettings,
+};
 use masticdock_core::units::MonoMs;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: d";
@@ -76,3 +79,40 @@
     }
     assert!(retry_after.delay_ms(0.99) < settings.delay_min_ms + 200);
 }
+
+/// Feeds a stream that was just delivered with bytes after each pause; returns the longest
+/// silence that counted, and whether the bytes may go on.
+fn read_with_pauses(pauses_ms: &[u64], completes_event: impl Fn(usize) -> bool) -> (u64, bool) {
+    let settings = StreamProgressSettings::default();
+    let mut now = MonoMs(60_000);
+    let mut progress = StreamProgress::new(settings, now);
+    let mut silent_ms = 0;
+    for (index, pause_ms) in pauses_ms.iter().enumerate() {
+        for _ in 0..pause_ms / settings.check_interval_ms {
+            now = now.plus_ms(settings.check_interval_ms);
+            silent_ms = silent_ms.max(progress.check(now).unwrap_or(0));
+        }
+        now = now.plus_ms(pause_ms % settings.check_interval_ms);
+        if !progress.record_bytes(completes_event(index), now) {
+            return (silent_ms, false);
+        }
+    }
+    (silent_ms, true)
+}
+
+/// Guards against silence, also within an event, that ends a stream, and against a stream
+/// that stays open for bytes without an event.
+#[test]
+fn silence_ends_no_stream_but_bytes_without_an_event_do() {
+    assert_eq!(read_with_pauses(&[900; 9], |_| true), (0, true));
+    let (silent_ms, goes_on) = read_with_pauses(&[2_000, 30, 3_000], |index| index == 2);
+    assert!(silent_ms >= 2_000 && goes_on);
+    assert!(!read_with_pauses(&[200; 9], |_| false).1);
+}
+
+/// Guards against a pause of this process that counts as silence of an upstream.
+#[test]
+fn a_pause_of_the_process_is_no_silence() {
+    let mut progress = StreamProgress::new(StreamProgressSettings::default(), MonoMs(60_000));
+    assert_eq!(progress.check(MonoMs(70_000)), None);
+}
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -124,7 +124,7 @@
         entry.with_load(id, |load| match failure {
             AttemptOutcome::NotExecuted => load.record_rejection(clock::now()),
             AttemptOutcome::Broken | AttemptOutcome::Silent => load.record_error(clock::now()),
-            AttemptOutcome::NotSent | AttemptOutcome::ServerError => {}
+            AttemptOutcome::NotSent | AttemptOutcome::ServerError | AttemptOutcome::Discarded => {}
         });
     }
     result
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -235,6 +235,7 @@
         service_ms: load.service_ms(),
         distance_ms: distance_ms(entry, &upstream.zone),
         has_place: load.has_place(now),
+        silent: load.is_silent(now),
         draw: rand::random(),
     })
 }
--- /dev/null
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -0,0 +1,224 @@
+//! Stream of one upstream: reads its events and notices when it is silent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use masticdock_adapter::BodyEnd;
+use masticdock_core::serving::{
+    AttemptHistory, AttemptOutcome, CRASH_SUSPICION_MS, StreamEvent, StreamProgress,
+    StreamProgressSettings,
+};
+use masticdock_core::units::MonoMs;
+use tokio::time::sleep;
+
+use super::attempt::{AttemptResult, OpenStream, run_attempt};
+use super::candidates::ChosenUpstream;
+use super::crashes::{record_success, report_suspects};
+use super::request::Call;
+use super::state::Entry;
+use crate::clock;
+
+/// What the stream of an upstream delivers next.
+#[derive(Debug)]
+pub(super) enum StreamStep {
+    Events(Vec<StreamEvent>),
+    /// The stream has ended after a whole event.
+    Complete,
+    /// The stream is incomplete or invalid; the text is logged as the reason.
+    Broken(String),
+    /// Nothing has arrived for this time, in milliseconds.
+    Silent(u64),
+}
+
+/// Result of an attempt to resume a stream.
+pub(super) enum Resumed {
+    /// The stream continues here.
+    Stream(Box<LiveStream>),
+    Failed(AttemptOutcome),
+}
+
+/// Stream of an upstream that is being read.
+pub(super) struct LiveStream {
+    pub(super) chosen: ChosenUpstream,
+    entry: Rc<Entry>,
+    stream: OpenStream,
+    progress: StreamProgress,
+    opened_at: MonoMs,
+    /// True once the upstream wrote for so long that the request cannot crash it.
+    is_sound: bool,
+    /// Last logged decision on the present silence.
+    pub(super) silence_decision: Option<&'static str>,
+    /// True once the attempt counts as failed because the stream was silent.
+    pub(super) is_recorded: bool,
+}
+
+impl LiveStream {
+    pub(super) fn new(entry: Rc<Entry>, chosen: ChosenUpstream, stream: OpenStream) -> Self {
+        let now = clock::now();
+        Self {
+            chosen,
+            entry,
+            stream,
+            progress: StreamProgress::new(StreamProgressSettings::default(), now),
+            opened_at: now,
+            is_sound: false,
+            silence_decision: None,
+            is_recorded: false,
+        }
+    }
+
+    /// Waits for the next events, the end of the stream or its silence. Events that were read
+    /// are not lost if the wait is cancelled.
+    pub(super) async fn next(&mut self) -> StreamStep {
+        let settings = StreamProgressSettings::default();
+        let check_interval = Duration::from_millis(settings.check_interval_ms);
+        loop {
+            if !self.stream.first_events.is_empty() {
+                return StreamStep::Events(std::mem::take(&mut self.stream.first_events));
+            }
+            if self.stream.ended {
+                if self.stream.splitter.has_partial_event() {
+                    return StreamStep::Broken("the stream ended within an event".to_owned());
+                }
+                return StreamStep::Complete;
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = self.stream.body.frame() => frame,
+                () = sleep(check_interval) => {
+                    let Some(silent_ms) = self.progress.check(clock::now()) else {
+                        continue;
+                    };
+                    if self.is_process_gone() {
+                        return StreamStep::Broken("the upstream was restarted".to_owned());
+                    }
+                    return StreamStep::Silent(silent_ms);
+                }
+            };
+            let bytes = match frame {
+                None => {
+                    self.stream.ended = true;
+                    continue;
+                }
+                Some(Err(error)) => return StreamStep::Broken(error.to_string()),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            if bytes.is_empty() {
+                continue;
+            }
+            let now = clock::now();
+            self.entry
+                .with_load(&self.stream.upstream, |load| load.record_activity(now));
+            let Some(events) = self.stream.splitter.push(&bytes) else {
+                return StreamStep::Broken("an event exceeds the size limit".to_owned());
+            };
+            if !self.progress.record_bytes(!events.is_empty(), now) {
+                return StreamStep::Broken("no event within the timeout".to_owned());
+            }
+            self.stream.first_events = events;
+        }
+    }
+
+    /// Returns whether the stream has ended without further events.
+    pub(super) fn is_over(&self) -> bool {
+        self.stream.ended && self.stream.first_events.is_empty()
+    }
+
+    /// Records that the events read so far were relayed.
+    pub(super) fn record_relayed(&mut self, call: &Call) {
+        let now = clock::now();
+        self.progress.restart(now);
+        self.silence_decision = None;
+        if !self.is_sound && now.since_ms(self.opened_at) >= CRASH_SUSPICION_MS {
+            self.is_sound = true;
+            record_success(&self.entry, call, self.stream.sent_at);
+        }
+    }
+
+    /// Records the end of a complete stream and keeps its connection.
+    pub(super) fn finish(self, call: &Call) {
+        match self.stream.body_end {
+            BodyEnd::Marked if self.is_sound => {}
+            BodyEnd::Marked => record_success(&self.entry, call, self.stream.sent_at),
+            BodyEnd::WithConnection => self.report_unless_sound(call),
+        }
+        let OpenStream {
+            upstream,
+            connection,
+            idle_timeout_ms,
+            ..
+        } = self.stream;
+        self.entry
+            .pools
+            .put_back(&upstream, connection, idle_timeout_ms);
+    }
+
+    /// Records that the stream broke after the event `last_id`.
+    pub(super) fn record_broken(&self, call: &Call, last_id: Option<u64>, reason: &str) {
+        self.report_unless_sound(call);
+        let id = &self.chosen.upstream.id;
+        self.entry
+            .with_load(id, |load| load.record_error(clock::now()));
+        log::warn!(
+            event = "stream.broken",
+            request_id = call.head.request_id.as_str(),
+            upstream = id.as_str(),
+            last_event = last_id.unwrap_or(0),
+            reason = reason;
+            "a stream broke before its end"
+        );
+    }
+
+    /// Reports the request as the possible cause of a crash, unless the upstream has written
+    /// for longer than such a request lets it.
+    fn report_unless_sound(&self, call: &Call) {
+        if !self.is_sound {
+            report_suspects(&self.entry, call, &self.chosen.upstream);
+        }
+    }
+
+    /// Returns whether the upstream's row or its agent names a later process.
+    fn is_process_gone(&self) -> bool {
+        let upstream = &self.chosen.upstream;
+        let catalog = self.entry.catalog.borrow();
+        let listed = catalog.directory.get(&upstream.id);
+        let reports = self.entry.reports.borrow();
+        let reported = reports.get(&upstream.id);
+        upstream.is_replaced_by(listed.and_then(|listed| listed.started_at_ms))
+            || upstream.is_replaced_by(reported.and_then(|(report, _)| report.started_at_ms))
+    }
+}
+
+/// Resumes a stream after the event `last_id`; returns once an event follows that the caller
+/// does not have, or the stream ends.
+pub(super) async fn resume_stream(
+    entry: Rc<Entry>,
+    call: Rc<Call>,
+    chosen: ChosenUpstream,
+    history: AttemptHistory,
+    last_id: Option<u64>,
+) -> Resumed {
+    let stream = match run_attempt(&entry, &call, &chosen, &history, last_id).await {
+        AttemptResult::Stream(stream) => *stream,
+        AttemptResult::Buffered(..) => return Resumed::Failed(AttemptOutcome::Discarded),
+        AttemptResult::Failed(failure, _) => return Resumed::Failed(failure),
+    };
+    let mut live = LiveStream::new(entry, chosen, stream);
+    loop {
+        match live.next().await {
+            StreamStep::Events(events) => {
+                if events.iter().any(|event| event.follows(last_id)) {
+                    live.stream.first_events = events;
+                    return Resumed::Stream(Box::new(live));
+                }
+            }
+            StreamStep::Complete => return Resumed::Stream(Box::new(live)),
+            StreamStep::Broken(reason) => {
+                live.record_broken(&call, last_id, &reason);
+                return Resumed::Failed(AttemptOutcome::Broken);
+            }
+            StreamStep::Silent(_) => {}
+        }
+    }
+}
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -1,49 +1,69 @@
-//! Relays the events of a stream to the caller, and resumes a broken stream at another
-//! upstream.
+//! Relays the events of a stream to the caller, and resumes it at another upstream when it
+//! breaks.
+//!
+//! A silent stream is resumed as well where that is possible, but it is kept: its upstream
+//! may be sound and go on. The stream that delivers the next event first is relayed, and the
+//! other one is closed.
 
+use std::future::pending;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
-use masticdock_adapter::BodyEnd;
-use masticdock_core::serving::{AttemptOutcome, CRASH_SUSPICION_MS, NextStep, StreamEvent};
+use masticdock_core::ids::UpstreamId;
+use masticdock_core::serving::{AttemptOutcome, StreamEvent};
 use masticdock_core::units::MonoMs;
 use tokio::sync::mpsc::{Sender, channel};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep_until;
 
 use super::answer::{CallerResponseBody, Truncated, event_stream};
-use super::attempt::{AttemptResult, OpenStream, run_attempt};
+use super::attempt::OpenStream;
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
-use super::crashes::{record_success, report_suspects};
+use super::live_stream::{LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
-use super::request::{Call, FailedAttempts, choose_for_call, decide_next_step};
+use super::request::{Call, FailedAttempts};
+use super::retry::{RetryPlan, plan_retry};
 use super::state::Entry;
 use crate::clock;
 
 /// Maximum number of events queued for a caller that reads slowly.
 const EVENT_QUEUE_LENGTH: usize = 8;
-/// Time without an event after which a stream counts as broken: several times the
-/// longest pause of a full batch.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// State of a stream that is relayed to a caller.
 struct Relay {
     entry: Rc<Entry>,
-    call: Call,
+    call: Rc<Call>,
     failures: FailedAttempts,
     events: Sender<Result<Bytes, Truncated>>,
+    /// Stream that is relayed; `None` after it broke.
+    current: Option<LiveStream>,
+    /// Resumed stream that may replace the current one.
+    standby: Option<Standby>,
+    /// Upstream of the latest stream that was relayed.
+    chosen: ChosenUpstream,
     last_id: Option<u64>,
+    last_event_at: MonoMs,
     first_event_ms: u64,
     /// Longest pause between arrivals of events, in milliseconds.
     max_pause_ms: u64,
-    /// True once the present upstream wrote for so long that the request cannot crash it.
-    is_sound: bool,
 }
 
-/// Reason why the relay of one upstream's events ended.
+/// Stream that is being resumed at another upstream.
+struct Standby {
+    upstream: UpstreamId,
+    attempt: Pin<Box<dyn Future<Output = Resumed>>>,
+}
+
+/// What a relay waits for.
+enum Step {
+    Current(StreamStep),
+    Standby(Resumed),
+    End(RelayEnd),
+}
+
+/// How a relay ended.
 enum RelayEnd {
     /// The stream is complete.
     Complete,
@@ -51,8 +71,8 @@
     CallerLeft,
     /// The deadline passed.
     DeadlinePassed,
-    /// The upstream's stream is incomplete or invalid; the text is logged as the reason.
-    Broken(String),
+    /// The stream broke and cannot be resumed.
+    Cut,
 }
 
 /// Starts to relay a stream whose first events have arrived, and returns its response.
@@ -70,194 +90,253 @@
     let relay = Relay {
         first_event_ms: call.age_ms(),
         max_pause_ms: 0,
-        is_sound: false,
         last_id: call.head.last_event_id,
+        last_event_at: clock::now(),
+        current: Some(LiveStream::new(Rc::clone(&entry), chosen.clone(), stream)),
+        standby: None,
+        chosen,
         entry,
-        call,
+        call: Rc::new(call),
         failures,
         events: sender,
     };
-    tokio::task::spawn_local(relay.run(chosen, stream));
+    tokio::task::spawn_local(relay.run());
     event_stream(head, receiver, in_use)
 }
 
 impl Relay {
-    async fn run(mut self, mut chosen: ChosenUpstream, mut stream: OpenStream) {
+    async fn run(mut self) {
         loop {
-            let sent_at = stream.sent_at;
-            let body_end = stream.body_end;
-            let reason = match self.relay_events(stream).await {
+            let end = match self.next_step().await {
+                Step::Current(StreamStep::Events(events)) => self.relay_events(events).await,
+                Step::Current(StreamStep::Complete) => Some(RelayEnd::Complete),
+                Step::Current(StreamStep::Broken(reason)) => self.replace_broken(&reason),
+                Step::Current(StreamStep::Silent(silent_ms)) => {
+                    self.resume_silent(silent_ms);
+                    None
+                }
+                Step::Standby(resumed) => self.end_standby(resumed),
+                Step::End(end) => Some(end),
+            };
+            let Some(end) = end else {
+                continue;
+            };
+            return match end {
                 RelayEnd::Complete => {
-                    match body_end {
-                        BodyEnd::Marked if self.is_sound => {}
-                        BodyEnd::Marked => record_success(&self.entry, &self.call, sent_at),
-                        BodyEnd::WithConnection => self.report_unless_sound(&chosen),
+                    if let Some(current) = self.current.take() {
+                        current.finish(&self.call);
                     }
-                    return self.finish_request("answered", &chosen);
+                    self.finish_request("answered");
                 }
-                RelayEnd::CallerLeft => return self.finish_request("caller_left", &chosen),
-                RelayEnd::DeadlinePassed => return self.truncate("timed_out", &chosen).await,
-                RelayEnd::Broken(reason) => reason,
+                RelayEnd::CallerLeft => self.finish_request("caller_left"),
+                RelayEnd::DeadlinePassed => self.truncate("timed_out").await,
+                RelayEnd::Cut => self.truncate("cut").await,
             };
-            self.report_unless_sound(&chosen);
-            self.failures
-                .record(&chosen.upstream.id, AttemptOutcome::Broken);
-            self.entry
-                .with_load(&chosen.upstream.id, |load| load.record_error(clock::now()));
-            log::warn!(
-                event = "stream.broken",
-                request_id = self.call.head.request_id.as_str(),
-                upstream = chosen.upstream.id.as_str(),
-                last_event = self.last_id.unwrap_or(0),
-                reason = reason.as_str();
-                "a stream broke before its end"
-            );
-            let Some((next, resumed)) = self.resume(AttemptOutcome::Broken).await else {
-                return self.truncate("cut", &chosen).await;
-            };
-            chosen = next;
-            stream = resumed;
         }
     }
 
-    /// Reports the request as the possible cause of a crash, unless the upstream has written
-    /// for longer than such a request lets it.
-    fn report_unless_sound(&self, chosen: &ChosenUpstream) {
-        if !self.is_sound {
-            report_suspects(&self.entry, &self.call, &chosen.upstream);
+    async fn next_step(&mut self) -> Step {
+        let next = async {
+            match &mut self.current {
+                Some(current) => current.next().await,
+                None => pending().await,
+            }
+        };
+        let resumed = async {
+            match &mut self.standby {
+                Some(standby) => standby.attempt.as_mut().await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = self.events.closed() => Step::End(RelayEnd::CallerLeft),
+            () = sleep_until(self.call.deadline) => Step::End(RelayEnd::DeadlinePassed),
+            step = next => Step::Current(step),
+            resumed = resumed => Step::Standby(resumed),
         }
     }
 
-    /// Resumes the stream at another upstream; returns `None` if no retry is allowed or
-    /// possible.
-    async fn resume(
-        &mut self,
-        mut failure: AttemptOutcome,
-    ) -> Option<(ChosenUpstream, OpenStream)> {
-        loop {
-            if decide_next_step(&self.entry, &self.call, &self.failures.history, failure)
-                != NextStep::Retry
+    /// Sends events of the current stream to the caller, without those that it already has.
+    async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
+        let now = clock::now();
+        for event in events {
+            if !event.follows(self.last_id) {
+                continue;
+            }
+            if let (Some(id), Some(last_id)) = (event.id, self.last_id)
+                && id > last_id + 1
             {
-                return None;
+                return self.replace_broken(&format!("events lost: event {id} follows {last_id}"));
             }
-            let chosen = choose_for_call(&self.entry, &self.call, &self.failures.upstreams).ok()?;
-            log::info!(
-                event = "stream.resuming",
-                request_id = self.call.head.request_id.as_str(),
-                upstream = chosen.upstream.id.as_str(),
-                after_event = self.last_id.unwrap_or(0);
-                "a stream is resumed at another upstream"
-            );
-            let history = self.failures.history;
-            let attempted = run_attempt(&self.entry, &self.call, &chosen, &history, self.last_id);
-            let outcome = tokio::select! {
-                outcome = attempted => outcome,
-                () = self.events.closed() => return None,
+            self.last_id = event.id.or(self.last_id);
+            self.discard_standby();
+            let sent = tokio::select! {
+                sent = self.events.send(Ok(event.bytes.into())) => sent,
+                () = sleep_until(self.call.deadline) => return Some(RelayEnd::DeadlinePassed),
             };
-            match outcome {
-                AttemptResult::Stream(stream) => return Some((chosen, *stream)),
-                AttemptResult::Buffered(..) => return None,
-                AttemptResult::Failed(next_failure, _) => {
-                    self.failures.record(&chosen.upstream.id, next_failure);
-                    failure = next_failure;
-                }
+            if sent.is_err() {
+                return Some(RelayEnd::CallerLeft);
             }
         }
+        let pause_ms = now.since_ms(self.last_event_at);
+        self.max_pause_ms = self.max_pause_ms.max(pause_ms);
+        self.last_event_at = clock::now();
+        if let Some(current) = &mut self.current {
+            current.record_relayed(&self.call);
+        }
+        None
     }
 
-    /// Relays the events of one upstream until its stream ends or breaks.
-    async fn relay_events(&mut self, mut stream: OpenStream) -> RelayEnd {
-        let first = std::mem::take(&mut stream.first_events);
-        if let Some(end) = self.send_events(first).await {
-            return end;
+    /// Closes the current stream, which is broken; returns an end if nothing can replace it.
+    fn replace_broken(&mut self, reason: &str) -> Option<RelayEnd> {
+        let broken = self.current.take()?;
+        broken.record_broken(&self.call, self.last_id, reason);
+        if !broken.is_recorded {
+            self.failures
+                .record(&self.chosen.upstream.id, AttemptOutcome::Broken);
         }
-        let first_event_at = clock::now();
-        self.is_sound = false;
-        let mut ended = stream.ended;
-        // Bytes that complete no event are no progress.
-        let mut event_due_at = Instant::now() + EVENT_TIMEOUT;
-        while !ended {
-            let wait_started_at = clock::now();
-            let frame = tokio::select! {
-                frame = stream.body.frame() => frame,
-                () = self.events.closed() => return RelayEnd::CallerLeft,
-                () = sleep_until(self.call.deadline.min(event_due_at)) => {
-                    if Instant::now() >= self.call.deadline {
-                        return RelayEnd::DeadlinePassed;
-                    }
-                    return RelayEnd::Broken("no event within the timeout".to_owned());
-                }
-            };
-            match frame {
-                None => ended = true,
-                Some(Err(error)) => return RelayEnd::Broken(error.to_string()),
-                Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    let now = clock::now();
-                    self.max_pause_ms = self.max_pause_ms.max(now.since_ms(wait_started_at));
-                    self.entry
-                        .with_load(&stream.upstream, |load| load.record_activity(now));
-                    let Some(events) = stream.splitter.push(&bytes) else {
-                        return RelayEnd::Broken("an event exceeds the size limit".to_owned());
-                    };
-                    let is_progress = !events.is_empty();
-                    if let Some(end) = self.send_events(events).await {
-                        return end;
-                    }
-                    if is_progress {
-                        self.note_progress(now.since_ms(first_event_at), stream.sent_at);
-                        event_due_at = Instant::now() + EVENT_TIMEOUT;
-                    }
-                }
-            }
+        if self.standby.is_some() {
+            return None;
         }
-        if stream.splitter.has_partial_event() {
-            return RelayEnd::Broken("the stream ended within an event".to_owned());
+        self.resume_broken()
+    }
+
+    /// Resumes a stream that broke; returns an end if that is not possible.
+    fn resume_broken(&mut self) -> Option<RelayEnd> {
+        let failures = &self.failures;
+        let plan = plan_retry(
+            &self.entry,
+            &self.call,
+            &failures.history,
+            &failures.upstreams,
+        );
+        match plan {
+            RetryPlan::Send(chosen) => {
+                self.open_standby(*chosen);
+                None
+            }
+            RetryPlan::Later(_) | RetryPlan::Never(_) => Some(RelayEnd::Cut),
         }
-        self.entry
-            .pools
-            .put_back(&stream.upstream, stream.connection, stream.idle_timeout_ms);
-        RelayEnd::Complete
     }
 
-    /// Records that the upstream still writes some time after its first event.
-    fn note_progress(&mut self, writing_ms: u64, sent_at: MonoMs) {
-        if !self.is_sound && writing_ms >= CRASH_SUSPICION_MS {
-            self.is_sound = true;
-            record_success(&self.entry, &self.call, sent_at);
+    /// Resumes a silent stream if that is possible at the moment, and keeps it.
+    fn resume_silent(&mut self, silent_ms: u64) {
+        let Some(current) = &mut self.current else {
+            return;
+        };
+        let id = &self.chosen.upstream.id;
+        self.entry
+            .with_load(id, |load| load.record_silence(silent_ms, clock::now()));
+        if self.standby.is_some() {
+            return;
+        }
+        let mut history = self.failures.history;
+        let mut excluded = self.failures.upstreams.clone();
+        if !current.is_recorded {
+            history.record(AttemptOutcome::Silent);
+            excluded.push(id.clone());
+        }
+        let plan = plan_retry(&self.entry, &self.call, &history, &excluded);
+        let decision = match &plan {
+            RetryPlan::Send(_) => "resumed",
+            RetryPlan::Later(reason) | RetryPlan::Never(reason) => reason,
+        };
+        if current.silence_decision.replace(decision) != Some(decision) {
+            log::warn!(
+                event = "stream.silent",
+                request_id = self.call.head.request_id.as_str(),
+                upstream = id.as_str(),
+                last_event = self.last_id.unwrap_or(0),
+                silent_ms = silent_ms,
+                decision = decision;
+                "a stream is silent and is kept open"
+            );
+        }
+        if let RetryPlan::Send(chosen) = plan {
+            if !current.is_recorded {
+                current.is_recorded = true;
+                self.failures.record(id, AttemptOutcome::Silent);
+            }
+            self.open_standby(*chosen);
         }
     }
 
-    /// Sends events to the caller. Skips those that it already has, and returns an end if
-    /// an id is missing, the caller left or the deadline passed.
-    async fn send_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
-        for event in events {
-            if let (Some(id), Some(last_id)) = (event.id, self.last_id) {
-                if id <= last_id {
-                    continue;
-                }
-                if id > last_id + 1 {
-                    return Some(RelayEnd::Broken(format!(
-                        "events lost: event {id} follows {last_id}"
-                    )));
-                }
+    /// Begins to resume the stream at another upstream.
+    fn open_standby(&mut self, chosen: ChosenUpstream) {
+        log::info!(
+            event = "stream.resuming",
+            request_id = self.call.head.request_id.as_str(),
+            upstream = chosen.upstream.id.as_str(),
+            after_event = self.last_id.unwrap_or(0);
+            "a stream is resumed at another upstream"
+        );
+        self.standby = Some(Standby {
+            upstream: chosen.upstream.id.clone(),
+            attempt: Box::pin(resume_stream(
+                Rc::clone(&self.entry),
+                Rc::clone(&self.call),
+                chosen,
+                self.failures.history,
+                self.last_id,
+            )),
+        });
+    }
+
+    /// Relays a resumed stream from now on, or keeps the current one if the attempt failed;
+    /// returns an end if neither is possible.
+    fn end_standby(&mut self, resumed: Resumed) -> Option<RelayEnd> {
+        let standby = self.standby.take()?;
+        let failure = match resumed {
+            // A stream that ends at once does not show that the silent one is complete.
+            Resumed::Stream(stream) if self.current.is_some() && stream.is_over() => {
+                AttemptOutcome::Discarded
             }
-            self.last_id = event.id.or(self.last_id);
-            let sent = tokio::select! {
-                sent = self.events.send(Ok(event.bytes.into())) => sent,
-                () = sleep_until(self.call.deadline) => return Some(RelayEnd::DeadlinePassed),
-            };
-            if sent.is_err() {
-                return Some(RelayEnd::CallerLeft);
+            Resumed::Stream(stream) => {
+                self.chosen = stream.chosen.clone();
+                self.log_switch(self.current.is_some());
+                self.current = Some(*stream);
+                return None;
             }
+            Resumed::Failed(failure) => failure,
+        };
+        self.failures.record(&standby.upstream, failure);
+        if self.current.is_some() {
+            return None;
         }
-        None
+        self.resume_broken()
+    }
+
+    /// Closes the resumed stream because the silent one goes on.
+    fn discard_standby(&mut self) {
+        let Some(standby) = self.standby.take() else {
+            return;
+        };
+        self.failures
+            .record(&standby.upstream, AttemptOutcome::Discarded);
+        log::info!(
+            event = "stream.continued",
+            request_id = self.call.head.request_id.as_str(),
+            upstream = self.chosen.upstream.id.as_str(),
+            discarded = standby.upstream.as_str(),
+            last_event = self.last_id.unwrap_or(0);
+            "a silent stream goes on"
+        );
+    }
+
+    fn log_switch(&self, was_silent: bool) {
+        log::info!(
+            event = "stream.resumed",
+            request_id = self.call.head.request_id.as_str(),
+            upstream = self.chosen.upstream.id.as_str(),
+            after_event = self.last_id.unwrap_or(0),
+            was_silent = was_silent;
+            "a resumed stream is relayed"
+        );
     }
 
     /// Logs the end of the request and updates the metrics.
-    fn finish_request(&self, outcome: &'static str, chosen: &ChosenUpstream) {
+    fn finish_request(&self, outcome: &'static str) {
         let status = http::StatusCode::OK;
         let times = ResponseTimes {
             first_event_ms: self.first_event_ms,
@@ -266,7 +345,7 @@
         record_end(
             &self.call,
             outcome,
-            Some(chosen),
+            Some(&self.chosen),
             status,
             &self.failures.history,
             times,
@@ -274,8 +353,10 @@
     }
 
     /// Aborts the response, so that the caller does not take it for complete.
-    async fn truncate(&self, outcome: &'static str, chosen: &ChosenUpstream) {
-        self.finish_request(outcome, chosen);
+    async fn truncate(&mut self, outcome: &'static str) {
+        self.current = None;
+        self.standby = None;
+        self.finish_request(outcome);
         // The send fails only if the caller has left.
         let _ = self.events.send(Err(Truncated)).await;
     }
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -328,14 +328,9 @@
     history: &AttemptHistory,
     failure: AttemptOutcome,
 ) -> NextStep {
-    let attempts_max = if entry.crashes.allows_retry(call) {
-        call.route.attempts_max
-    } else {
-        0
-    };
     next_step(
         call.route.kind,
-        attempts_max,
+        attempts_max(entry, call),
         history,
         failure,
         call.time_left_ms(),
@@ -343,6 +338,15 @@
     )
 }
 
+/// Returns the number of upstreams that a request may be sent to.
+pub(super) fn attempts_max(entry: &Entry, call: &Call) -> u32 {
+    if entry.crashes.allows_retry(call) {
+        call.route.attempts_max
+    } else {
+        0
+    }
+}
+
 impl Entry {
     /// Returns true while new requests are accepted.
     fn accepts_requests(&self) -> bool {
