Keep the idle timeout that a caller was given

Callers saw: beside a change of the configuration that shortens `idle-timeout-ms`, connections that had been idle for less than the timeout they knew were closed all at once, at the next tick of the cleanup; a request sent at that moment got neither a response nor a refusal.

Cause: `Connections::close_expired` compared the age of every idle connection with the timeout in force now. Class: a new setting applied to a promise that was made under the old one.

Change: a connection keeps the timeout that was in force at its latest response (at accept, until there is one); a longer one in force extends it. The decision is `serving::ConnectionTimer`, without I/O.

Before, `a_shorter_idle_timeout_spares_connections_from_before` (timeout from 15 s to 0.3 s, request 1.5 s later, 8 connections):

left: [None, None, None, None, None, None, None, None] right: [Some(200), Some(200), Some(200), ...]

After: passes, as do `entry_connections` and `entry_versions`.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod chunk_sources;
 mod configuration;
+mod connection_timer;
 mod crashes;
 mod deadline_estimate;
 mod directory;
@@ -34,6 +35,7 @@
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
 };
+pub use connection_timer::{ConnectionPhase, ConnectionTimeout, ConnectionTimer};
 pub use crashes::{
     BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashRecord,
     CrashRecords, CrashRecordsSettings, EngineCrashes, EngineCrashesSettings, RefutedSuspects,
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -10,8 +10,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use masticdock_core::serving::RequestLimits;
-use masticdock_core::units::MonoMs;
+use masticdock_core::serving::{
+    ConnectionPhase, ConnectionTimeout, ConnectionTimer, RequestLimits,
+};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -26,23 +27,10 @@
 /// Minimum buffer size of a connection; hyper accepts no smaller one.
 const BUFFER_BYTES_MIN: usize = 8_192;
 
-/// State of a caller's connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// No request has begun.
-    Idle,
-    /// Part of a request head has been received.
-    Head,
-    /// A request is being served.
-    Active,
-}
-
 /// A connection from a caller.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
-    phase: Cell<Phase>,
-    /// When the connection entered its phase.
-    since: Cell<MonoMs>,
+    timer: Cell<ConnectionTimer>,
     /// Requests a graceful shutdown of the connection.
     close: Notify,
     /// Closes the connection at once.
@@ -55,21 +43,30 @@
 
 impl InUseGuard {
     pub(crate) fn begin(connection: &Rc<CallerConnection>) -> Self {
-        connection.set_phase(Phase::Active);
+        connection.enter(ConnectionPhase::Active);
         Self(Rc::clone(connection))
     }
 }
 
 impl Drop for InUseGuard {
     fn drop(&mut self) {
-        self.0.set_phase(Phase::Idle);
+        self.0.enter(ConnectionPhase::Idle);
     }
 }
 
 impl CallerConnection {
-    fn set_phase(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(clock::now());
+    fn phase(&self) -> ConnectionPhase {
+        self.timer.get().phase()
+    }
+
+    fn enter(&self, phase: ConnectionPhase) {
+        self.update_timer(|timer| timer.enter(phase, clock::now()));
+    }
+
+    fn update_timer(&self, change: impl FnOnce(&mut ConnectionTimer)) {
+        let mut timer = self.timer.get();
+        change(&mut timer);
+        self.timer.set(timer);
     }
 }
 
@@ -80,10 +77,9 @@
 }
 
 impl Connections {
-    fn register(&self) -> Rc<CallerConnection> {
+    fn register(&self, limits: &RequestLimits) -> Rc<CallerConnection> {
         let connection = Rc::new(CallerConnection {
-            phase: Cell::new(Phase::Idle),
-            since: Cell::new(clock::now()),
+            timer: Cell::new(ConnectionTimer::new(limits, clock::now())),
             close: Notify::new(),
             abort: Notify::new(),
         });
@@ -105,10 +101,11 @@
 
     /// Returns the number of connections on which a request is being read or served.
     pub(crate) fn in_use(&self) -> usize {
-        let is_active = |connection: &Rc<CallerConnection>| connection.phase.get() != Phase::Idle;
+        let is_idle =
+            |connection: &Rc<CallerConnection>| connection.phase() == ConnectionPhase::Idle;
         self.live()
             .iter()
-            .filter(|connection| is_active(connection))
+            .filter(|connection| !is_idle(connection))
             .count()
     }
 
@@ -116,11 +113,10 @@
     pub(crate) fn close_expired(&self, limits: &RequestLimits) {
         let now = clock::now();
         for connection in self.live() {
-            let age_ms = now.since_ms(connection.since.get());
-            match connection.phase.get() {
-                Phase::Idle if age_ms >= limits.idle_timeout_ms => connection.close.notify_one(),
-                Phase::Head if age_ms >= limits.head_timeout_ms => connection.abort.notify_one(),
-                _ => {}
+            match connection.timer.get().exceeded(limits, now) {
+                Some(ConnectionTimeout::Idle) => connection.close.notify_one(),
+                Some(ConnectionTimeout::Head) => connection.abort.notify_one(),
+                None => {}
             }
         }
     }
@@ -150,17 +146,22 @@
 }
 
 async fn serve(entry: Rc<Entry>, stream: TcpStream) {
-    let connection = entry.connections.register();
     let limits = entry.limits();
+    let connection = entry.connections.register(&limits);
     let io = TokioIo::new(PhaseTrackingStream {
         stream,
         connection: Rc::clone(&connection),
     });
     let request_connection = Rc::clone(&connection);
     let service = service_fn(move |request| {
-        let in_use = InUseGuard::begin(&request_connection);
+        let connection = Rc::clone(&request_connection);
+        let in_use = InUseGuard::begin(&connection);
         let entry = Rc::clone(&entry);
-        async move { Ok::<_, Infallible>(handle_request(entry, request, in_use).await) }
+        async move {
+            let response = handle_request(Rc::clone(&entry), request, in_use).await;
+            connection.update_timer(|timer| timer.respond(&entry.limits()));
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut serving = std::pin::pin!(
         http1::Builder::new()
@@ -200,8 +201,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before && self.connection.phase.get() == Phase::Idle {
-            self.connection.set_phase(Phase::Head);
+        if buffer.filled().len() > before && self.connection.phase() == ConnectionPhase::Idle {
+            self.connection.enter(ConnectionPhase::Head);
         }
         result
     }
