Keep a silent attempt until its retry can be sent

Callers got 502 for requests that may run again although the upstream was sound and would have answered: it had been silent for 1 s (or had not responded within 1.8 s). The same happened before the first event of a stream that may be resumed and within the body of a response. The request failed even where no retry was possible: all attempts used, no other upstream, no place, no retry budget, or no connection to the other upstream.

Cause: await_upstream ended the attempt as soon as it was silent, and only then it was decided whether a retry is possible. Class: a resource is given up before its replacement is certain.

Change: while an upstream is silent, every check (0.25 s) looks for another upstream, connects to it and spends the retry budget, in this order, and goes on waiting for the response meanwhile. Only with an open connection in hand is the silent attempt abandoned, and the retry uses that connection. Otherwise it waits on until the deadline; attempt.kept logs the reason. A silent attempt no longer causes a backoff: the upstream is avoided as one with a silent stream.

An upstream that rejects the retry still ends the request if that was the last attempt.

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -271,13 +271,18 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Spends one retry; returns false when the window has none left.
-    pub fn try_spend(&mut self, now: MonoMs) -> bool {
+    /// Returns whether the window has a retry left.
+    pub fn has_left(&mut self, now: MonoMs) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed = self.settings.ratio * f64::from(requests) + f64::from(self.settings.slack);
-        if f64::from(retries) + 1.0 > allowed {
+        f64::from(retries) + 1.0 <= allowed
+    }
+
+    /// Spends one retry; returns false when the window has none left.
+    pub fn try_spend(&mut self, now: MonoMs) -> bool {
+        if !self.has_left(now) {
             return false;
         }
         self.bucket(now).retries += 1;
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -25,9 +25,10 @@
 use super::crashes;
 use super::load_guard::LoadGuard;
 use super::rate_limits;
-use super::request::Call;
+use super::request::{Call, FailedAttempts};
+use super::retry::PreparedAttempt;
 use super::state::Entry;
-use super::wait::{WaitLimits, await_upstream, record_wait};
+use super::wait::{RetryWhileSilent, WaitLimits, await_upstream, record_wait};
 use crate::clock;
 
 /// Result of an attempt.
@@ -40,6 +41,8 @@
     /// A failure, with the upstream's error response if there is one; it is forwarded
     /// if no later attempt succeeds.
     Failed(AttemptOutcome, Option<(Response<()>, Bytes)>),
+    /// The upstream was silent, and the request can be sent to another one.
+    Abandoned(Box<PreparedAttempt>),
 }
 
 /// A stream of an upstream whose first events have been read.
@@ -60,29 +63,23 @@
     pub(crate) load: LoadGuard,
 }
 
-/// Sends a request to the chosen upstream.
+/// Sends a request to the chosen upstream, on `connection` or a new one.
 pub(crate) async fn run_attempt(
     entry: &Rc<Entry>,
     call: &Call,
     chosen: &ChosenUpstream,
-    history: &AttemptHistory,
+    connection: Option<Connection>,
+    failures: &FailedAttempts,
     last_event_id: Option<u64>,
 ) -> AttemptResult {
     let id = &chosen.upstream.id;
     let load = LoadGuard::begin(entry, id, call.head.size.prompt_tokens);
-    let connection = match acquire_connection(entry, call, chosen, history).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            entry.with_load(id, |load| load.record_error(clock::now()));
-            log::warn!(
-                event = "upstream.unreachable",
-                request_id = call.head.request_id.as_str(),
-                upstream = id.as_str(),
-                error = error.as_str();
-                "cannot connect to an upstream"
-            );
-            return AttemptResult::Failed(AttemptOutcome::NotSent, None);
-        }
+    let connection = match connection {
+        Some(connection) => Some(connection),
+        None => acquire_connection(entry, call, chosen, &failures.history).await,
+    };
+    let Some(connection) = connection else {
+        return AttemptResult::Failed(AttemptOutcome::NotSent, None);
     };
     // Connecting takes time, and the process may have been paused.
     if chosen
@@ -106,6 +103,7 @@
         begin_window: chosen.begin_window,
         predicted_ms: chosen.nominal_ms,
         engine_ms: chosen.engine_ms,
+        retry: RetryWhileSilent::new(failures, id),
     };
     let result = exchange(
         entry,
@@ -123,33 +121,53 @@
         }
         entry.with_load(id, |load| match failure {
             AttemptOutcome::NotExecuted => load.record_rejection(clock::now()),
-            AttemptOutcome::Broken | AttemptOutcome::Silent => load.record_error(clock::now()),
-            AttemptOutcome::NotSent | AttemptOutcome::ServerError | AttemptOutcome::Discarded => {}
+            AttemptOutcome::Broken => load.record_error(clock::now()),
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Silent
+            | AttemptOutcome::ServerError
+            | AttemptOutcome::Discarded => {}
         });
     }
-    result
+    if matches!(result, AttemptResult::Failed(AttemptOutcome::Silent, _)) {
+        limits.record_silence(entry, id);
+    }
+    match limits.retry.prepared.take() {
+        Some(prepared) => AttemptResult::Abandoned(prepared),
+        None => result,
+    }
 }
 
-async fn acquire_connection(
+/// Returns a connection for an attempt, or `None` if the upstream cannot be reached.
+pub(super) async fn acquire_connection(
     entry: &Entry,
     call: &Call,
     chosen: &ChosenUpstream,
     history: &AttemptHistory,
-) -> Result<Connection, String> {
+) -> Option<Connection> {
+    let id = &chosen.upstream.id;
     // An upstream may close an idle connection while a request is being sent on it.
     // A non-idempotent request cannot be retried then, so it gets a new connection.
     if call.route.kind != RequestKind::NonIdempotent
-        && let Some(connection) = entry.pools.take_idle(&chosen.upstream.id)
+        && let Some(connection) = entry.pools.take_idle(id)
     {
-        return Ok(connection);
+        return Some(connection);
     }
     let timeout = Duration::from_millis(connect_timeout_ms(history));
     let opened = entry.pools.open(chosen.upstream.address, timeout);
-    match timeout_at(call.deadline, opened).await {
-        Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(error)) => Err(error.to_string()),
-        Err(_) => Err("the deadline passed while connecting".to_owned()),
-    }
+    let error = match timeout_at(call.deadline, opened).await {
+        Ok(Ok(connection)) => return Some(connection),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "the deadline passed while connecting".to_owned(),
+    };
+    entry.with_load(id, |load| load.record_error(clock::now()));
+    log::warn!(
+        event = "upstream.unreachable",
+        request_id = call.head.request_id.as_str(),
+        upstream = id.as_str(),
+        error = error.as_str();
+        "cannot connect to an upstream"
+    );
+    None
 }
 
 fn build_request(call: &Call, target: &UpstreamTarget) -> Request<Full<Bytes>> {
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use masticdock_adapter::BodyEnd;
+use masticdock_adapter::{BodyEnd, Connection};
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, CRASH_SUSPICION_MS, StreamEvent, StreamProgress,
-    StreamProgressSettings,
+    AttemptOutcome, CRASH_SUSPICION_MS, StreamEvent, StreamProgress, StreamProgressSettings,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::sleep;
@@ -15,7 +14,8 @@
 use super::attempt::{AttemptResult, OpenStream, run_attempt};
 use super::candidates::ChosenUpstream;
 use super::crashes::{record_success, report_suspects};
-use super::request::Call;
+use super::request::{Call, FailedAttempts};
+use super::retry::PreparedAttempt;
 use super::state::Entry;
 use crate::clock;
 
@@ -35,7 +35,8 @@
 pub(super) enum Resumed {
     /// The stream continues here.
     Stream(Box<LiveStream>),
-    Failed(AttemptOutcome),
+    /// The attempt failed; the next one is prepared if it was abandoned for silence.
+    Failed(AttemptOutcome, Option<Box<PreparedAttempt>>),
 }
 
 /// Stream of an upstream that is being read.
@@ -196,13 +197,17 @@
     entry: Rc<Entry>,
     call: Rc<Call>,
     chosen: ChosenUpstream,
-    history: AttemptHistory,
+    connection: Option<Connection>,
+    failures: FailedAttempts,
     last_id: Option<u64>,
 ) -> Resumed {
-    let stream = match run_attempt(&entry, &call, &chosen, &history, last_id).await {
+    let stream = match run_attempt(&entry, &call, &chosen, connection, &failures, last_id).await {
         AttemptResult::Stream(stream) => *stream,
-        AttemptResult::Buffered(..) => return Resumed::Failed(AttemptOutcome::Discarded),
-        AttemptResult::Failed(failure, _) => return Resumed::Failed(failure),
+        AttemptResult::Buffered(..) => return Resumed::Failed(AttemptOutcome::Discarded, None),
+        AttemptResult::Failed(failure, _) => return Resumed::Failed(failure, None),
+        AttemptResult::Abandoned(next) => {
+            return Resumed::Failed(AttemptOutcome::Silent, Some(next));
+        }
     };
     let mut live = LiveStream::new(entry, chosen, stream);
     loop {
@@ -216,7 +221,7 @@
             StreamStep::Complete => return Resumed::Stream(Box::new(live)),
             StreamStep::Broken(reason) => {
                 live.record_broken(&call, last_id, &reason);
-                return Resumed::Failed(AttemptOutcome::Broken);
+                return Resumed::Failed(AttemptOutcome::Broken, None);
             }
             StreamStep::Silent(_) => {}
         }
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::Response;
+use masticdock_adapter::Connection;
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptOutcome, StreamEvent};
 use masticdock_core::units::MonoMs;
@@ -24,7 +25,7 @@
 use super::live_stream::{LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
 use super::request::{Call, FailedAttempts};
-use super::retry::{RetryPlan, plan_retry};
+use super::retry::{PreparedAttempt, RetryPlan, plan_retry};
 use super::state::Entry;
 use crate::clock;
 
@@ -213,7 +214,7 @@
         );
         match plan {
             RetryPlan::Send(chosen) => {
-                self.open_standby(*chosen);
+                self.open_standby(*chosen, None);
                 None
             }
             RetryPlan::Later(_) | RetryPlan::Never(_) => Some(RelayEnd::Cut),
@@ -258,12 +259,12 @@
                 current.is_recorded = true;
                 self.failures.record(id, AttemptOutcome::Silent);
             }
-            self.open_standby(*chosen);
+            self.open_standby(*chosen, None);
         }
     }
 
     /// Begins to resume the stream at another upstream.
-    fn open_standby(&mut self, chosen: ChosenUpstream) {
+    fn open_standby(&mut self, chosen: ChosenUpstream, connection: Option<Connection>) {
         log::info!(
             event = "stream.resuming",
             request_id = self.call.head.request_id.as_str(),
@@ -277,7 +278,8 @@
                 Rc::clone(&self.entry),
                 Rc::clone(&self.call),
                 chosen,
-                self.failures.history,
+                connection,
+                self.failures.clone(),
                 self.last_id,
             )),
         });
@@ -287,10 +289,10 @@
     /// returns an end if neither is possible.
     fn end_standby(&mut self, resumed: Resumed) -> Option<RelayEnd> {
         let standby = self.standby.take()?;
-        let failure = match resumed {
+        let (failure, prepared) = match resumed {
             // A stream that ends at once does not show that the silent one is complete.
             Resumed::Stream(stream) if self.current.is_some() && stream.is_over() => {
-                AttemptOutcome::Discarded
+                (AttemptOutcome::Discarded, None)
             }
             Resumed::Stream(stream) => {
                 self.chosen = stream.chosen.clone();
@@ -298,10 +300,14 @@
                 self.current = Some(*stream);
                 return None;
             }
-            Resumed::Failed(failure) => failure,
+            Resumed::Failed(failure, prepared) => (failure, prepared),
         };
         self.failures.record(&standby.upstream, failure);
-        if self.current.is_some() {
+        if let Some(prepared) = prepared {
+            let PreparedAttempt { chosen, connection } = *prepared;
+            self.open_standby(chosen, Some(connection));
+        }
+        if self.current.is_some() || self.standby.is_some() {
             return None;
         }
         self.resume_broken()
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -26,6 +26,7 @@
     forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
 };
 use super::relay;
+use super::retry::PreparedAttempt;
 use super::state::Entry;
 use crate::clock;
 use crate::metrics::metrics;
@@ -200,7 +201,7 @@
 }
 
 /// Failed attempts of one request.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct FailedAttempts {
     /// Summary that decides whether a retry is allowed.
     pub(crate) history: AttemptHistory,
@@ -232,9 +233,16 @@
     }
     let mut failures = FailedAttempts::default();
     let mut last_error = None;
+    let mut prepared: Option<PreparedAttempt> = None;
     loop {
-        let chosen = match choose_for_call(&entry, &call, &failures.upstreams) {
-            Ok(chosen) => chosen,
+        let next = match prepared.take() {
+            Some(PreparedAttempt { chosen, connection }) => Ok((chosen, Some(connection))),
+            None => {
+                choose_for_call(&entry, &call, &failures.upstreams).map(|chosen| (chosen, None))
+            }
+        };
+        let (chosen, connection) = match next {
+            Ok(next) => next,
             Err(no_upstream) => {
                 let history = &failures.history;
                 return reject_without_upstream(
@@ -251,7 +259,7 @@
             entry.record_admission(&call.service, false);
         }
         let (failure, error) =
-            match run_attempt(&entry, &call, &chosen, &failures.history, None).await {
+            match run_attempt(&entry, &call, &chosen, connection, &failures, None).await {
                 AttemptResult::Buffered(head, body) => {
                     let history = &failures.history;
                     return forward_response(
@@ -267,6 +275,11 @@
                 AttemptResult::Stream(stream) => {
                     return relay::start(entry, call, chosen, *stream, failures, in_use);
                 }
+                AttemptResult::Abandoned(next) => {
+                    failures.record(&chosen.upstream.id, AttemptOutcome::Silent);
+                    prepared = Some(*next);
+                    continue;
+                }
                 AttemptResult::Failed(failure, error) => (failure, error),
             };
         failures.record(&chosen.upstream.id, failure);
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -1,8 +1,10 @@
 //! Decides whether a request can be sent to another upstream at the moment.
 
+use masticdock_adapter::Connection;
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
+use super::attempt::acquire_connection;
 use super::candidates::ChosenUpstream;
 use super::request::{Call, attempts_max, choose_for_call};
 use super::state::Entry;
@@ -19,12 +21,62 @@
     Never(&'static str),
 }
 
+/// Attempt that can be sent at once.
+#[derive(Debug)]
+pub(crate) struct PreparedAttempt {
+    pub(super) chosen: ChosenUpstream,
+    pub(super) connection: Connection,
+}
+
 /// Plans another attempt after those in `history`, at an upstream other than `excluded`.
 pub(super) fn plan_retry(
     entry: &Entry,
     call: &Call,
     history: &AttemptHistory,
     excluded: &[UpstreamId],
+) -> RetryPlan {
+    let plan = choose_retry(entry, call, history, excluded);
+    if matches!(plan, RetryPlan::Send(_)) && !spend_budget(entry, call, history) {
+        return RetryPlan::Later("no_budget");
+    }
+    plan
+}
+
+/// Plans another attempt like [`plan_retry`] and connects to its upstream. The retry budget is
+/// spent only once the connection is open.
+///
+/// # Errors
+///
+/// Returns the reason why the request cannot be sent to another upstream at the moment.
+pub(super) async fn prepare_retry(
+    entry: &Entry,
+    call: &Call,
+    history: &AttemptHistory,
+    excluded: &[UpstreamId],
+) -> Result<Box<PreparedAttempt>, &'static str> {
+    let chosen = match choose_retry(entry, call, history, excluded) {
+        RetryPlan::Send(chosen) => *chosen,
+        RetryPlan::Later(reason) | RetryPlan::Never(reason) => return Err(reason),
+    };
+    let Some(connection) = acquire_connection(entry, call, &chosen, history).await else {
+        return Err("unreachable");
+    };
+    let window = chosen.begin_window;
+    if window.is_some_and(|window| !window.may_send(clock::now())) {
+        return Err("no_place");
+    }
+    if !spend_budget(entry, call, history) {
+        return Err("no_budget");
+    }
+    Ok(Box::new(PreparedAttempt { chosen, connection }))
+}
+
+/// Plans another attempt without spending the retry budget.
+fn choose_retry(
+    entry: &Entry,
+    call: &Call,
+    history: &AttemptHistory,
+    excluded: &[UpstreamId],
 ) -> RetryPlan {
     let attempts_max = attempts_max(entry, call);
     let checked = check_retry(call.route.kind, attempts_max, history, call.time_left_ms());
@@ -39,10 +91,16 @@
         }
         return RetryPlan::Never("no_other_upstream");
     };
-    let spent = history.sent == 0
-        || entry.with_retry_budget(&call.service, |budget| budget.try_spend(clock::now()));
-    if !spent {
+    let affordable = history.sent == 0
+        || entry.with_retry_budget(&call.service, |budget| budget.has_left(clock::now()));
+    if !affordable {
         return RetryPlan::Later("no_budget");
     }
     RetryPlan::Send(Box::new(chosen))
 }
+
+fn spend_budget(entry: &Entry, call: &Call, history: &AttemptHistory) -> bool {
+    // The first send after failed connections is not a retry.
+    history.sent == 0
+        || entry.with_retry_budget(&call.service, |budget| budget.try_spend(clock::now()))
+}
--- a/crates/masticdock-node/src/entry/wait.rs
+++ b/crates/masticdock-node/src/entry/wait.rs
@@ -1,13 +1,16 @@
 //! Waits of an attempt for its upstream.
 
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use masticdock_adapter::UpstreamTarget;
-use masticdock_core::serving::BeginWindow;
+use masticdock_core::ids::UpstreamId;
+use masticdock_core::serving::{AttemptHistory, AttemptOutcome, BeginWindow};
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, sleep_until};
 
-use super::request::Call;
+use super::request::{Call, FailedAttempts};
+use super::retry::{PreparedAttempt, prepare_retry};
 use super::state::Entry;
 use crate::clock;
 
@@ -21,7 +24,7 @@
 const ACTIVITY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Limits on the time that an attempt waits for its response.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct WaitLimits {
     pub(super) started_at: Instant,
     pub(super) started_mono: MonoMs,
@@ -31,6 +34,35 @@
     pub(super) predicted_ms: f64,
     /// Part of the predicted time that the request spends at the engine, in milliseconds.
     pub(super) engine_ms: f64,
+    pub(super) retry: RetryWhileSilent,
+}
+
+/// Retry of a request whose present attempt is silent.
+#[derive(Debug)]
+pub(super) struct RetryWhileSilent {
+    /// Attempts with the present one.
+    history: AttemptHistory,
+    excluded: Vec<UpstreamId>,
+    /// Attempt that takes the place of the present one.
+    pub(super) prepared: RefCell<Option<Box<PreparedAttempt>>>,
+    /// Last logged reason why no retry can be sent.
+    logged_reason: Cell<Option<&'static str>>,
+}
+
+impl RetryWhileSilent {
+    /// Creates the state for an attempt at `upstream` after `failures`.
+    pub(super) fn new(failures: &FailedAttempts, upstream: &UpstreamId) -> Self {
+        let mut history = failures.history;
+        history.record(AttemptOutcome::Silent);
+        let mut excluded = failures.upstreams.clone();
+        excluded.push(upstream.clone());
+        Self {
+            history,
+            excluded,
+            prepared: RefCell::default(),
+            logged_reason: Cell::default(),
+        }
+    }
 }
 
 impl WaitLimits {
@@ -38,10 +70,26 @@
     pub(super) fn waited_ms(&self) -> f64 {
         self.started_at.elapsed().as_secs_f64() * 1_000.0
     }
+
+    /// Returns when the wait ends: at the deadline, or when the upstream's version expires.
+    fn ends_at(&self, call: &Call) -> Instant {
+        let Some(window) = self.begin_window else {
+            return call.deadline;
+        };
+        let cancel_at = Instant::now() + window.cancel_at.since(clock::now());
+        call.deadline.min(cancel_at)
+    }
+
+    /// Records that an upstream has not responded so far.
+    pub(super) fn record_silence(&self, entry: &Entry, upstream: &UpstreamId) {
+        let now = clock::now();
+        let waited_ms = now.since_ms(self.started_mono);
+        entry.with_load(upstream, |load| load.record_silence(waited_ms, now));
+    }
 }
 
 /// Awaits a future of an upstream until the deadline. The wait also ends when the
-/// upstream's version expires or, for a retryable request, the upstream is silent.
+/// upstream's version expires or, while the upstream is silent, as soon as a retry is prepared.
 ///
 /// # Errors
 ///
@@ -56,13 +104,11 @@
     let mut future = std::pin::pin!(future);
     let retryable = call.route.kind.is_safe_to_retry();
     loop {
-        let mut check_at = call.deadline;
+        let ends_at = limits.ends_at(call);
+        let mut check_at = ends_at;
         if retryable {
             check_at = check_at.min(Instant::now() + ACTIVITY_CHECK_INTERVAL);
         }
-        if let Some(window) = limits.begin_window {
-            check_at = check_at.min(Instant::now() + window.cancel_at.since(clock::now()));
-        }
         tokio::select! {
             done = &mut future => return Ok(done),
             () = sleep_until(check_at) => {}
@@ -77,10 +123,46 @@
         }
         let active_at = entry.with_load(&target.id, |load| load.last_activity_at());
         let idle = now.since(active_at.max(limits.started_mono));
-        if retryable && (idle >= UPSTREAM_IDLE_TIMEOUT || waited >= RESPONSE_TIMEOUT) {
-            return Err(waited);
+        if !retryable || (idle < UPSTREAM_IDLE_TIMEOUT && waited < RESPONSE_TIMEOUT) {
+            continue;
         }
+        limits.record_silence(entry, &target.id);
+        let retry = &limits.retry;
+        // The response may arrive while the retry connects.
+        let prepared = tokio::select! {
+            biased;
+            done = &mut future => return Ok(done),
+            () = sleep_until(ends_at) => continue,
+            prepared = prepare_retry(entry, call, &retry.history, &retry.excluded) => prepared,
+        };
+        match prepared {
+            Ok(prepared) => {
+                *retry.prepared.borrow_mut() = Some(prepared);
+                return Err(waited);
+            }
+            Err(reason) => log_kept_attempt(call, target, limits, reason),
+        }
+    }
+}
+
+/// Logs why a silent attempt is kept, unless the reason is that of the previous check.
+fn log_kept_attempt(
+    call: &Call,
+    target: &UpstreamTarget,
+    limits: &WaitLimits,
+    reason: &'static str,
+) {
+    if limits.retry.logged_reason.replace(Some(reason)) == Some(reason) {
+        return;
     }
+    log::warn!(
+        event = "attempt.kept",
+        request_id = call.head.request_id.as_str(),
+        upstream = target.id.as_str(),
+        silent_ms = clock::now().since_ms(limits.started_mono),
+        reason = reason;
+        "an upstream is silent, but the request cannot be sent to another one"
+    );
 }
 
 /// Records how long an upstream kept the attempt waiting for its first byte or event, or
