Try an upstream again after it was slow once

Callers saw: after a pause of both upstreams of a plain service, one entry rejected each request to it as full (rejected share 100 %), for ten seconds and until the end of the test, while the upstreams were idle.

Cause: the smoothed service time, 614 ms after the pause, was above nine tenths of the objective, so nothing was sent, so no sample could correct it. Class: an estimate that excludes what would correct it.

The service time decays to the assumed one with a half-life of one second, as the slowdown of engines does already.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -2,6 +2,7 @@
 
 use crate::units::MonoMs;
 
+use super::placement::ASSUMED_SERVICE_MS;
 use super::rate_limit::RateLimitShare;
 use super::versions::VersionNumber;
 use super::waits::RecentMaximum;
@@ -93,6 +94,11 @@
 /// Half-life of the slowdown without new samples, in milliseconds.
 const SLOWDOWN_HALF_LIFE_MS: f64 = 400.0;
 
+/// Weight of a new service time: about ten samples reflect a change.
+const SERVICE_SAMPLE_WEIGHT: f64 = 0.125;
+/// Half-life of the service time without new samples, in milliseconds.
+const SERVICE_HALF_LIFE_MS: f64 = 1_000.0;
+
 /// Load and health of an upstream, as known to one entry.
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamLoad {
@@ -120,8 +126,8 @@
     last_activity_at: MonoMs,
     /// Time until which other upstreams are preferred, since this one was silent.
     avoided_until: MonoMs,
-    /// Smoothed service time, in milliseconds; 0 before the first sample.
-    service_ms: f64,
+    /// Smoothed service time, in milliseconds, and when it was last updated.
+    service: Option<(f64, MonoMs)>,
 }
 
 impl LoadReport {
@@ -292,21 +298,29 @@
     }
 
     /// Updates the smoothed service time with a completed request.
-    pub fn record_service_time(&mut self, service_time_ms: u64) {
-        // A weight of an eighth follows a change within about ten requests.
-        const SAMPLE_WEIGHT: f64 = 0.125;
+    pub fn record_service_time(&mut self, service_time_ms: u64, now: MonoMs) {
         #[allow(clippy::cast_precision_loss)]
-        let service_time_ms = service_time_ms as f64;
-        if self.service_ms <= 0.0 {
-            self.service_ms = service_time_ms;
-        }
-        self.service_ms += SAMPLE_WEIGHT * (service_time_ms - self.service_ms);
+        let sample_ms = service_time_ms as f64;
+        let service_ms = if self.service.is_some() {
+            self.service_ms(now)
+        } else {
+            sample_ms
+        };
+        let service_ms = service_ms + SERVICE_SAMPLE_WEIGHT * (sample_ms - service_ms);
+        self.service = Some((service_ms, now));
     }
 
-    /// Returns the smoothed service time, in milliseconds; 0 when unknown.
+    /// Returns the smoothed service time, in milliseconds; 0 when unknown. Decays to the
+    /// assumed one, so that an upstream which was slow is tried again although it got no
+    /// requests since.
     #[must_use]
-    pub const fn service_ms(&self) -> f64 {
-        self.service_ms
+    #[allow(clippy::cast_precision_loss)]
+    pub fn service_ms(&self, now: MonoMs) -> f64 {
+        let Some((service_ms, at)) = self.service else {
+            return 0.0;
+        };
+        let decay = 0.5_f64.powf(now.since_ms(at) as f64 / SERVICE_HALF_LIFE_MS);
+        ASSUMED_SERVICE_MS + (service_ms - ASSUMED_SERVICE_MS) * decay
     }
 
     /// Backs off exponentially after a failed connection or a broken response.
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -184,7 +184,7 @@
 
 /// Service time assumed before the first sample when an upstream runs no model, in
 /// milliseconds.
-const DEFAULT_SERVICE_MS: f64 = 50.0;
+pub(super) const ASSUMED_SERVICE_MS: f64 = 50.0;
 
 /// Predicts the time to the first event, in milliseconds.
 #[allow(clippy::cast_precision_loss)]
@@ -195,7 +195,7 @@
         let service_ms = if candidate.service_ms > 0.0 {
             candidate.service_ms
         } else {
-            DEFAULT_SERVICE_MS
+            ASSUMED_SERVICE_MS
         };
         let utilization = f64::from(candidate.total.min(slots)) / f64::from(slots);
         // Prefers emptier upstreams slightly while slots are free.
--- a/crates/masticdock-core/tests/serving_load.rs
+++ b/crates/masticdock-core/tests/serving_load.rs
@@ -1,6 +1,8 @@
 //! Waits for an upstream, as one entry remembers them.
 
-use masticdock_core::serving::UpstreamLoad;
+use masticdock_core::serving::{
+    Candidate, Placement, PlacementRules, RequestSize, UpstreamLoad, place,
+};
 use masticdock_core::units::MonoMs;
 
 /// Returns a load with one wait at 10 s.
@@ -47,3 +49,40 @@
     );
     assert_eq!(load_with_wait(300.0, 450.0).longest_excess_wait_ms(now), 0);
 }
+
+/// Guards against a service that rejects every request after its upstreams were slow once,
+/// because nothing is sent that would show that they are quick again.
+#[test]
+fn an_upstream_that_was_slow_gets_requests_again() {
+    let slow_at = MonoMs(60_000);
+    let mut load = UpstreamLoad::default();
+    load.record_service_time(1_600, slow_at);
+    let place_at = |now: MonoMs| {
+        let candidate = Candidate {
+            slots: 8,
+            total: 0,
+            pending_prefill_tokens: 0,
+            others_pending_prefills: 0.0,
+            slowdown: 1.0,
+            link_delay_ms: 0.0,
+            switch_in_ms: None,
+            service_ms: load.service_ms(now),
+            distance_ms: 0.0,
+            has_place: None,
+            silent: false,
+            draw: 0.0,
+        };
+        let size = RequestSize::default();
+        place(
+            &[candidate],
+            None,
+            size,
+            500.0,
+            false,
+            &PlacementRules::default(),
+        )
+    };
+    assert!(matches!(place_at(slow_at), Placement::Full { .. }));
+    let later = place_at(slow_at.plus_ms(3_000));
+    assert!(matches!(later, Placement::Send { .. }), "{later:?}");
+}
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -259,10 +259,9 @@
         .pools
         .put_back(&target.id, connection, head.idle_timeout_ms);
     entry.with_load(&target.id, |load| {
-        load.record_activity(clock::now());
-        load.record_service_time(
-            u64::try_from(limits.started_at.elapsed().as_millis()).unwrap_or(u64::MAX),
-        );
+        let now = clock::now();
+        load.record_activity(now);
+        load.record_service_time(now.since_ms(limits.started_mono), now);
     });
     if parts.status.is_server_error() {
         return AttemptResult::Failed(AttemptOutcome::ServerError, Some((forwarded, body)));
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -232,7 +232,7 @@
         link_delay_ms: fresh_report(entry, &upstream.id, now)
             .map_or(0.0, |(report, _)| f64::from(report.link_delay_ms)),
         switch_in_ms: None,
-        service_ms: load.service_ms(),
+        service_ms: load.service_ms(now),
         distance_ms: distance_ms(entry, &upstream.zone),
         has_place: load.has_place(now),
         silent: load.is_silent(now),
