Serve what has arrived before closing a connection

Callers saw: a request that arrived while the entry was paused or busy was dropped without a response when the connection's idle or head timeout ended meanwhile, or when a graceful shutdown closed idle connections. A part of a next request that had been read already (a pipelined one, or a head in two segments at a shutdown) was dropped with the connection as well.

Cause: the decision to close was taken from a timer on a phase that is only as recent as the last read. The event loop learns of at most 1,024 events at a time and runs due timers between them; `serve` then took `close` and the connection in random order, and hyper closes an idle connection without reading and drops a head that it has read in part. Class: a timer acts on stale state of a peer.

Change: a due connection is taken back from the HTTP server between two requests, with the bytes that the server has read and not parsed. If there are any, or the socket has unread ones (asked by MSG_PEEK, not by the event loop), the connection goes on with them. It is closed only when there is nothing. A connection that is in use when the shutdown closes connections ends after the next response, which says `Connection: close`; the process waits until all are closed instead of until none is in use. A connection whose last body may not have been read to its end is never taken back, so that no body is read as a request.

--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -2,22 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
+use std::future::poll_fn;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
 
+use http::Request;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use masticdock_core::serving::{
-    ConnectionPhase, ConnectionTimeout, ConnectionTimer, RequestLimits,
-};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use masticdock_core::serving::{ConnectionPhase, ConnectionTimer, RequestLimits};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+use super::caller_stream::CallerStream;
 use super::request::handle_request;
 use super::state::Entry;
 use crate::{clock, http_server};
@@ -31,10 +31,12 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     timer: Cell<ConnectionTimer>,
-    /// Requests a graceful shutdown of the connection.
-    close: Notify,
-    /// Closes the connection at once.
-    abort: Notify,
+    /// True if the body of the latest request may not have been read to its end.
+    unread_body: Cell<bool>,
+    /// True once the connection is to be closed after the request in progress, if any.
+    closing: Cell<bool>,
+    /// Requests a check whether to close the connection.
+    check: Notify,
 }
 
 /// Marks a connection as in use until it is dropped.
@@ -42,10 +44,16 @@
 pub(crate) struct InUseGuard(Rc<CallerConnection>);
 
 impl InUseGuard {
-    pub(crate) fn begin(connection: &Rc<CallerConnection>) -> Self {
+    pub(crate) fn begin(connection: &Rc<CallerConnection>, has_body: bool) -> Self {
         connection.enter(ConnectionPhase::Active);
+        connection.unread_body.set(has_body);
         Self(Rc::clone(connection))
     }
+
+    /// Records that the body of the request has been read.
+    pub(crate) fn end_body(&self) {
+        self.0.unread_body.set(false);
+    }
 }
 
 impl Drop for InUseGuard {
@@ -55,14 +63,21 @@
 }
 
 impl CallerConnection {
-    fn phase(&self) -> ConnectionPhase {
+    pub(super) fn phase(&self) -> ConnectionPhase {
         self.timer.get().phase()
     }
 
-    fn enter(&self, phase: ConnectionPhase) {
+    pub(super) fn enter(&self, phase: ConnectionPhase) {
         self.update_timer(|timer| timer.enter(phase, clock::now()));
     }
 
+    /// Returns whether the connection is between two requests and to be closed.
+    fn is_due(&self, limits: &RequestLimits) -> bool {
+        let is_idle = self.phase() == ConnectionPhase::Idle;
+        let is_expired = self.timer.get().exceeded(limits, clock::now()).is_some();
+        !self.unread_body.get() && (is_expired || is_idle && self.closing.get())
+    }
+
     fn update_timer(&self, change: impl FnOnce(&mut ConnectionTimer)) {
         let mut timer = self.timer.get();
         change(&mut timer);
@@ -80,8 +95,9 @@
     fn register(&self, limits: &RequestLimits) -> Rc<CallerConnection> {
         let connection = Rc::new(CallerConnection {
             timer: Cell::new(ConnectionTimer::new(limits, clock::now())),
-            close: Notify::new(),
-            abort: Notify::new(),
+            unread_body: Cell::new(false),
+            closing: Cell::new(false),
+            check: Notify::new(),
         });
         self.open.borrow_mut().push(Rc::downgrade(&connection));
         connection
@@ -111,21 +127,22 @@
 
     /// Closes connections that exceed the idle timeout or the request head timeout.
     pub(crate) fn close_expired(&self, limits: &RequestLimits) {
-        let now = clock::now();
         for connection in self.live() {
-            match connection.timer.get().exceeded(limits, now) {
-                Some(ConnectionTimeout::Idle) => connection.close.notify_one(),
-                Some(ConnectionTimeout::Head) => connection.abort.notify_one(),
-                None => {}
+            if connection.is_due(limits) {
+                connection.check.notify_one();
             }
         }
     }
 
-    /// Closes idle connections now and the others after their response.
-    pub(crate) fn close_all(&self) {
-        for connection in self.live() {
-            connection.close.notify_one();
+    /// Closes idle connections now and the others after their response. Returns whether none
+    /// is open.
+    pub(crate) fn close_all(&self) -> bool {
+        let connections = self.live();
+        for connection in &connections {
+            connection.closing.set(true);
+            connection.check.notify_one();
         }
+        connections.is_empty()
     }
 }
 
@@ -146,94 +163,66 @@
 }
 
 async fn serve(entry: Rc<Entry>, stream: TcpStream) {
-    let limits = entry.limits();
-    let connection = entry.connections.register(&limits);
-    let io = TokioIo::new(PhaseTrackingStream {
-        stream,
-        connection: Rc::clone(&connection),
-    });
-    let request_connection = Rc::clone(&connection);
-    let service = service_fn(move |request| {
-        let connection = Rc::clone(&request_connection);
-        let in_use = InUseGuard::begin(&connection);
-        let entry = Rc::clone(&entry);
-        async move {
-            let response = handle_request(Rc::clone(&entry), request, in_use).await;
+    let connection = entry.connections.register(&entry.limits());
+    let mut stream = CallerStream::new(stream, Rc::clone(&connection));
+    while let Some(due) = serve_requests(&entry, &connection, stream).await {
+        stream = due;
+        if stream.has_input() {
+            continue;
+        }
+        if connection.phase() == ConnectionPhase::Head {
+            log::info!(event = "connection.slow_head"; "request head not received in time; the connection is closed");
+            return;
+        }
+        close(stream).await;
+        return;
+    }
+}
+
+/// Serves requests until the connection ends. Returns its stream if the connection is
+/// between two requests and due to be closed.
+async fn serve_requests(
+    entry: &Rc<Entry>,
+    connection: &Rc<CallerConnection>,
+    stream: CallerStream,
+) -> Option<CallerStream> {
+    let service = service_fn(|request: Request<Incoming>| {
+        let in_use = InUseGuard::begin(connection, !request.body().is_end_stream());
+        Box::pin(async move {
+            let mut response = handle_request(Rc::clone(entry), request, in_use).await;
             connection.update_timer(|timer| timer.respond(&entry.limits()));
+            if connection.closing.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response)
-        }
+        })
     });
-    let mut serving = std::pin::pin!(
-        http1::Builder::new()
-            .max_buf_size(limits.head_bytes_max.max(BUFFER_BYTES_MIN))
-            .header_read_timeout(None)
-            .serve_connection(io, service)
-    );
+    let mut server = http1::Builder::new()
+        .max_buf_size(entry.limits().head_bytes_max.max(BUFFER_BYTES_MIN))
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service);
     loop {
         tokio::select! {
-            result = &mut serving => {
-                if let Err(error) = result {
-                    log::debug!("caller connection failed: {error}");
+            biased;
+            result = poll_fn(|context| server.poll_without_shutdown(context)) => {
+                match result {
+                    Ok(()) => close(CallerStream::take_back(server.into_parts())).await,
+                    Err(error) => log::debug!("caller connection failed: {error}"),
                 }
-                return;
+                return None;
             }
-            () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
-            () = connection.abort.notified() => {
-                log::info!(event = "connection.slow_head"; "request head not received in time; the connection is closed");
-                return;
+            () = connection.check.notified() => {
+                if connection.is_due(&entry.limits()) {
+                    return Some(CallerStream::take_back(server.into_parts()));
+                }
             }
         }
     }
 }
 
-/// Stream that sets the connection's phase when a request head begins to arrive.
-#[derive(Debug)]
-struct PhaseTrackingStream {
-    stream: TcpStream,
-    connection: Rc<CallerConnection>,
-}
-
-impl AsyncRead for PhaseTrackingStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before && self.connection.phase() == ConnectionPhase::Idle {
-            self.connection.enter(ConnectionPhase::Head);
-        }
-        result
-    }
-}
-
-impl AsyncWrite for PhaseTrackingStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+async fn close(mut stream: CallerStream) {
+    if let Err(error) = stream.shutdown().await {
+        log::debug!("cannot close a caller connection: {error}");
     }
 }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body;
 mod buffers;
+mod caller_stream;
 mod candidates;
 mod connections;
 mod crashes;
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -131,7 +131,10 @@
     let deadline = arrived + Duration::from_millis(time_ms);
     let body_bytes_max = configuration.limits.body_bytes_max;
     let body = match read_body(&parts.headers, body, body_bytes_max, deadline).await {
-        Ok(body) => body,
+        Ok(body) => {
+            in_use.end_body();
+            body
+        }
         Err((status, reason)) => return reject(&request_id, status, reason, None, in_use),
     };
     let service = route.choose_service(rand::random()).clone();
--- a/crates/masticdock-node/src/entry/shutdown.rs
+++ b/crates/masticdock-node/src/entry/shutdown.rs
@@ -16,7 +16,7 @@
 /// Interval between checks of the open connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Waits until no connection is in use or the grace period is about to end.
+/// Waits until no connection is open or the grace period is about to end.
 pub(crate) async fn run(entry: &Rc<Entry>, accept_task: &JoinHandle<()>) {
     let started_at = Instant::now();
     let grace = Duration::from_millis(entry.settings.bounds.grace_ms);
@@ -31,8 +31,7 @@
     sleep(LOAD_BALANCER_DELAY).await;
     while Instant::now() < stop_at {
         // Connections accepted since the last check are closed after their response too.
-        entry.connections.close_all();
-        if entry.connections.in_use() == 0 {
+        if entry.connections.close_all() {
             break;
         }
         sleep(CHECK_INTERVAL).await;
@@ -42,6 +41,6 @@
         event = "process.drained",
         in_use = entry.connections.in_use(),
         took_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-        "the entry has no connection in use or the grace period is about to end"
+        "the entry has no connection open or the grace period is about to end"
     );
 }
