Wait at a shutdown until responses are sent

Callers saw: a long response to a slow reader was cut off by a graceful shutdown, long before the end of the grace period.

Cause: a connection counted as in use until the HTTP server had taken over the response body. What was still in the server's write buffer was no longer counted, so the process ended and dropped it. Class: work that is handed over is taken for done.

Change: a phase `Sending` lasts from the end of the response body until the server has flushed its buffer; idleness begins after it. The shutdown waits until all connections are closed, and one that is sending is not closed.

Before, `a_shutdown_waits_until_responses_are_sent` (14 MiB, read 3.5 s after SIGTERM, grace period 8 s):

left: None right: Some

After: passes. A caller that does not read at all holds its connection until the grace period ends, as it did the memory before.

--- a/crates/masticdock-core/src/serving/connection_timer.rs
+++ b/crates/masticdock-core/src/serving/connection_timer.rs
@@ -12,6 +12,8 @@
     Head,
     /// A request is being served.
     Active,
+    /// The rest of a response is being sent.
+    Sending,
 }
 
 /// Timeout that a connection exceeds.
--- a/crates/masticdock-node/src/entry/caller_stream.rs
+++ b/crates/masticdock-node/src/entry/caller_stream.rs
@@ -16,7 +16,8 @@
 
 use super::connections::CallerConnection;
 
-/// Stream that sets the connection's phase when a request head begins to arrive.
+/// Stream that sets the connection's phase when a request head begins to arrive and when a
+/// response has been sent.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
@@ -85,7 +86,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let result = Pin::new(&mut self.stream).poll_flush(context);
+        // The HTTP server flushes the stream only once it has written its buffer.
+        if result.is_ready() && self.connection.phase() == ConnectionPhase::Sending {
+            self.connection.enter(ConnectionPhase::Idle);
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -39,7 +39,7 @@
     check: Notify,
 }
 
-/// Marks a connection as in use until it is dropped.
+/// Marks a connection as in use until it is dropped and what was responded has been sent.
 #[derive(Debug)]
 pub(crate) struct InUseGuard(Rc<CallerConnection>);
 
@@ -58,7 +58,7 @@
 
 impl Drop for InUseGuard {
     fn drop(&mut self) {
-        self.0.enter(ConnectionPhase::Idle);
+        self.0.enter(ConnectionPhase::Sending);
     }
 }
 
@@ -115,7 +115,8 @@
         self.open.borrow().len()
     }
 
-    /// Returns the number of connections on which a request is being read or served.
+    /// Returns the number of connections on which a request is being read or served, or its
+    /// response being sent.
     pub(crate) fn in_use(&self) -> usize {
         let is_idle =
             |connection: &Rc<CallerConnection>| connection.phase() == ConnectionPhase::Idle;
