Attribute responses on reused connections by their id

Callers saw: "503, not run" for an idempotent request that its upstream was running, and a success that belonged to another request.

Cause: an entry compared the id of a response only if the response named one. A late copy of an earlier response or refusal without an id, on a connection that carries several requests, counted as the answer to the request that was sent last (class: a message is attributed by its position on a connection). A refusal without an id was also believed as the first response of a connection, although upstreams repeat the id of each request that they have read.

Change: `ResponseIdentity` decides whether a response can be a copy. On a reused connection it has to name the id of the request; a refusal has to name it on a new one too, unless the caller gave the request none. Otherwise the outcome of the attempt is unknown. Requests without an id go on new connections. The load that a response names is recorded only once the response is known to be the request's.

A copy with the same id cannot meet the same request again: the upstreams of failed attempts are left out of every later choice, so a request is never sent twice to one upstream id, and pools are kept by that id.

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -50,6 +50,32 @@
     }
 }
 
+/// What shows whether a response answers the request that was sent last on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseIdentity<'a> {
+    /// Id of the request; empty if the caller gave it none.
+    pub sent_id: &'a str,
+    /// Id that the response names.
+    pub named_id: Option<&'a str>,
+    /// True if the connection carried other requests before.
+    pub reused_connection: bool,
+    /// True if the response states that the request was not executed.
+    pub not_executed: bool,
+}
+
+impl ResponseIdentity<'_> {
+    /// Returns true if the response cannot be a copy of another request's response.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        match self.named_id {
+            Some(named_id) => named_id == self.sent_id,
+            // Upstreams repeat the id of a request, so that a refusal without one may have
+            // been written before the request arrived.
+            None => !self.reused_connection && (!self.not_executed || self.sent_id.is_empty()),
+        }
+    }
+}
+
 /// Summary of the attempts of one request so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AttemptHistory {
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -25,8 +25,8 @@
 mod waits;
 
 pub use attempts::{
-    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, RetryDenial, WindowedRetryBudget,
-    WindowedRetryBudgetSettings, check_retry, connect_timeout_ms, next_step,
+    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, ResponseIdentity, RetryDenial,
+    WindowedRetryBudget, WindowedRetryBudgetSettings, check_retry, connect_timeout_ms, next_step,
 };
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
--- a/crates/masticdock-core/tests/serving_attempts.rs
+++ b/crates/masticdock-core/tests/serving_attempts.rs
@@ -1,8 +1,8 @@
 //! Tests of the decision after an attempt, and of the retry budget.
 
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, RequestKind, WindowedRetryBudget,
-    WindowedRetryBudgetSettings, connect_timeout_ms, next_step,
+    AttemptHistory, AttemptOutcome, FinalResponse, NextStep, RequestKind, ResponseIdentity,
+    WindowedRetryBudget, WindowedRetryBudgetSettings, connect_timeout_ms, next_step,
 };
 use masticdock_core::units::MonoMs;
 use proptest::prelude::*;
@@ -137,3 +137,23 @@
         assert!(connect_timeout_ms(&history) >= second_ms);
     }
 }
+
+/// Guards against a copy of another request's response, or a refusal that was written
+/// before the request arrived, that is taken for the response.
+#[test]
+fn only_a_response_that_can_be_no_copy_is_certain() {
+    let identity = |sent_id, named_id, reused_connection, not_executed| ResponseIdentity {
+        sent_id,
+        named_id,
+        reused_connection,
+        not_executed,
+    };
+    for (reused, refused) in [(false, false), (false, true), (true, false), (true, true)] {
+        assert!(identity("a", Some("a"), reused, refused).is_certain());
+        assert!(!identity("a", Some("b"), reused, refused).is_certain());
+        assert!(!identity("", Some("b"), reused, refused).is_certain());
+        let without_id = identity("a", None, reused, refused);
+        assert_eq!(without_id.is_certain(), !reused && !refused);
+        assert_eq!(identity("", None, reused, refused).is_certain(), !reused);
+    }
+}
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -14,16 +14,16 @@
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, EventSplitter, RequestKind, StreamEvent, Upstream,
-    connect_timeout_ms,
+    AttemptOutcome, EventSplitter, ResponseIdentity, StreamEvent, Upstream,
 };
 use masticdock_core::units::MonoMs;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::body::{collect_body, reuse_after_body};
 use super::candidates::ChosenUpstream;
 use super::crashes;
 use super::load_guard::LoadGuard;
+use super::pool::{AttemptConnection, acquire_connection};
 use super::rate_limits;
 use super::request::{Call, FailedAttempts};
 use super::retry::PreparedAttempt;
@@ -68,7 +68,7 @@
     entry: &Rc<Entry>,
     call: &Call,
     chosen: &ChosenUpstream,
-    connection: Option<Connection>,
+    connection: Option<AttemptConnection>,
     failures: &FailedAttempts,
     last_event_id: Option<u64>,
 ) -> AttemptResult {
@@ -137,39 +137,6 @@
     }
 }
 
-/// Returns a connection for an attempt, or `None` if the upstream cannot be reached.
-pub(super) async fn acquire_connection(
-    entry: &Entry,
-    call: &Call,
-    chosen: &ChosenUpstream,
-    history: &AttemptHistory,
-) -> Option<Connection> {
-    let id = &chosen.upstream.id;
-    // An upstream may close an idle connection while a request is being sent on it.
-    // A non-idempotent request cannot be retried then, so it gets a new connection.
-    if call.route.kind != RequestKind::NonIdempotent
-        && let Some(connection) = entry.pools.take_idle(id)
-    {
-        return Some(connection);
-    }
-    let timeout = Duration::from_millis(connect_timeout_ms(history));
-    let opened = entry.pools.open(chosen.upstream.address, timeout);
-    let error = match timeout_at(call.deadline, opened).await {
-        Ok(Ok(connection)) => return Some(connection),
-        Ok(Err(error)) => error.to_string(),
-        Err(_) => "the deadline passed while connecting".to_owned(),
-    };
-    entry.with_load(id, |load| load.record_error(clock::now()));
-    log::warn!(
-        event = "upstream.unreachable",
-        request_id = call.head.request_id.as_str(),
-        upstream = id.as_str(),
-        error = error.as_str();
-        "cannot connect to an upstream"
-    );
-    None
-}
-
 fn build_request(call: &Call, target: &UpstreamTarget) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -185,10 +152,14 @@
     call: &Call,
     upstream: &Upstream,
     target: &UpstreamTarget,
-    mut connection: Connection,
+    acquired: AttemptConnection,
     load: LoadGuard,
     limits: &WaitLimits,
 ) -> AttemptResult {
+    let AttemptConnection {
+        mut connection,
+        is_reused,
+    } = acquired;
     let sent = connection.send_request(build_request(call, target));
     let response = await_upstream(entry, call, target, limits, sent).await;
     record_wait(entry, target, limits);
@@ -199,14 +170,17 @@
     };
     let (parts, body) = response.into_parts();
     let head = parse_upstream_head(parts.status, &parts.headers);
-    record_head(entry, target, &head);
-    if head
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != call.head.request_id)
-    {
-        return broken_attempt(call, target, "the response belongs to another request");
+    let identity = ResponseIdentity {
+        sent_id: &call.head.request_id,
+        named_id: head.request_id.as_deref(),
+        reused_connection: is_reused,
+        not_executed: head.not_executed,
+    };
+    if !identity.is_certain() {
+        let reason = "the response may belong to another request";
+        return broken_attempt(call, target, reason);
     }
+    record_head(entry, target, &head);
     rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
     if head.not_executed {
         log::warn!(
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use masticdock_adapter::{BodyEnd, Connection};
+use masticdock_adapter::BodyEnd;
 use masticdock_core::serving::{
     AttemptOutcome, CRASH_SUSPICION_MS, StreamEvent, StreamProgress, StreamProgressSettings,
 };
@@ -14,6 +14,7 @@
 use super::attempt::{AttemptResult, OpenStream, run_attempt};
 use super::candidates::ChosenUpstream;
 use super::crashes::{record_success, report_suspects};
+use super::pool::AttemptConnection;
 use super::request::{Call, FailedAttempts};
 use super::retry::PreparedAttempt;
 use super::state::Entry;
@@ -197,7 +198,7 @@
     entry: Rc<Entry>,
     call: Rc<Call>,
     chosen: ChosenUpstream,
-    connection: Option<Connection>,
+    connection: Option<AttemptConnection>,
     failures: FailedAttempts,
     last_id: Option<u64>,
 ) -> Resumed {
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -7,8 +7,13 @@
 
 use masticdock_adapter::{CallError, Connection, connect};
 use masticdock_core::ids::UpstreamId;
+use masticdock_core::serving::{AttemptHistory, RequestKind, connect_timeout_ms};
 use masticdock_core::units::MonoMs;
+use tokio::time::timeout_at;
 
+use super::candidates::ChosenUpstream;
+use super::request::Call;
+use super::state::Entry;
 use crate::clock;
 
 /// Maximum idle time of a pooled connection, in milliseconds.
@@ -23,6 +28,58 @@
     expires_at: MonoMs,
 }
 
+/// Connection for one attempt.
+#[derive(Debug)]
+pub(super) struct AttemptConnection {
+    pub(super) connection: Connection,
+    /// True if the connection carried other requests before.
+    pub(super) is_reused: bool,
+}
+
+/// Takes an idle connection to the chosen upstream or opens one; returns `None` if the
+/// upstream cannot be reached.
+pub(super) async fn acquire_connection(
+    entry: &Entry,
+    call: &Call,
+    chosen: &ChosenUpstream,
+    history: &AttemptHistory,
+) -> Option<AttemptConnection> {
+    let id = &chosen.upstream.id;
+    // An upstream may close an idle connection while a request is being sent on it.
+    // A non-idempotent request cannot be retried then, so it gets a new connection. On a
+    // reused connection, a request without an id cannot be told from others.
+    if call.route.kind != RequestKind::NonIdempotent
+        && !call.head.request_id.is_empty()
+        && let Some(connection) = entry.pools.take_idle(id)
+    {
+        return Some(AttemptConnection {
+            connection,
+            is_reused: true,
+        });
+    }
+    let timeout = Duration::from_millis(connect_timeout_ms(history));
+    let opened = entry.pools.open(chosen.upstream.address, timeout);
+    let error = match timeout_at(call.deadline, opened).await {
+        Ok(Ok(connection)) => {
+            return Some(AttemptConnection {
+                connection,
+                is_reused: false,
+            });
+        }
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "the deadline passed while connecting".to_owned(),
+    };
+    entry.with_load(id, |load| load.record_error(clock::now()));
+    log::warn!(
+        event = "upstream.unreachable",
+        request_id = call.head.request_id.as_str(),
+        upstream = id.as_str(),
+        error = error.as_str();
+        "cannot connect to an upstream"
+    );
+    None
+}
+
 /// Idle connections by upstream.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPools {
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use http::Response;
-use masticdock_adapter::Connection;
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptOutcome, StreamEvent};
 use masticdock_core::units::MonoMs;
@@ -24,6 +23,7 @@
 use super::connections::InUseGuard;
 use super::live_stream::{LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
+use super::pool::AttemptConnection;
 use super::request::{Call, FailedAttempts};
 use super::retry::{PreparedAttempt, RetryPlan, plan_retry};
 use super::state::Entry;
@@ -264,7 +264,7 @@
     }
 
     /// Begins to resume the stream at another upstream.
-    fn open_standby(&mut self, chosen: ChosenUpstream, connection: Option<Connection>) {
+    fn open_standby(&mut self, chosen: ChosenUpstream, connection: Option<AttemptConnection>) {
         log::info!(
             event = "stream.resuming",
             request_id = self.call.head.request_id.as_str(),
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -1,11 +1,10 @@
 //! Decides whether a request can be sent to another upstream at the moment.
 
-use masticdock_adapter::Connection;
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
-use super::attempt::acquire_connection;
 use super::candidates::ChosenUpstream;
+use super::pool::{AttemptConnection, acquire_connection};
 use super::request::{Call, attempts_max, choose_for_call};
 use super::state::Entry;
 use crate::clock;
@@ -25,7 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct PreparedAttempt {
     pub(super) chosen: ChosenUpstream,
-    pub(super) connection: Connection,
+    pub(super) connection: AttemptConnection,
 }
 
 /// Plans another attempt after those in `history`, at an upstream other than `excluded`.
