Send streams that may run once on new connections

Callers saw (by the code): 502 for a stream that cannot be resumed whose reused connection the upstream closed at that moment; together with a copied refusal, such a stream was sent to a second upstream although it ran at the first.

Cause: reuse was denied to the kind `NonIdempotent` only. Streams that cannot be resumed may run once as well, but are another kind (class: a condition repeats a part of a rule instead of asking for it).

streams_that_may_run_once_are_sent_on_new_connections assertion `left == right` failed: streams on a reused connection left: 4, right: 0

Change: reuse asks `is_safe_to_retry`, like the decision to retry. Resumable streams and idempotent requests reuse connections as before.

After: the test passes, as do the others of entry_stale_responses and entry_connections.

--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -7,7 +7,7 @@
 
 use masticdock_adapter::{CallError, Connection, connect};
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{AttemptHistory, RequestKind, connect_timeout_ms};
+use masticdock_core::serving::{AttemptHistory, connect_timeout_ms};
 use masticdock_core::units::MonoMs;
 use tokio::time::timeout_at;
 
@@ -45,10 +45,10 @@
     history: &AttemptHistory,
 ) -> Option<AttemptConnection> {
     let id = &chosen.upstream.id;
-    // An upstream may close an idle connection while a request is being sent on it.
-    // A non-idempotent request cannot be retried then, so it gets a new connection. On a
-    // reused connection, a request without an id cannot be told from others.
-    if call.route.kind != RequestKind::NonIdempotent
+    // An upstream may close an idle connection while a request is being sent on it; a request
+    // that may run once cannot be retried then. On a reused connection, a request without an
+    // id cannot be told from others.
+    if call.route.kind.is_safe_to_retry()
         && !call.head.request_id.is_empty()
         && let Some(connection) = entry.pools.take_idle(id)
     {
