Apply a new limit on request heads to open connections

Callers saw: after a change of the configuration that raises `header-bytes`, a request with a longer head was refused with 431 on a connection from before the change, and served on a new one.

Cause: the HTTP server gets the limit when a connection is accepted, while the timeouts and the limit on bodies are read from the configuration in force. Class: a setting copied at the start of something long-lived.

Change: a connection whose limit differs from the one in force is taken back from its HTTP server between two requests and goes on with a new server, with all that the former one has read.

Before, `a_larger_limit_on_heads_applies_to_open_connections` (16,384 to 65,536 bytes, a head of 40 kB, 8 connections):

left: [Some(431), Some(431), ...] right: [Some(200), Some(200), ...]

After: passes.

--- a/crates/masticdock-core/src/serving/connection_timer.rs
+++ b/crates/masticdock-core/src/serving/connection_timer.rs
@@ -33,6 +33,8 @@
     since: MonoMs,
     /// Idle timeout in force at the latest response, which the caller may rely on.
     idle_timeout_ms: u64,
+    /// Maximum size of a request head on this connection, in bytes.
+    head_bytes_max: usize,
 }
 
 impl ConnectionTimer {
@@ -43,6 +45,7 @@
             phase: ConnectionPhase::Idle,
             since: now,
             idle_timeout_ms: limits.idle_timeout_ms,
+            head_bytes_max: limits.head_bytes_max,
         }
     }
 
@@ -63,6 +66,18 @@
         self.idle_timeout_ms = limits.idle_timeout_ms;
     }
 
+    /// Records the maximum size of a request head from now on.
+    pub const fn set_head_bytes_max(&mut self, limits: &RequestLimits) {
+        self.head_bytes_max = limits.head_bytes_max;
+    }
+
+    /// Returns whether the next request head is subject to another limit than the one that
+    /// was set.
+    #[must_use]
+    pub fn is_outdated(&self, limits: &RequestLimits) -> bool {
+        self.phase == ConnectionPhase::Idle && self.head_bytes_max != limits.head_bytes_max
+    }
+
     /// Returns the timeout that the connection exceeds under the limits in force.
     #[must_use]
     pub fn exceeded(&self, limits: &RequestLimits, now: MonoMs) -> Option<ConnectionTimeout> {
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -35,7 +35,7 @@
     unread_body: Cell<bool>,
     /// True once the connection is to be closed after the request in progress, if any.
     closing: Cell<bool>,
-    /// Requests a check whether to close the connection.
+    /// Requests a check whether to close the connection or to change its limits.
     check: Notify,
 }
 
@@ -75,7 +75,13 @@
     fn is_due(&self, limits: &RequestLimits) -> bool {
         let is_idle = self.phase() == ConnectionPhase::Idle;
         let is_expired = self.timer.get().exceeded(limits, clock::now()).is_some();
-        !self.unread_body.get() && (is_expired || is_idle && self.closing.get())
+        is_expired || is_idle && self.closing.get()
+    }
+
+    /// Returns whether the HTTP server has to give the connection back.
+    fn needs_check(&self, limits: &RequestLimits) -> bool {
+        let needs_check = self.is_due(limits) || self.timer.get().is_outdated(limits);
+        needs_check && !self.unread_body.get()
     }
 
     fn update_timer(&self, change: impl FnOnce(&mut ConnectionTimer)) {
@@ -126,10 +132,11 @@
             .count()
     }
 
-    /// Closes connections that exceed the idle timeout or the request head timeout.
-    pub(crate) fn close_expired(&self, limits: &RequestLimits) {
+    /// Closes connections that exceed the idle timeout or the request head timeout, and
+    /// applies the limit on request heads to the others.
+    pub(crate) fn apply_limits(&self, limits: &RequestLimits) {
         for connection in self.live() {
-            if connection.is_due(limits) {
+            if connection.needs_check(limits) {
                 connection.check.notify_one();
             }
         }
@@ -166,9 +173,9 @@
 async fn serve(entry: Rc<Entry>, stream: TcpStream) {
     let connection = entry.connections.register(&entry.limits());
     let mut stream = CallerStream::new(stream, Rc::clone(&connection));
-    while let Some(due) = serve_requests(&entry, &connection, stream).await {
-        stream = due;
-        if stream.has_input() {
+    while let Some(returned) = serve_requests(&entry, &connection, stream).await {
+        stream = returned;
+        if !connection.is_due(&entry.limits()) || stream.has_input() {
             continue;
         }
         if connection.phase() == ConnectionPhase::Head {
@@ -181,12 +188,14 @@
 }
 
 /// Serves requests until the connection ends. Returns its stream if the connection is
-/// between two requests and due to be closed.
+/// between two requests and due to be closed, or if its limits have changed.
 async fn serve_requests(
     entry: &Rc<Entry>,
     connection: &Rc<CallerConnection>,
     stream: CallerStream,
 ) -> Option<CallerStream> {
+    let limits = entry.limits();
+    connection.update_timer(|timer| timer.set_head_bytes_max(&limits));
     let service = service_fn(|request: Request<Incoming>| {
         let in_use = InUseGuard::begin(connection, !request.body().is_end_stream());
         Box::pin(async move {
@@ -200,7 +209,7 @@
         })
     });
     let mut server = http1::Builder::new()
-        .max_buf_size(entry.limits().head_bytes_max.max(BUFFER_BYTES_MIN))
+        .max_buf_size(limits.head_bytes_max.max(BUFFER_BYTES_MIN))
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
     loop {
@@ -214,7 +223,7 @@
                 return None;
             }
             () = connection.check.notified() => {
-                if connection.is_due(&entry.limits()) {
+                if connection.needs_check(&entry.limits()) {
                     return Some(CallerStream::take_back(server.into_parts()));
                 }
             }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -152,7 +152,7 @@
         sleep(CLEANUP_INTERVAL).await;
         let changes = entry.catalog.borrow_mut().expire();
         discard_stale_state(&entry, &changes);
-        entry.connections.close_expired(&entry.limits());
+        entry.connections.apply_limits(&entry.limits());
         entry.pools.close_expired();
     }
 }
