Read the body of a request that is rejected by its head

Callers saw: a request that was rejected because of its head (503 while the entry starts or stops, 404, 401 beside a change of routes or keys) while its body was still on the way had its connection closed after the response, without `Connection: close`. The rest of the body, and a next request, met a closed connection.

Cause: `handle_request` rejected such requests without reading the body. The HTTP server then closes the connection, and the kernel resets it for the bytes that arrive afterwards. Class: input left unread at a close.

Change: the body is read within its size limit and 1 s before the rejection is sent, unless the caller waits for `100 Continue`. The connection stays usable.

Before, `a_rejection_reaches_a_caller_that_still_sends_its_body`:

thread ... panicked at entry_keep_alive.rs:225 (the connection is kept) left: None right: Some(200)

After: passes.

--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -36,6 +36,8 @@
 const ACCEPT_WHILE_STOPPING_MS: u64 = 3_000;
 /// `Retry-After` delay while the entry is not ready, in milliseconds.
 const NOT_READY_RETRY_AFTER_MS: u64 = 500;
+/// Maximum time for reading the body of a request that is rejected because of its head.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of requests that state none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -94,6 +96,7 @@
     let head = parse_caller_head(&parts.headers);
     let request_id = head.request_id.clone();
     let Some(configuration) = entry.configuration().filter(|_| entry.accepts_requests()) else {
+        discard_body(&entry, &parts.headers, body, &in_use).await;
         return reject(
             &request_id,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -114,9 +117,11 @@
     let (route, workspace) = match matched {
         RouteMatch::Route { route, workspace } => (route.clone(), workspace.cloned()),
         RouteMatch::NoRoute => {
+            discard_body(&entry, &parts.headers, body, &in_use).await;
             return reject(&request_id, StatusCode::NOT_FOUND, "no_route", None, in_use);
         }
         RouteMatch::UnknownKey => {
+            discard_body(&entry, &parts.headers, body, &in_use).await;
             return reject(
                 &request_id,
                 StatusCode::UNAUTHORIZED,
@@ -203,6 +208,20 @@
     }
 }
 
+/// Reads the body of a request that is rejected, so that the caller, which may not read the
+/// response before, can send it and use the connection again.
+async fn discard_body(entry: &Entry, headers: &HeaderMap, body: Incoming, in_use: &InUseGuard) {
+    // Such a caller sends the body only when asked to.
+    if headers.contains_key(EXPECT) {
+        return;
+    }
+    let bytes_max = entry.limits().body_bytes_max;
+    let deadline = Instant::now() + UNUSED_BODY_TIMEOUT;
+    if read_body(headers, body, bytes_max, deadline).await.is_ok() {
+        in_use.end_body();
+    }
+}
+
 /// Failed attempts of one request.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FailedAttempts {
