Resume a broken stream once an upstream can take it

Callers saw a stream that may be resumed cut at the moment at which its upstream broke off, although time was left: no other upstream had a free place just then (it was left alone after an error, full, limited or switching), or the retry budget was spent.

Cause: Relay::resume took the first "no place" and an empty budget as final. Class: a condition that passes is treated as final.

FAILED (cut after id: 1) a_broken_stream_waits_for_the_retry_budget ... FAILED (14 of 16 streams cut) test result: FAILED. 0 passed; 2 failed

Change: while the cause can pass, the stream is tried again every 0.1 s until the deadline or until the caller leaves. Where it cannot (attempts used, not repeatable, no other upstream of the service), the stream ends at once as before. stream.waiting logs the reason.

--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -8,6 +8,7 @@
 use std::future::pending;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -15,7 +16,7 @@
 use masticdock_core::serving::{AttemptOutcome, StreamEvent};
 use masticdock_core::units::MonoMs;
 use tokio::sync::mpsc::{Sender, channel};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::answer::{CallerResponseBody, Truncated, event_stream};
 use super::attempt::OpenStream;
@@ -31,6 +32,8 @@
 
 /// Maximum number of events queued for a caller that reads slowly.
 const EVENT_QUEUE_LENGTH: usize = 8;
+/// Pause before a broken stream that no upstream can take at the moment is tried again.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
 
 /// State of a stream that is relayed to a caller.
 struct Relay {
@@ -44,6 +47,8 @@
     standby: Option<Standby>,
     /// Upstream of the latest stream that was relayed.
     chosen: ChosenUpstream,
+    /// Last logged reason why a broken stream cannot be resumed at the moment.
+    resume_delay: Option<&'static str>,
     last_id: Option<u64>,
     last_event_at: MonoMs,
     first_event_ms: u64,
@@ -61,6 +66,8 @@
 enum Step {
     Current(StreamStep),
     Standby(Resumed),
+    /// A broken stream can be tried again.
+    ResumeDue,
     End(RelayEnd),
 }
 
@@ -95,6 +102,7 @@
         last_event_at: clock::now(),
         current: Some(LiveStream::new(Rc::clone(&entry), chosen.clone(), stream)),
         standby: None,
+        resume_delay: None,
         chosen,
         entry,
         call: Rc::new(call),
@@ -117,6 +125,7 @@
                     None
                 }
                 Step::Standby(resumed) => self.end_standby(resumed),
+                Step::ResumeDue => self.resume_broken(),
                 Step::End(end) => Some(end),
             };
             let Some(end) = end else {
@@ -137,6 +146,7 @@
     }
 
     async fn next_step(&mut self) -> Step {
+        let is_waiting = self.current.is_none() && self.standby.is_none();
         let next = async {
             match &mut self.current {
                 Some(current) => current.next().await,
@@ -155,6 +165,7 @@
             () = sleep_until(self.call.deadline) => Step::End(RelayEnd::DeadlinePassed),
             step = next => Step::Current(step),
             resumed = resumed => Step::Standby(resumed),
+            () = sleep(RESUME_PAUSE), if is_waiting => Step::ResumeDue,
         }
     }
 
@@ -203,7 +214,7 @@
         self.resume_broken()
     }
 
-    /// Resumes a stream that broke; returns an end if that is not possible.
+    /// Resumes a stream that broke, now or later; returns an end if that is not possible.
     fn resume_broken(&mut self) -> Option<RelayEnd> {
         let failures = &self.failures;
         let plan = plan_retry(
@@ -217,7 +228,11 @@
                 self.open_standby(*chosen, None);
                 None
             }
-            RetryPlan::Later(_) | RetryPlan::Never(_) => Some(RelayEnd::Cut),
+            RetryPlan::Later(reason) => {
+                self.log_delay(reason);
+                None
+            }
+            RetryPlan::Never(_) => Some(RelayEnd::Cut),
         }
     }
 
@@ -296,7 +311,15 @@
             }
             Resumed::Stream(stream) => {
                 self.chosen = stream.chosen.clone();
-                self.log_switch(self.current.is_some());
+                self.resume_delay = None;
+                log::info!(
+                    event = "stream.resumed",
+                    request_id = self.call.head.request_id.as_str(),
+                    upstream = self.chosen.upstream.id.as_str(),
+                    after_event = self.last_id.unwrap_or(0),
+                    was_silent = self.current.is_some();
+                    "a resumed stream is relayed"
+                );
                 self.current = Some(*stream);
                 return None;
             }
@@ -330,14 +353,18 @@
         );
     }
 
-    fn log_switch(&self, was_silent: bool) {
-        log::info!(
-            event = "stream.resumed",
+    /// Logs why a broken stream waits, unless the reason is that of the previous try.
+    fn log_delay(&mut self, reason: &'static str) {
+        if self.resume_delay.replace(reason) == Some(reason) {
+            return;
+        }
+        log::warn!(
+            event = "stream.waiting",
             request_id = self.call.head.request_id.as_str(),
-            upstream = self.chosen.upstream.id.as_str(),
             after_event = self.last_id.unwrap_or(0),
-            was_silent = was_silent;
-            "a resumed stream is relayed"
+            reason = reason,
+            left_ms = self.call.time_left_ms();
+            "a broken stream cannot be resumed at the moment"
         );
     }
 
