Resume a stream only with events that follow its last one

Callers saw the text of another response in the middle of their stream, a stream that ended as complete although an event had begun after its last one, and a JSON response on a stream's route that was split at its blank lines and cut.

Cause: any sealed success on a stream's route was split at blank lines and its parts were relayed as events. Parts without an id passed the check of the order, and the end of any such body counted as the end of the stream (class: what several senders wrote is joined, and each part is checked only by itself).

Change: a response is relayed as a stream only if it is a 200 of type text/event-stream; another first response is passed on whole, and another response to a resumed stream is a failed attempt, which is retried as far as attempts, budget and time allow. `EventSequence` decides in the core which event may follow: each needs an id, without a gap. It knows whether an event had begun after the last one, or whether the present upstream ended before events that the caller has; then an end is no end of the stream. Otherwise an empty resumed stream with a marked end is still complete: an upstream that resumes after the last event has none left.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -51,7 +51,7 @@
 pub use poll_pace::{PollLimits, change_age, poll_pause};
 pub use rate_limit::RateLimitShare;
 pub use retry_after::{RetryAfter, RetryAfterSettings};
-pub use sse::{EventSplitter, StreamEvent};
+pub use sse::{EventOrderError, EventSequence, EventSplitter, StreamEvent};
 pub use store_reads::{StoreReadSchedule, StoreReadSettings};
 pub use stream_progress::{StreamProgress, StreamProgressSettings};
 pub use switch_plan::{SwitchPlan, SwitchTiming};
--- a/crates/masticdock-core/src/serving/sse.rs
+++ b/crates/masticdock-core/src/serving/sse.rs
@@ -9,16 +9,87 @@
     pub id: Option<u64>,
 }
 
-impl StreamEvent {
-    /// Returns whether the event comes after the event `last_id`. An event without an id has
-    /// no position.
+/// Reason why an event cannot follow those before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum EventOrderError {
+    /// The event has no id, so its place in the stream is unknown.
+    #[error("an event has no id")]
+    WithoutId,
+    /// Events are missing before this one.
+    #[error("events lost: event {id} follows {last_id}")]
+    Gap {
+        /// Id of the event.
+        id: u64,
+        /// Id of the last event before it.
+        last_id: u64,
+    },
+}
+
+/// Order of the events of one stream, which several upstreams may send one after another.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EventSequence {
+    last_id: Option<u64>,
+    /// Id of the last event of the present upstream, even if another one sent it before.
+    upstream_last_id: Option<u64>,
+    /// True if an upstream began an event after the last one.
+    next_has_begun: bool,
+}
+
+impl EventSequence {
+    /// Creates the sequence of a stream that goes on after the event `last_id`.
     #[must_use]
-    pub fn follows(&self, last_id: Option<u64>) -> bool {
-        match (self.id, last_id) {
-            (Some(id), Some(last_id)) => id > last_id,
-            _ => true,
+    pub const fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            upstream_last_id: None,
+            next_has_begun: false,
         }
     }
+
+    /// Returns the id of the last event.
+    #[must_use]
+    pub const fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Continues the sequence with the events of another upstream.
+    pub const fn begin_upstream(&mut self) {
+        self.upstream_last_id = None;
+    }
+
+    /// Appends an event; returns false if the sequence already contains it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event cannot follow the last one.
+    pub fn append(&mut self, event: &StreamEvent) -> Result<bool, EventOrderError> {
+        let id = event.id.ok_or(EventOrderError::WithoutId)?;
+        self.upstream_last_id = Some(id);
+        if let Some(last_id) = self.last_id {
+            if id <= last_id {
+                return Ok(false);
+            }
+            if id - last_id > 1 {
+                return Err(EventOrderError::Gap { id, last_id });
+            }
+        }
+        self.last_id = Some(id);
+        self.next_has_begun = false;
+        Ok(true)
+    }
+
+    /// Records that the present upstream began the event after the last one.
+    pub const fn record_partial_event(&mut self) {
+        self.next_has_begun = true;
+    }
+
+    /// Returns true if the stream can be complete where the present upstream ends it. An
+    /// upstream that resumes a stream after its last event has no further one.
+    #[must_use]
+    pub fn may_end(&self) -> bool {
+        !self.next_has_begun
+            && (self.upstream_last_id.is_none() || self.upstream_last_id == self.last_id)
+    }
 }
 
 /// Incrementally splits the bytes of a stream into complete events.
--- a/crates/masticdock-core/tests/serving_streams.rs
+++ b/crates/masticdock-core/tests/serving_streams.rs
@@ -1,8 +1,8 @@
 //! Tests of splitting streams into events, and of returning callers.
 
 use masticdock_core::serving::{
-    DeadlineEstimate, EventSplitter, RetryAfter, RetryAfterSettings, StreamProgress,
-    StreamProgressSettings,
+    DeadlineEstimate, EventOrderError, EventSequence, EventSplitter, RetryAfter,
+    RetryAfterSettings, StreamEvent, StreamProgress, StreamProgressSettings,
 };
 use masticdock_core::units::MonoMs;
 
@@ -25,6 +25,37 @@
     }
 }
 
+/// Guards against joined streams that lack events, contain other text or end too early.
+#[test]
+fn events_of_several_upstreams_form_one_sequence() {
+    let event = |id| StreamEvent {
+        bytes: Vec::new(),
+        id,
+    };
+    let mut sequence = EventSequence::after(Some(4));
+    sequence.begin_upstream();
+    assert!(sequence.may_end());
+    assert_eq!(sequence.append(&event(Some(4))), Ok(false));
+    assert_eq!(sequence.append(&event(Some(5))), Ok(true));
+    assert_eq!(
+        sequence.append(&event(None)),
+        Err(EventOrderError::WithoutId)
+    );
+    let gap = EventOrderError::Gap { id: 7, last_id: 5 };
+    assert_eq!(sequence.append(&event(Some(7))), Err(gap));
+    sequence.begin_upstream();
+    assert_eq!(sequence.append(&event(Some(4))), Ok(false));
+    assert!(!sequence.may_end(), "event 5 exists");
+    sequence.begin_upstream();
+    assert!(sequence.may_end());
+    sequence.record_partial_event();
+    sequence.begin_upstream();
+    assert!(!sequence.may_end(), "event 6 exists");
+    assert_eq!(sequence.append(&event(Some(6))), Ok(true));
+    assert!(sequence.may_end());
+    assert_eq!(sequence.last_id(), Some(6));
+}
+
 /// Guards against unbounded memory use when an upstream sends no complete event.
 #[test]
 fn an_event_without_an_end_is_rejected() {
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -9,12 +9,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use masticdock_adapter::{
-    BodyEnd, Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop, is_internal_response_header,
-    parse_upstream_head, rewrite_headers_for_upstream,
+    BodyEnd, BodyKind, Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop,
+    is_internal_response_header, parse_upstream_head, rewrite_headers_for_upstream,
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptOutcome, EventSplitter, ResponseIdentity, StreamEvent, Upstream,
+    AttemptOutcome, EventSequence, EventSplitter, ResponseIdentity, StreamEvent, Upstream,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::Instant;
@@ -207,7 +207,7 @@
         );
     }
     let forwarded = forwarded_head(parts.status, &parts.headers);
-    if call.route.kind.is_stream() && parts.status.is_success() {
+    if call.route.kind.is_stream() && head.body_kind == BodyKind::EventStream {
         let stream = OpenStream {
             head: forwarded,
             upstream: target.id.clone(),
@@ -292,6 +292,11 @@
             None => return broken_attempt(call, target, "an event exceeds the size limit"),
         }
     }
+    if let Some(event) = stream.first_events.first()
+        && let Err(error) = EventSequence::after(target.last_event_id).append(event)
+    {
+        return broken_attempt(call, target, &error.to_string());
+    }
     record_wait(entry, target, limits);
     entry.with_load(&target.id, |load| {
         let now = clock::now();
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -6,7 +6,8 @@
 use http_body_util::BodyExt;
 use masticdock_adapter::BodyEnd;
 use masticdock_core::serving::{
-    AttemptOutcome, CRASH_SUSPICION_MS, StreamEvent, StreamProgress, StreamProgressSettings,
+    AttemptOutcome, CRASH_SUSPICION_MS, EventOrderError, EventSequence, StreamEvent,
+    StreamProgress, StreamProgressSettings,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::sleep;
@@ -20,6 +21,9 @@
 use super::state::Entry;
 use crate::clock;
 
+/// Reason of a stream that ends although events follow.
+pub(super) const ENDED_EARLY: &str = "the stream ended before events that exist";
+
 /// What the stream of an upstream delivers next.
 #[derive(Debug)]
 pub(super) enum StreamStep {
@@ -38,6 +42,8 @@
     Stream(Box<LiveStream>),
     /// The attempt failed; the next one is prepared if it was abandoned for silence.
     Failed(AttemptOutcome, Option<Box<PreparedAttempt>>),
+    /// The stream broke before the next event, of which it may have sent a part.
+    Broken { next_has_begun: bool },
 }
 
 /// Stream of an upstream that is being read.
@@ -122,6 +128,11 @@
         }
     }
 
+    /// Returns whether a part of an event has arrived after the events read so far.
+    pub(super) fn has_partial_event(&self) -> bool {
+        self.stream.splitter.has_partial_event()
+    }
+
     /// Returns whether the stream has ended without further events.
     pub(super) fn is_over(&self) -> bool {
         self.stream.ended && self.stream.first_events.is_empty()
@@ -192,16 +203,17 @@
     }
 }
 
-/// Resumes a stream after the event `last_id`; returns once an event follows that the caller
-/// does not have, or the stream ends.
+/// Resumes a stream after the last event of `sequence`; returns once the next one follows, or
+/// the stream ends.
 pub(super) async fn resume_stream(
     entry: Rc<Entry>,
     call: Rc<Call>,
     chosen: ChosenUpstream,
     connection: Option<AttemptConnection>,
     failures: FailedAttempts,
-    last_id: Option<u64>,
+    mut sequence: EventSequence,
 ) -> Resumed {
+    let last_id = sequence.last_id();
     let stream = match run_attempt(&entry, &call, &chosen, connection, &failures, last_id).await {
         AttemptResult::Stream(stream) => *stream,
         AttemptResult::Buffered(..) => return Resumed::Failed(AttemptOutcome::Discarded, None),
@@ -211,20 +223,39 @@
         }
     };
     let mut live = LiveStream::new(entry, chosen, stream);
-    loop {
+    sequence.begin_upstream();
+    let reason = loop {
         match live.next().await {
-            StreamStep::Events(events) => {
-                if events.iter().any(|event| event.follows(last_id)) {
+            StreamStep::Events(events) => match append_all(&mut sequence, &events) {
+                Ok(false) => {}
+                Ok(true) => {
                     live.stream.first_events = events;
                     return Resumed::Stream(Box::new(live));
                 }
+                Err(error) => break error.to_string(),
+            },
+            StreamStep::Complete if sequence.may_end() => {
+                return Resumed::Stream(Box::new(live));
             }
-            StreamStep::Complete => return Resumed::Stream(Box::new(live)),
-            StreamStep::Broken(reason) => {
-                live.record_broken(&call, last_id, &reason);
-                return Resumed::Failed(AttemptOutcome::Broken, None);
-            }
+            StreamStep::Complete => break ENDED_EARLY.to_owned(),
+            StreamStep::Broken(reason) => break reason,
             StreamStep::Silent(_) => {}
         }
+    };
+    live.record_broken(&call, last_id, &reason);
+    Resumed::Broken {
+        next_has_begun: live.has_partial_event(),
+    }
+}
+
+/// Appends events; returns whether the sequence did not contain all of them.
+fn append_all(
+    sequence: &mut EventSequence,
+    events: &[StreamEvent],
+) -> Result<bool, EventOrderError> {
+    let mut has_new = false;
+    for event in events {
+        has_new |= sequence.append(event)?;
     }
+    Ok(has_new)
 }
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::Response;
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{AttemptOutcome, StreamEvent};
+use masticdock_core::serving::{AttemptOutcome, EventSequence, StreamEvent};
 use masticdock_core::units::MonoMs;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::{sleep, sleep_until};
@@ -22,7 +22,7 @@
 use super::attempt::OpenStream;
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
-use super::live_stream::{LiveStream, Resumed, StreamStep, resume_stream};
+use super::live_stream::{ENDED_EARLY, LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
 use super::pool::AttemptConnection;
 use super::request::{Call, FailedAttempts};
@@ -49,7 +49,7 @@
     chosen: ChosenUpstream,
     /// Last logged reason why a broken stream cannot be resumed at the moment.
     resume_delay: Option<&'static str>,
-    last_id: Option<u64>,
+    sequence: EventSequence,
     last_event_at: MonoMs,
     first_event_ms: u64,
     /// Longest pause between arrivals of events, in milliseconds.
@@ -98,7 +98,7 @@
     let relay = Relay {
         first_event_ms: call.age_ms(),
         max_pause_ms: 0,
-        last_id: call.head.last_event_id,
+        sequence: EventSequence::after(call.head.last_event_id),
         last_event_at: clock::now(),
         current: Some(LiveStream::new(Rc::clone(&entry), chosen.clone(), stream)),
         standby: None,
@@ -118,7 +118,10 @@
         loop {
             let end = match self.next_step().await {
                 Step::Current(StreamStep::Events(events)) => self.relay_events(events).await,
-                Step::Current(StreamStep::Complete) => Some(RelayEnd::Complete),
+                Step::Current(StreamStep::Complete) if self.sequence.may_end() => {
+                    Some(RelayEnd::Complete)
+                }
+                Step::Current(StreamStep::Complete) => self.replace_broken(ENDED_EARLY),
                 Step::Current(StreamStep::Broken(reason)) => self.replace_broken(&reason),
                 Step::Current(StreamStep::Silent(silent_ms)) => {
                     self.resume_silent(silent_ms);
@@ -173,15 +176,11 @@
     async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
         let now = clock::now();
         for event in events {
-            if !event.follows(self.last_id) {
-                continue;
-            }
-            if let (Some(id), Some(last_id)) = (event.id, self.last_id)
-                && id > last_id + 1
-            {
-                return self.replace_broken(&format!("events lost: event {id} follows {last_id}"));
+            match self.sequence.append(&event) {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(error) => return self.replace_broken(&error.to_string()),
             }
-            self.last_id = event.id.or(self.last_id);
             self.discard_standby();
             let sent = tokio::select! {
                 sent = self.events.send(Ok(event.bytes.into())) => sent,
@@ -203,7 +202,10 @@
     /// Closes the current stream, which is broken; returns an end if nothing can replace it.
     fn replace_broken(&mut self, reason: &str) -> Option<RelayEnd> {
         let broken = self.current.take()?;
-        broken.record_broken(&self.call, self.last_id, reason);
+        broken.record_broken(&self.call, self.sequence.last_id(), reason);
+        if broken.has_partial_event() {
+            self.sequence.record_partial_event();
+        }
         if !broken.is_recorded {
             self.failures
                 .record(&self.chosen.upstream.id, AttemptOutcome::Broken);
@@ -263,7 +265,7 @@
                 event = "stream.silent",
                 request_id = self.call.head.request_id.as_str(),
                 upstream = id.as_str(),
-                last_event = self.last_id.unwrap_or(0),
+                last_event = self.sequence.last_id().unwrap_or(0),
                 silent_ms = silent_ms,
                 decision = decision;
                 "a stream is silent and is kept open"
@@ -284,7 +286,7 @@
             event = "stream.resuming",
             request_id = self.call.head.request_id.as_str(),
             upstream = chosen.upstream.id.as_str(),
-            after_event = self.last_id.unwrap_or(0);
+            after_event = self.sequence.last_id().unwrap_or(0);
             "a stream is resumed at another upstream"
         );
         self.standby = Some(Standby {
@@ -295,7 +297,7 @@
                 chosen,
                 connection,
                 self.failures.clone(),
-                self.last_id,
+                self.sequence,
             )),
         });
     }
@@ -316,14 +318,21 @@
                     event = "stream.resumed",
                     request_id = self.call.head.request_id.as_str(),
                     upstream = self.chosen.upstream.id.as_str(),
-                    after_event = self.last_id.unwrap_or(0),
+                    after_event = self.sequence.last_id().unwrap_or(0),
                     was_silent = self.current.is_some();
                     "a resumed stream is relayed"
                 );
+                self.sequence.begin_upstream();
                 self.current = Some(*stream);
                 return None;
             }
             Resumed::Failed(failure, prepared) => (failure, prepared),
+            Resumed::Broken { next_has_begun } => {
+                if next_has_begun {
+                    self.sequence.record_partial_event();
+                }
+                (AttemptOutcome::Broken, None)
+            }
         };
         self.failures.record(&standby.upstream, failure);
         if let Some(prepared) = prepared {
@@ -348,7 +357,7 @@
             request_id = self.call.head.request_id.as_str(),
             upstream = self.chosen.upstream.id.as_str(),
             discarded = standby.upstream.as_str(),
-            last_event = self.last_id.unwrap_or(0);
+            last_event = self.sequence.last_id().unwrap_or(0);
             "a silent stream goes on"
         );
     }
@@ -361,7 +370,7 @@
         log::warn!(
             event = "stream.waiting",
             request_id = self.call.head.request_id.as_str(),
-            after_event = self.last_id.unwrap_or(0),
+            after_event = self.sequence.last_id().unwrap_or(0),
             reason = reason,
             left_ms = self.call.time_left_ms();
             "a broken stream cannot be resumed at the moment"
