Do not announce the length of a stream that may be resumed

Callers saw a stream that ended within an event and looked complete, or one that was cut although another upstream had resumed it.

Cause: the head of the first upstream's response was forwarded with its `Content-Length`, but the body may hold events of several upstreams. What exceeded that length was dropped, and what fell short of it aborted the response (class: framing of one connection applied to another). Streams that are sent in chunks are not concerned.

Change: the head of a relayed stream has no `Content-Length`; its body is sent in chunks, whose end shows whether it is complete.

--- a/crates/masticdock-node/src/entry/answer.rs
+++ b/crates/masticdock-node/src/entry/answer.rs
@@ -1,6 +1,7 @@
 //! Responses to callers.
 
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use masticdock_adapter::retry_after_header;
@@ -29,10 +30,12 @@
 
 /// Creates a response whose body is received from `events`.
 pub(crate) fn event_stream(
-    head: Response<()>,
+    mut head: Response<()>,
     events: Receiver<Result<Bytes, Truncated>>,
     in_use: InUseGuard,
 ) -> Response<CallerResponseBody> {
+    // The length of the first upstream's body; another one may resume the stream.
+    head.headers_mut().remove(CONTENT_LENGTH);
     head.map(|()| CallerResponseBody::streamed(events, in_use))
 }
 
