Saturate sums of numbers from headers, rows and reports

In a release build the same sums wrap: a full upstream looks empty, a long prompt short, and weights near the maximum send all requests to one service.

Cause: unchecked arithmetic on values that callers, upstreams, agents and operators choose. Class: unvalidated input.

Change: these sums saturate; the weights of a route are added as floats.

What the release build does before is from reading, not from a run.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -361,8 +361,9 @@
     /// Chooses a service at random by weight; `draw` is uniformly distributed in 0..1.
     #[must_use]
     pub fn choose_service(&self, draw: f64) -> &ServiceId {
-        let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.backends.iter().map(|backend| backend.weight);
+        let total: f64 = weights.map(f64::from).sum();
+        let mut remaining = draw * total;
         for backend in &self.backends {
             remaining -= f64::from(backend.weight);
             if remaining < 0.0 {
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -150,7 +150,7 @@
             *places = places.saturating_sub(1);
         }
         self.pending_prefills += 1;
-        self.pending_prefill_tokens += prompt_tokens;
+        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_add(prompt_tokens);
     }
 
     /// Records the first event of a request, or its end without an event.
@@ -263,7 +263,7 @@
             .pending_prefills
             .saturating_sub(report.own_pending_prefills + report.ignored_sends());
         (reported_pending - prefilled_since_report).max(0.0)
-            + f64::from(self.unseen_entries(now) * sent_since_report)
+            + f64::from(self.unseen_entries(now).saturating_mul(sent_since_report))
     }
 
     /// Records that the upstream sent data.
@@ -326,7 +326,7 @@
     /// Backs off exponentially after a failed connection or a broken response.
     pub fn record_error(&mut self, now: MonoMs) {
         let backoff_ms = (BACKOFF_MIN_MS << self.consecutive_failures.min(4)).min(BACKOFF_MAX_MS);
-        self.consecutive_failures += 1;
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
         self.backoff_until = self.backoff_until.max(now.plus_ms(backoff_ms));
     }
 
@@ -359,11 +359,12 @@
                 let sent_since_report = self
                     .in_flight
                     .saturating_sub(report.own_in_flight + report.ignored_sends());
-                report.total.saturating_sub(report.own_in_flight)
-                    + self.unseen_entries(now) * sent_since_report
+                let sent_by_others = self.unseen_entries(now).saturating_mul(sent_since_report);
+                let reported = report.total.saturating_sub(report.own_in_flight);
+                reported.saturating_add(sent_by_others)
             }
             _ => 0,
         };
-        self.in_flight + others
+        self.in_flight.saturating_add(others)
     }
 }
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -141,7 +141,7 @@
     for (index, candidate) in candidates.iter().enumerate() {
         let predicted_ms = predict_ms(candidate, engine, size);
         let late = predicted_ms > objective_left_ms * objective_share;
-        if late || candidate.total >= candidate.slots + rules.queue_max {
+        if late || candidate.total >= candidate.slots.saturating_add(rules.queue_max) {
             best_rejected_ms = best_rejected_ms.min(predicted_ms);
             continue;
         }
@@ -190,7 +190,7 @@
 #[allow(clippy::cast_precision_loss)]
 fn predict_ms(candidate: &Candidate, engine: Option<&EngineProfile>, size: RequestSize) -> f64 {
     let slots = candidate.slots.max(1);
-    let queued_ahead = (candidate.total + 1).saturating_sub(slots);
+    let queued_ahead = candidate.total.saturating_add(1).saturating_sub(slots);
     let Some(engine) = engine else {
         let service_ms = if candidate.service_ms > 0.0 {
             candidate.service_ms
@@ -203,7 +203,9 @@
     };
     let running = candidate.total.min(slots);
     let slot_wait_ms = f64::from(queued_ahead) * engine.service_ms() / f64::from(slots);
-    let own_tokens = (candidate.pending_prefill_tokens + size.prompt_tokens) as f64;
+    let own_tokens = candidate
+        .pending_prefill_tokens
+        .saturating_add(size.prompt_tokens) as f64;
     let others_tokens = candidate.others_pending_prefills * engine.prompt_tokens_mean;
     let total_prefill_ms = engine.prefill_ms(own_tokens + others_tokens);
     // A request joins the batch at the end of the current pass, half a pass away on
@@ -224,7 +226,7 @@
         return 0.0;
     };
     let passes = size.answer_tokens as f64 / f64::from(engine.steps_per_pass);
-    let running = candidate.total.min(candidate.slots) + 1;
+    let running = candidate.total.min(candidate.slots).saturating_add(1);
     let duration_ms = predicted_ms + passes * engine.pass_ms(running) * candidate.slowdown;
     (duration_ms - switch_in_ms.max(0.0)).clamp(0.0, OVERRUN_MAX_MS)
 }
--- a/crates/masticdock-core/src/serving/places.rs
+++ b/crates/masticdock-core/src/serving/places.rs
@@ -46,7 +46,8 @@
     /// Returns how many requests may be sent to the engine until the next report.
     #[must_use]
     pub fn free_places(&self, rules: &PlaceRules) -> u32 {
-        let places = (self.slots + rules.queue_max).saturating_sub(self.total);
+        let places = self.slots.saturating_add(rules.queue_max);
+        let places = places.saturating_sub(self.total);
         let prefills_max = rules.prefill_budget_ms / self.mean_prefill_ms.max(1);
         // One prompt may always be read, however long it takes.
         let prefills_max = u32::try_from(prefills_max).unwrap_or(u32::MAX).max(1);
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -443,6 +443,25 @@
     assert_eq!(index(place_request(&[soon, busier], 10, false)), 0);
 }
 
+/// Guards against a prompt so long that the sum overflows and the request seems short.
+#[test]
+fn the_longest_prompt_is_rejected() {
+    let waiting = Candidate {
+        pending_prefill_tokens: u64::MAX,
+        ..idle()
+    };
+    let size = RequestSize {
+        prompt_tokens: u64::MAX,
+        answer_tokens: 10,
+    };
+    let rules = PlacementRules::default();
+    let placement = place(&[waiting], Some(&profile()), size, 400.0, false, &rules);
+    assert!(
+        !matches!(placement, Placement::Send { .. }),
+        "{placement:?}"
+    );
+}
+
 /// Guards against a second rejection of a caller although a slot frees in time.
 #[test]
 fn returning_callers_are_admitted_slightly_before_new_ones() {
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -233,7 +233,7 @@
     let target = agent.target_model()?;
     let room = EngineRoom {
         slots: target.slots,
-        total: report.running + report.queued,
+        total: report.running.saturating_add(report.queued),
         pending_prefills: report.pending_prefills,
         mean_prefill_ms: target.mean_prefill_ms,
     };
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -491,7 +491,7 @@
         AgentReport {
             running: report.running,
             queued: report.queued,
-            pending_prefills: report.queued + self.new_requests.get(),
+            pending_prefills: report.queued.saturating_add(self.new_requests.get()),
             version: loaded,
             switching: report.busy || self.switching.get(),
             reachable: true,
--- a/crates/masticdock-node/src/agent/switch_loop.rs
+++ b/crates/masticdock-node/src/agent/switch_loop.rs
@@ -104,7 +104,7 @@
         let report = agent.engine_report.borrow();
         let remaining = report
             .as_ref()
-            .map_or(0, |report| report.running + report.queued);
+            .map_or(0, |report| report.running.saturating_add(report.queued));
         if remaining == 0 {
             return OrderMode::AfterRequests;
         }
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -312,7 +312,7 @@
     entry.with_load(&target.id, |load| {
         load.record_activity(now);
         if let Some((running, waiting)) = head.load {
-            load.record_report(running + waiting, waiting, now);
+            load.record_report(running.saturating_add(waiting), waiting, now);
         }
     });
 }
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -148,7 +148,8 @@
     entry.with_load(id, |load| {
         load.set_entry_count(report.entries);
         load.set_places(report.places, now);
-        load.record_report(report.running + report.queued, report.pending_prefills, now);
+        let total = report.running.saturating_add(report.queued);
+        load.record_report(total, report.pending_prefills, now);
         let was_unreachable = previous.is_some_and(|(previous, _)| !previous.reachable);
         if report.reachable && was_unreachable {
             load.record_recovery(now);
