Reject an answer that does not continue a broken stream (product path)

Callers saw: a stream broke off in the middle, and the upstream that it was resumed on answered with a client error such as 404. The caller's stream then ended with `[DONE]`, as if it were complete, with tokens missing.

Cause: the agent passes a 4xx of the engine on as a whole answer (`StreamEvent::Response`), which is right for a request that has sent nothing. The entry took such an answer as the completion of the attempt without comparing it with what the caller had received. Class: an answer is accepted without a check that it belongs to the state of the exchange.

Evidence before (masticdock-daemon, the new test):

404 application/json {"error": "no such run"}: StreamResult { text: "v1-0 v1-1 ", versions: ["v1"], problem: None, done: true }

The check that already compared version and index of tokens now covers every event: a whole answer after tokens that the caller has is a failed attempt, which is retried or ends the stream with an error event. It is made at the entry, the only place that knows what the caller has.

The test also covers 409, 204 and 500, a 200 of another media type, and events without an index; on the code before, it stopped at its first case, 404.

--- a/crates/masticdock-daemon/src/entry/callers/response.rs
+++ b/crates/masticdock-daemon/src/entry/callers/response.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use masticdock_core::ids::VersionId;
 use masticdock_core::problem::{Problem, ProblemKind};
 use serde_json::json;
@@ -208,22 +209,29 @@
         }
     }
 
-    /// Checks that a token has the version of the response and is the next one.
+    /// Checks that an event continues the response: a token has to be the next one of the same
+    /// version, and a whole answer must not follow tokens that were sent to the caller.
     ///
     /// # Errors
     ///
-    /// Returns a problem when the token has another version or is out of order.
-    pub(super) fn check_continues(&self, token: &TokenEvent) -> Result<(), Problem> {
-        let same_version = self
-            .version
-            .as_ref()
-            .is_none_or(|version| *version == token.version);
-        if same_version && token.index == self.tokens {
-            return Ok(());
-        }
+    /// Returns a problem when the event does not continue the response.
+    pub(super) fn check_continues(&self, event: &StreamEvent) -> Result<(), Problem> {
+        let detail = match event {
+            StreamEvent::Token(token) => {
+                let version = self.version.as_ref().unwrap_or(&token.version);
+                if *version == token.version && token.index == self.tokens {
+                    return Ok(());
+                }
+                "a token of another version or out of order"
+            }
+            StreamEvent::Response(_) if self.has_begun() => {
+                "a whole answer instead of the next tokens"
+            }
+            _ => return Ok(()),
+        };
         Err(Problem::unknown(
             ProblemKind::UpstreamError,
-            "the upstream sent a token of another version or out of order",
+            format_compact!("the upstream sent {detail}"),
         ))
     }
 }
--- a/crates/masticdock-daemon/src/entry/callers/serve.rs
+++ b/crates/masticdock-daemon/src/entry/callers/serve.rs
@@ -15,7 +15,7 @@
 use super::response::CallerResponse;
 use super::upstreams::SubsetLoad;
 use crate::event_log::log_event;
-use crate::request_http::{ReadError, StreamEvent, read_body, respond_problem};
+use crate::request_http::{ReadError, read_body, respond_problem};
 
 /// Maximum number of rejections by agents before a request fails.
 const REJECTIONS_MAX: u32 = 16;
@@ -232,9 +232,7 @@
     };
     let mut stream_problem = None;
     let end = attempt::run(shared, &guard.target, &params, |event, version| {
-        if let StreamEvent::Token(token) = &event
-            && let Err(problem) = response.check_continues(token)
-        {
+        if let Err(problem) = response.check_continues(&event) {
             stream_problem = Some(problem);
             return Err(CallerDisconnected);
         }
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -46,6 +46,9 @@
     DisconnectAt(u64),
     /// Closes the connection at this token unless the run started at or after it.
     DisconnectOnceAt(u64),
+    /// Closes the connection of a new run at token 2 and answers a resumed one with this status,
+    /// media type and body.
+    AnswerResume(u16, &'static str, &'static str),
     /// Crashes at this token: the boot id changes and the connection closes.
     CrashAt(u64),
     /// Sends a token every 20 ms until the reader disconnects.
@@ -127,6 +130,11 @@
         });
         let end_index = body["max_tokens"].as_u64().unwrap_or(4);
         let behavior = *lock(&self.behavior);
+        if let EngineBehavior::AnswerResume(status, media_type, body) = behavior
+            && first_index > 0
+        {
+            return respond(request, status, media_type, &[], body.into());
+        }
         let mut writer = request.into_writer();
         let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
         let _ = writer.write_all(head.as_bytes());
@@ -134,6 +142,7 @@
         while index < end_index || behavior == EngineBehavior::Endless {
             match behavior {
                 EngineBehavior::DisconnectAt(at) if index >= at => return,
+                EngineBehavior::AnswerResume(..) if index >= 2 => return,
                 EngineBehavior::DisconnectOnceAt(at) if index >= at && first_index < at => return,
                 EngineBehavior::CrashAt(at) if index >= at => {
                     self.boot.fetch_add(1, Ordering::SeqCst);
--- a/crates/masticdock-daemon/src/tests/request_path/streams.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/streams.rs
@@ -71,6 +71,40 @@
     assert!(other_engine.runs().is_empty());
 }
 
+/// Guards against a stream that ends as if complete, or with foreign text in its middle, because the
+/// upstream that it is resumed on answers with something other than its next tokens.
+#[test]
+fn an_answer_that_does_not_continue_a_broken_stream_is_not_taken_for_its_end() {
+    const JSON: &str = "application/json";
+    const EVENTS: &str = "text/event-stream";
+    let answers = [
+        (404, JSON, "{\"error\": \"no such run\"}"),
+        (409, "text/plain", "data: [DONE]\n\n"),
+        (204, JSON, ""),
+        (500, JSON, "{\"error\": \"cannot resume\"}"),
+        (200, JSON, "{\"text\": \"whole\"}"),
+        (200, "text/plain", "no events\n\nat all\n\n"),
+        (
+            200,
+            EVENTS,
+            "data: text without an index\n\ndata: [DONE]\n\n",
+        ),
+        (200, EVENTS, "data: {\"text\": \"a\"}\n\ndata: [DONE]\n\n"),
+    ];
+    let cluster = TestCluster::new();
+    let engine = FakeEngine::spawn("v1");
+    let _agent = cluster.engine_agent("vm-1", &engine);
+    for (status, media_type, body) in answers {
+        let entry = cluster.entry("entry-1");
+        engine.set_behavior(EngineBehavior::AnswerResume(status, media_type, body));
+        let streamed = stream_completion(&entry, 6);
+        let case = format!("{status} {media_type} {body}: {streamed:?}");
+        assert!(!streamed.done, "{case}");
+        assert_eq!(streamed.text, FakeEngine::text("v1", 0, 2), "{case}");
+        assert!(streamed.problem.is_some(), "{case}");
+    }
+}
+
 /// Guards against engine work and in-flight counts that outlive a disconnected caller.
 #[test]
 fn a_caller_disconnect_cancels_the_request_in_the_engine() {
