Wait for an upstream before a begun stream is given up (product path)

Callers saw: a stream broke, no upstream could continue it for somewhat more than a second (its gate closed for a switch, its agent restarting, the upstream avoided after a failure), and the stream was cut with `stream-broken` although its deadline was two minutes away.

Cause: a request waits ten times 100 ms for an upstream and then gives up. That is right for a request of which the caller has nothing, since it is told early that nothing ran and can go elsewhere; a begun stream is lost. Class: a limit meant for requests that may be rejected also ends those that may not.

Evidence before (masticdock-daemon, a_broken_stream_is_resumed_when_its_only_upstream_returns_after_seconds):

StreamResult { text: "v1-0 v1-1 ", versions: ["v1"], problem: Some(Problem { kind: StreamBroken, run_state: Unknown, detail: "the stream broke after 2 tokens and could not be resumed: no upstream that serves this version can take the request now", .. }), done: false }

A begun stream now waits until its deadline as long as an upstream may return: an agent of the service that serves its version, or one that serves none while a rollout assigns it. Where no agent does, it still ends after a second, since nothing could continue it. While it waits, the caller gets heartbeats, and a failed one ends the wait, so that a caller that left holds no slot. The decision is `RequestProgress::waits_for_upstream` in the core.

Retries and the list of candidates moved out of serve.rs and upstreams.rs, unchanged otherwise.

--- a/crates/masticdock-core/src/retry/mod.rs
+++ b/crates/masticdock-core/src/retry/mod.rs
@@ -57,6 +57,16 @@
         }
         last
     }
+
+    /// Decides whether the request waits while no upstream can take it.
+    ///
+    /// A response that has begun is lost when the request gives up, so it waits until its deadline
+    /// as long as an upstream may return. A caller that got nothing is told soon, because it can
+    /// send the request elsewhere; `waits_left` tells whether it waits once more.
+    #[must_use]
+    pub const fn waits_for_upstream(&self, waits_left: bool, may_return: bool) -> bool {
+        waits_left || (self.delivered_tokens > 0 && may_return)
+    }
 }
 
 /// Limits on retries of one request.
--- a/crates/masticdock-daemon/src/entry/callers/mod.rs
+++ b/crates/masticdock-daemon/src/entry/callers/mod.rs
@@ -3,10 +3,12 @@
 
 mod admit;
 mod attempt;
+mod candidates;
 mod limits;
 mod metrics;
 mod poison;
 mod response;
+mod retries;
 mod serve;
 mod upstreams;
 
--- a/crates/masticdock-daemon/src/entry/callers/response.rs
+++ b/crates/masticdock-daemon/src/entry/callers/response.rs
@@ -109,7 +109,7 @@
     }
 
     /// Forwards a heartbeat; a failed write reveals that the caller disconnected.
-    fn forward_heartbeat(&mut self) -> Result<(), CallerDisconnected> {
+    pub(super) fn forward_heartbeat(&mut self) -> Result<(), CallerDisconnected> {
         let ResponseState::Streaming(writer) = &mut self.state else {
             return Ok(());
         };
--- /dev/null
+++ b/crates/masticdock-daemon/src/entry/callers/retries.rs
@@ -0,0 +1,177 @@
+//! Retries of a caller's request: which failed attempts are followed by another one, and when.
+
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use masticdock_core::problem::{Problem, ProblemKind};
+use masticdock_core::retry::{self, NoRetryReason, RequestProgress, RetryPolicy};
+
+use super::Shared;
+use super::admit::Call;
+use super::response::CallerResponse;
+use crate::event_log::log_event;
+
+/// Maximum number of rejections by agents before a request fails.
+const REJECTIONS_MAX: u32 = 16;
+
+/// Minimum time left before the deadline for another attempt to start, in milliseconds.
+const ATTEMPT_TIME_MS_MIN: u64 = 2;
+
+/// Time before the next attempt when no upstream can take the request.
+const NO_UPSTREAM_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Maximum number of times a request that delivered nothing waits for an upstream.
+const NO_UPSTREAM_RETRIES_MAX: u32 = 10;
+
+/// Time between two polls of an idempotency key that an earlier attempt of the request claimed.
+const IN_PROGRESS_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Maximum number of polls of a key that an earlier attempt of the request claimed.
+const IN_PROGRESS_POLLS_MAX: u32 = 50;
+
+/// State that a request carries from one attempt to the next.
+pub(super) struct AttemptState {
+    progress: RequestProgress,
+    pub(super) tried: Vec<CompactString>,
+    no_upstream_retries: u32,
+    in_progress_polls: u32,
+}
+
+impl AttemptState {
+    /// Returns the state before the first attempt.
+    pub(super) const fn new(call: &Call) -> Self {
+        Self {
+            progress: RequestProgress::new(call.deadline),
+            tried: Vec::new(),
+            no_upstream_retries: 0,
+            in_progress_polls: 0,
+        }
+    }
+}
+
+/// Returns the problem for a request that no upstream can take; `versioned` tells whether it
+/// requires a certain version.
+pub(super) fn no_upstream(versioned: bool) -> Problem {
+    let problem = if versioned {
+        Problem::not_run(
+            ProblemKind::VersionUnavailable,
+            "no upstream that serves this version can take the request now",
+        )
+    } else {
+        Problem::not_run(
+            ProblemKind::NoUpstream,
+            "no upstream of this service can take the request now",
+        )
+    };
+    problem.with_retry_after_s(1)
+}
+
+/// Prepares the next attempt.
+///
+/// # Errors
+///
+/// Returns the problem to respond with when no further attempt is possible, or `None` when the caller
+/// disconnected.
+pub(super) fn prepare_retry(
+    shared: &Shared,
+    call: &Call,
+    response: &mut CallerResponse,
+    state: &mut AttemptState,
+    problem: Problem,
+) -> Result<(), Option<Problem>> {
+    if let Some(crash) = &problem.crash {
+        shared.crashes.record(crash);
+    }
+    if response.has_begun() {
+        state.progress.delivered_tokens = response.tokens();
+    }
+    let may_have_run = state.progress.may_have_run;
+    let own_attempt_running = problem.kind == ProblemKind::RequestInProgress && may_have_run;
+    if own_attempt_running && state.in_progress_polls < IN_PROGRESS_POLLS_MAX {
+        state.in_progress_polls += 1;
+        state.tried.clear();
+        sleep_until_retry(shared, call, IN_PROGRESS_POLL_INTERVAL);
+        return Ok(());
+    }
+    if problem.kind == ProblemKind::RequestInProgress {
+        return Err(Some(problem));
+    }
+    let lacks_upstream = matches!(
+        problem.kind,
+        ProblemKind::NoUpstream | ProblemKind::VersionUnavailable
+    );
+    if lacks_upstream {
+        let version = call.required_version.as_ref().or(response.version());
+        let waits = state.progress.waits_for_upstream(
+            state.no_upstream_retries < NO_UPSTREAM_RETRIES_MAX,
+            shared.upstreams.may_return(&call.service, version),
+        );
+        if waits {
+            state.no_upstream_retries += 1;
+            sleep_until_retry(shared, call, NO_UPSTREAM_BACKOFF);
+            // The caller is told that its stream is alive, and a failed write ends the wait.
+            return response.forward_heartbeat().map_err(|_| None);
+        }
+    }
+    state.progress.record_failure(problem.run_state);
+    if lacks_upstream {
+        return Err(Some(final_problem(response, state, problem)));
+    }
+    let policy = RetryPolicy {
+        attempts_max: u32::try_from(shared.settings.requests.attempts_max).unwrap_or(u32::MAX),
+        rejections_max: REJECTIONS_MAX,
+        remaining_ms_min: ATTEMPT_TIME_MS_MIN,
+    };
+    let decision = retry::check_retry(
+        &state.progress,
+        problem.run_state,
+        problem.kind,
+        policy,
+        &mut shared.retry_budget(),
+        shared.clock.now(),
+    );
+    if let Err(reason) = decision {
+        if reason == NoRetryReason::BudgetExhausted {
+            log_event!(
+                masticdock_core::event::RETRY_BUDGET_EXHAUSTED,
+                "request {} is not retried",
+                call.request_id
+            );
+        }
+        return Err(Some(final_problem(response, state, problem)));
+    }
+    shared.metrics.retries.inc();
+    if response.has_begun() {
+        shared.metrics.resumed.inc();
+        log_event!(
+            masticdock_core::event::STREAM_RESUMED,
+            "request {} resumes at token {}",
+            call.request_id,
+            response.tokens()
+        );
+    } else {
+        response.reset();
+    }
+    Ok(())
+}
+
+/// Returns the problem to respond with, given the outcomes of all attempts.
+fn final_problem(response: &CallerResponse, state: &AttemptState, mut problem: Problem) -> Problem {
+    problem.run_state = state.progress.run_state(problem.run_state);
+    problem.crash = None;
+    if response.has_begun() && problem.kind != ProblemKind::DeadlineExceeded {
+        let detail = format_compact!(
+            "the stream broke after {} tokens and could not be resumed: {}",
+            response.tokens(),
+            problem.detail
+        );
+        return Problem::unknown(ProblemKind::StreamBroken, detail);
+    }
+    problem
+}
+
+/// Sleeps for `wait`, but not beyond the deadline of the request.
+fn sleep_until_retry(shared: &Shared, call: &Call, wait: Duration) {
+    let left_ms = call.deadline.since_ms(shared.clock.now());
+    std::thread::sleep(wait.min(Duration::from_millis(left_ms)));
+}
--- a/crates/masticdock-daemon/src/entry/callers/upstreams.rs
+++ b/crates/masticdock-daemon/src/entry/callers/upstreams.rs
@@ -9,12 +9,12 @@
 use attohttpc::ProxySettings;
 use compact_str::{CompactString, format_compact};
 use masticdock_core::ids::{ServiceId, VersionId};
-use masticdock_core::membership::{Liveness, Member, Phase, Role};
-use masticdock_core::resource::{Service, ServiceKind};
+use masticdock_core::resource::Service;
 use masticdock_core::router::{self, Candidate, LoadEstimate, PickCandidate, PickPolicy};
 use masticdock_core::units::MonoMs;
 
 use super::Clock;
+use super::candidates::{self, candidates};
 use crate::agent::proxy::LoadReport;
 use crate::control::{ControlHandle, Snapshot};
 use crate::settings::{EntrySettings, NodeSettings};
@@ -169,6 +169,15 @@
         })
     }
 
+    /// Returns false when no agent of the service serves the version or is about to.
+    pub(super) fn may_return(
+        &self,
+        service: &Service,
+        required_version: Option<&VersionId>,
+    ) -> bool {
+        candidates::may_return(service, required_version, &self.control.snapshot())
+    }
+
     /// Returns the total load of the service's subset, without upstreams that do not serve.
     pub(super) fn subset_load(&self, service: &Service) -> SubsetLoad {
         let now = self.clock.now();
@@ -267,50 +276,6 @@
     }
 }
 
-/// Returns the agents that can take requests of `service`.
-///
-/// Suspect agents are candidates only while no agent is alive.
-fn candidates(service: &Service, snapshot: &Snapshot) -> Vec<(Candidate, SocketAddr)> {
-    for liveness in [Liveness::Alive, Liveness::Suspect] {
-        let mut found = Vec::new();
-        for member in snapshot.members.iter() {
-            if member.liveness != liveness || !accepts_requests(member, service, snapshot) {
-                continue;
-            }
-            let Some(addr) = member.traffic_addr else {
-                continue;
-            };
-            let candidate = Candidate {
-                id: member.id.clone(),
-                region: member.region.clone(),
-                zone: member.zone.clone(),
-                version: member.status.serving_version.clone(),
-            };
-            found.push((candidate, addr));
-        }
-        if !found.is_empty() {
-            return found;
-        }
-    }
-    Vec::new()
-}
-
-/// Returns true when an agent is not leaving and serves `service`.
-fn accepts_requests(member: &Member, service: &Service, snapshot: &Snapshot) -> bool {
-    if member.role != Role::Agent
-        || member.status.leaving
-        || snapshot.marked_leaving.contains(&member.id)
-        || !member.status.services.contains(&service.name)
-    {
-        return false;
-    }
-    if service.upstream == ServiceKind::Plain {
-        return true;
-    }
-    let not_serving = matches!(member.status.phase, Phase::Draining | Phase::Loading);
-    member.status.serving_version.is_some() && !not_serving
-}
-
 /// A picked upstream, which counts the request as in flight until this is dropped.
 pub(super) struct PickedUpstream {
     upstreams: Arc<Upstreams>,
--- a/crates/masticdock-daemon/src/tests/request_path/streams.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/streams.rs
@@ -1,12 +1,14 @@
 //! Streamed responses that break, are resumed or are abandoned by the caller.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use masticdock_core::problem::RunState;
 use serde_json::json;
 
 use super::cluster::{TestCluster, eventually, post_prompt, request, stream_completion};
 use super::fakes::{EngineBehavior, FakeEngine};
+use crate::agent::GateState;
 
 /// Guards against lost, reordered or unversioned tokens, both streamed and in one response.
 #[test]
@@ -105,6 +107,28 @@
     }
 }
 
+/// Guards against a stream that is cut although its deadline is far, because for some seconds no
+/// upstream can continue it.
+#[test]
+fn a_broken_stream_is_resumed_when_its_only_upstream_returns_after_seconds() {
+    let cluster = TestCluster::new();
+    let engine = FakeEngine::spawn("v1");
+    engine.set_behavior(EngineBehavior::DisconnectOnceAt(2));
+    let agent = cluster.engine_agent("vm-1", &engine);
+    let entry = cluster.entry("entry-1");
+    let streamed = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| stream_completion(&entry, 6));
+        eventually("a first run", || !engine.runs().is_empty());
+        agent.gate.set_state(GateState::Draining);
+        std::thread::sleep(Duration::from_secs(3));
+        let version = "v1".parse().expect("a version");
+        agent.gate.set_state(GateState::Serving(Some(version)));
+        caller.join().expect("a caller")
+    });
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.text, FakeEngine::text("v1", 0, 6));
+}
+
 /// Guards against engine work and in-flight counts that outlive a disconnected caller.
 #[test]
 fn a_caller_disconnect_cancels_the_request_in_the_engine() {
