--- a/crates/masticdock-core/src/retry/mod.rs
+++ b/crates/masticdock-core/src/retry/mod.rs
@@ -112,6 +112,18 @@
     )
 }
 
+/// Returns true when a retry is left after an attempt that starts now and ends without an outcome.
+///
+/// Silence of an upstream is a reason to give up an attempt only then.
+#[must_use]
+pub const fn is_retry_left(
+    progress: &RequestProgress,
+    policy: RetryPolicy,
+    budget: &RetryBudget,
+) -> bool {
+    progress.attempts.saturating_add(1) < policy.attempts_max && budget.remaining() > 0
+}
+
 /// Decides whether a failed attempt is retried, and charges the retry to `budget`.
 ///
 /// `progress` already includes the failed attempt. Retrying a rejected attempt
--- a/crates/masticdock-daemon/src/entry/callers/attempt.rs
+++ b/crates/masticdock-daemon/src/entry/callers/attempt.rs
@@ -24,6 +24,8 @@
     pub(super) resume_from: u64,
     pub(super) suspect: bool,
     pub(super) remaining_ms: u64,
+    /// Time without a byte after which the attempt counts as stalled.
+    pub(super) stall_timeout_ms: u64,
 }
 
 /// Outcome of an attempt.
@@ -70,8 +72,7 @@
     let path = format!("/v1/run/{}", params.call.service_path);
     let headers = headers(params);
     let mac = MacInput::from_sent("POST", &path, &headers, &params.call.body).mac(&shared.auth_key);
-    let stall_ms = shared.settings.requests.stall_timeout_ms;
-    let stall_timeout = Duration::from_millis(stall_ms.min(params.remaining_ms).max(1));
+    let stall_timeout = Duration::from_millis(params.stall_timeout_ms.max(1));
     let mut builder = attohttpc::post(format!("http://{}{path}", target.addr))
         .connect_timeout(CONNECT_TIMEOUT.min(stall_timeout))
         .read_timeout(stall_timeout)
--- a/crates/masticdock-daemon/src/entry/callers/retries.rs
+++ b/crates/masticdock-daemon/src/entry/callers/retries.rs
@@ -66,6 +66,22 @@
     problem.with_retry_after_s(1)
 }
 
+fn policy(shared: &Shared) -> RetryPolicy {
+    RetryPolicy {
+        attempts_max: u32::try_from(shared.settings.requests.attempts_max).unwrap_or(u32::MAX),
+        rejections_max: REJECTIONS_MAX,
+        remaining_ms_min: ATTEMPT_TIME_MS_MIN,
+    }
+}
+
+/// Returns the time without a byte after which the next attempt is given up.
+pub(super) fn stall_timeout_ms(shared: &Shared, state: &AttemptState) -> u64 {
+    if retry::is_retry_left(&state.progress, policy(shared), &shared.retry_budget()) {
+        return shared.settings.requests.stall_timeout_ms;
+    }
+    u64::MAX
+}
+
 /// Prepares the next attempt.
 ///
 /// # Errors
@@ -117,16 +133,11 @@
     if lacks_upstream {
         return Err(Some(final_problem(response, state, problem)));
     }
-    let policy = RetryPolicy {
-        attempts_max: u32::try_from(shared.settings.requests.attempts_max).unwrap_or(u32::MAX),
-        rejections_max: REJECTIONS_MAX,
-        remaining_ms_min: ATTEMPT_TIME_MS_MIN,
-    };
     let decision = retry::check_retry(
         &state.progress,
         problem.run_state,
         problem.kind,
-        policy,
+        policy(shared),
         &mut shared.retry_budget(),
         shared.clock.now(),
     );
--- a/crates/masticdock-daemon/src/entry/callers/serve.rs
+++ b/crates/masticdock-daemon/src/entry/callers/serve.rs
@@ -197,6 +197,7 @@
         resume_from: response.tokens(),
         suspect: verdict == PoisonVerdict::Suspect,
         remaining_ms,
+        stall_timeout_ms: retries::stall_timeout_ms(shared, state).min(remaining_ms),
     };
     let mut stream_problem = None;
     let end = attempt::run(shared, &guard.target, &params, |event, version| {
--- a/crates/masticdock-daemon/src/settings/entry.rs
+++ b/crates/masticdock-daemon/src/settings/entry.rs
@@ -79,7 +79,8 @@
     pub(crate) crash_limit: u64,
     /// Time for which a request that reached `crash_limit` is rejected, in milliseconds.
     pub(crate) crash_memory_ms: u64,
-    /// Time without a byte after which an attempt counts as stalled, in milliseconds.
+    /// Time without a byte of an agent, which sends heartbeats, after which an attempt is given up
+    /// for a retry, in milliseconds.
     pub(crate) stall_timeout_ms: u64,
 }
 
--- a/crates/masticdock-daemon/src/settings/fields.rs
+++ b/crates/masticdock-daemon/src/settings/fields.rs
@@ -89,7 +89,7 @@
     number("requests.per_upstream_in_progress_max", 1, 10_000, "requests in progress that one upstream takes from this entry"),
     number("requests.crash_limit", 1, 10, "deaths of upstreams after which a request is refused"),
     number("requests.crash_memory_ms", 1_000, 86_400_000, "time for which such a request is refused"),
-    number("requests.stall_timeout_ms", 50, 600_000, "time without a byte after which an attempt counts as stalled"),
+    number("requests.stall_timeout_ms", 50, 600_000, "time without a byte of an agent, which sends heartbeats, after which an attempt is given up for a retry"),
     number("http.body_bytes_max", 1_024, 64 << 20, "largest request body"),
     number("http.header_bytes_max", 1_024, 1 << 20, "largest total of the request headers"),
     number("http.connections_max", 1, 4_096, "requests handled at once, each on its own thread"),
--- a/crates/masticdock-daemon/src/tests/request_path/cluster.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/cluster.rs
@@ -129,11 +129,22 @@
             GateState::Serving(version) => version,
             GateState::NotServing | GateState::Draining => None,
         };
-        lock(&self.members).push(member(id, proxy.addr(), service, version));
-        self.publish();
+        self.publish_agent(id, proxy.addr(), service, version);
         Agent { proxy, gate }
     }
 
+    /// Publishes an agent that takes requests of a service at an address.
+    pub(super) fn publish_agent(
+        &self,
+        id: &str,
+        addr: SocketAddr,
+        service: &str,
+        version: Option<VersionId>,
+    ) {
+        lock(&self.members).push(member(id, addr, service, version));
+        self.publish();
+    }
+
     /// Starts an agent in front of a fake engine and publishes it.
     pub(super) fn engine_agent(&self, id: &str, engine: &FakeEngine) -> Agent {
         let version: VersionId = engine.version.parse().expect("a version");
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -46,6 +46,8 @@
     DisconnectAt(u64),
     /// Closes the connection at this token unless the run started at or after it.
     DisconnectOnceAt(u64),
+    /// Sends nothing for 2.5 s at this token.
+    SilentAt(u64),
     /// Closes the connection of a new run at token 2 and answers a resumed one with this status,
     /// media type and body.
     AnswerResume(u16, &'static str, &'static str),
@@ -148,6 +150,9 @@
                     self.boot.fetch_add(1, Ordering::SeqCst);
                     return;
                 }
+                EngineBehavior::SilentAt(at) if index == at => {
+                    std::thread::sleep(Duration::from_millis(2_500));
+                }
                 EngineBehavior::Endless => std::thread::sleep(Duration::from_millis(20)),
                 _ => {}
             }
@@ -164,6 +169,25 @@
     }
 }
 
+/// Starts a fake agent that sends one token, is silent for `silence`, then sends the second one and
+/// ends the stream.
+pub(super) fn spawn_silent_agent(silence: Duration) -> SocketAddr {
+    serve(move |request| {
+        let token = |index: u64| {
+            let text = FakeEngine::text("v1", index, index + 1);
+            format!(
+                "data: {}\n\n",
+                json!({ "index": index, "text": text, "version": "v1" })
+            )
+        };
+        let mut writer = request.into_writer();
+        let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+        let _ = write!(writer, "{head}{}", token(0)).and_then(|()| writer.flush());
+        thread::sleep(silence);
+        let _ = write!(writer, "{}data: [DONE]\n\n", token(1)).and_then(|()| writer.flush());
+    })
+}
+
 /// A fake plain service that responds with its number of runs.
 pub(super) struct FakeService {
     pub(super) addr: SocketAddr,
--- a/crates/masticdock-daemon/src/tests/request_path/streams.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/streams.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use super::cluster::{TestCluster, eventually, post_prompt, request, stream_completion};
-use super::fakes::{EngineBehavior, FakeEngine};
+use super::fakes::{EngineBehavior, FakeEngine, spawn_silent_agent};
 use crate::agent::GateState;
 
 /// Guards against lost, reordered or unversioned tokens, both streamed and in one response.
@@ -129,6 +129,37 @@
     assert_eq!(streamed.text, FakeEngine::text("v1", 0, 6));
 }
 
+/// Guards against a second run of a request whose engine is silent for a moment, before or within its
+/// response, while its agent is alive.
+#[test]
+fn silence_of_an_engine_is_not_taken_for_a_stall_of_its_agent() {
+    let cluster = TestCluster::new();
+    let engine = FakeEngine::spawn("v1");
+    let _agent = cluster.engine_agent("vm-1", &engine);
+    let entry = cluster.entry("entry-1");
+    for at in [0, 2] {
+        engine.set_behavior(EngineBehavior::SilentAt(at));
+        let streamed = stream_completion(&entry, 4);
+        assert!(streamed.done, "{streamed:?}");
+        assert_eq!(streamed.text, FakeEngine::text("v1", 0, 4));
+    }
+    assert_eq!(engine.runs().len(), 2);
+}
+
+/// Guards against a stream that is cut because its agent is silent for a moment and no retry is left.
+#[test]
+fn silence_does_not_end_a_stream_that_cannot_be_sent_again() {
+    let mut cluster = TestCluster::new();
+    cluster.requests = json!({ "stall_timeout_ms": 300, "attempts_max": 1 });
+    let agent = spawn_silent_agent(Duration::from_millis(1_200));
+    let version = "v1".parse().expect("a version");
+    cluster.publish_agent("vm-1", agent, "assistant", Some(version));
+    let entry = cluster.entry("entry-1");
+    let streamed = stream_completion(&entry, 2);
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.text, FakeEngine::text("v1", 0, 2));
+}
+
 /// Guards against engine work and in-flight counts that outlive a disconnected caller.
 #[test]
 fn a_caller_disconnect_cancels_the_request_in_the_engine() {
