Let a begun stream outlast retry limits that pass (product path)

Callers saw: a stream broke off in the middle and was cut with `stream-broken`, far from its deadline, because the retry budget of the entry was empty at that moment, or because its next engines had rejected it 16 times in two seconds (503, queue full).

Cause: both limits protect upstreams from retries and pass by themselves: the budget fills up with each success, a rejection says that nothing ran. The request took the first refusal as final.

Evidence before (masticdock-daemon):

a_broken_stream_is_resumed_once_the_retry_budget_allows_it: StreamResult { text: "v1-0 v1-1 ", .. "the stream broke after 2 tokens and could not be resumed: the connection to the upstream broke: unexpected end of file", .. done: false } a_broken_stream_outlasts_rejections_by_an_overloaded_engine: .. "the stream broke after 2 tokens and could not be resumed: the engine answered 503: queue full", .. done: false }

A begun stream now waits, 100 ms at a time and until its deadline, until the budget allows the retry; it spends from the budget as before, so upstreams see no more retries. After 16 rejections it asks once in 100 ms at most. The limit on admitted attempts stays, since each of these costs the upstream work and may be what crashes it. The decisions are in the core's `retry`.

After: both tests pass, and the 26 others of request_path.

--- a/crates/masticdock-core/src/retry/mod.rs
+++ b/crates/masticdock-core/src/retry/mod.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Returns true when the request waits for what stands against a retry to pass: the retry budget
+    /// fills up again, and a response that has begun would be lost.
+    #[must_use]
+    pub const fn outlasts(&self, reason: NoRetryReason) -> bool {
+        self.delivered_tokens > 0 && matches!(reason, NoRetryReason::BudgetExhausted)
+    }
+
     /// Returns the run state to report when the last attempt ended in `last`.
     ///
     /// Once any attempt may have run the request, the result is unknown: an
@@ -127,7 +134,8 @@
 /// Decides whether a failed attempt is retried, and charges the retry to `budget`.
 ///
 /// `progress` already includes the failed attempt. Retrying a rejected attempt
-/// costs no budget, because the upstream did no work for it.
+/// costs no budget, because the upstream did no work for it. The limit on rejections is for requests
+/// of which the caller has nothing: a response that has begun would be lost.
 ///
 /// # Errors
 ///
@@ -143,7 +151,8 @@
     if is_terminal(kind) {
         return Err(NoRetryReason::Terminal);
     }
-    if progress.attempts >= policy.attempts_max || progress.rejections >= policy.rejections_max {
+    let rejected = progress.rejections >= policy.rejections_max && progress.delivered_tokens == 0;
+    if progress.attempts >= policy.attempts_max || rejected {
         return Err(NoRetryReason::AttemptsExhausted);
     }
     if now.plus_ms(policy.remaining_ms_min) >= progress.deadline {
--- a/crates/masticdock-daemon/src/entry/callers/retries.rs
+++ b/crates/masticdock-daemon/src/entry/callers/retries.rs
@@ -11,14 +11,15 @@
 use super::response::CallerResponse;
 use crate::event_log::log_event;
 
-/// Maximum number of rejections by agents before a request fails.
+/// Number of rejections by agents after which a request fails or, once its response has begun, is
+/// retried at intervals.
 const REJECTIONS_MAX: u32 = 16;
 
 /// Minimum time left before the deadline for another attempt to start, in milliseconds.
 const ATTEMPT_TIME_MS_MIN: u64 = 2;
 
-/// Time before the next attempt when no upstream can take the request.
-const NO_UPSTREAM_BACKOFF: Duration = Duration::from_millis(100);
+/// Time before the next attempt when none is possible at the moment.
+const RETRY_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Maximum number of times a request that delivered nothing waits for an upstream.
 const NO_UPSTREAM_RETRIES_MAX: u32 = 10;
@@ -124,32 +125,41 @@
         );
         if waits {
             state.no_upstream_retries += 1;
-            sleep_until_retry(shared, call, NO_UPSTREAM_BACKOFF);
-            // The caller is told that its stream is alive, and a failed write ends the wait.
-            return response.forward_heartbeat().map_err(|_| None);
+            return wait_for_retry(shared, call, response);
         }
     }
     state.progress.record_failure(problem.run_state);
     if lacks_upstream {
         return Err(Some(final_problem(response, state, problem)));
     }
-    let decision = retry::check_retry(
-        &state.progress,
-        problem.run_state,
-        problem.kind,
-        policy(shared),
-        &mut shared.retry_budget(),
-        shared.clock.now(),
-    );
-    if let Err(reason) = decision {
-        if reason == NoRetryReason::BudgetExhausted {
+    let mut budget_logged = false;
+    // The lock on the budget must not be held while the request waits.
+    let check = |progress| {
+        retry::check_retry(
+            progress,
+            problem.run_state,
+            problem.kind,
+            policy(shared),
+            &mut shared.retry_budget(),
+            shared.clock.now(),
+        )
+    };
+    while let Err(reason) = check(&state.progress) {
+        if reason == NoRetryReason::BudgetExhausted && !budget_logged {
+            budget_logged = true;
             log_event!(
                 masticdock_core::event::RETRY_BUDGET_EXHAUSTED,
-                "request {} is not retried",
+                "request {} is not retried now",
                 call.request_id
             );
         }
-        return Err(Some(final_problem(response, state, problem)));
+        if !state.progress.outlasts(reason) {
+            return Err(Some(final_problem(response, state, problem)));
+        }
+        wait_for_retry(shared, call, response)?;
+    }
+    if state.progress.rejections >= REJECTIONS_MAX {
+        wait_for_retry(shared, call, response)?;
     }
     shared.metrics.retries.inc();
     if response.has_begun() {
@@ -181,6 +191,20 @@
     problem
 }
 
+/// Waits before a retry that is not possible yet.
+///
+/// # Errors
+///
+/// Returns `None` when the caller disconnected, which a failed heartbeat shows.
+fn wait_for_retry(
+    shared: &Shared,
+    call: &Call,
+    response: &mut CallerResponse,
+) -> Result<(), Option<Problem>> {
+    sleep_until_retry(shared, call, RETRY_BACKOFF);
+    response.forward_heartbeat().map_err(|_| None)
+}
+
 /// Sleeps for `wait`, but not beyond the deadline of the request.
 fn sleep_until_retry(shared: &Shared, call: &Call, wait: Duration) {
     let left_ms = call.deadline.since_ms(shared.clock.now());
