Ask for the outcome of a broken attempt until the deadline (product path)

Callers saw: the first attempt of a request with an idempotency key lost its connection. The next agent said that the key is in progress, for longer than 10 s, or that the table cannot be read at that moment. The caller was told an unknown outcome ("check by hand") although its deadline was far away and the outcome could soon have been read.

Cause: a request in progress is asked for at most 50 times in 10 s, and `table-unavailable` counts as final even after an attempt that may have run. Class: giving up at a limit that is not the deadline.

Both rejections now make the entry ask again until the deadline (`RequestProgress::asks_again`), at first after 200 ms, then up to 1 s apart, which is gentler on the table than before. A resend stays safe, since the key's claim decides whether it runs. A first attempt that is rejected in this way is still told to the caller at once, as nothing of it ran.

--- a/crates/masticdock-core/src/retry/mod.rs
+++ b/crates/masticdock-core/src/retry/mod.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Decides whether the request waits while no upstream can take it.
+    ///
+    /// A response that has begun is lost when the request gives up, so it waits until its deadline
+    /// as long as an upstream may return. A caller that got nothing is told soon, because it can
+    /// send the request elsewhere; `waits_left` tells whether it waits once more.
+    #[must_use]
+    pub const fn waits_for_upstream(&self, waits_left: bool, may_return: bool) -> bool {
+        waits_left || (self.delivered_tokens > 0 && may_return)
+    }
+
     /// Returns true when the request waits for what stands against a retry to pass: the retry budget
     /// fills up again, and a response that has begun would be lost.
     #[must_use]
@@ -53,6 +63,17 @@
         self.delivered_tokens > 0 && matches!(reason, NoRetryReason::BudgetExhausted)
     }
 
+    /// Returns true when a request with an idempotency key, of which an attempt may have run, asks for
+    /// the outcome of that attempt again: it is still in progress, or its record cannot be read.
+    #[must_use]
+    pub const fn asks_again(&self, kind: ProblemKind) -> bool {
+        let is_open = matches!(
+            kind,
+            ProblemKind::RequestInProgress | ProblemKind::TableUnavailable
+        );
+        self.may_have_run && is_open
+    }
+
     /// Returns the run state to report when the last attempt ended in `last`.
     ///
     /// Once any attempt may have run the request, the result is unknown: an
@@ -64,16 +85,6 @@
         }
         last
     }
-
-    /// Decides whether the request waits while no upstream can take it.
-    ///
-    /// A response that has begun is lost when the request gives up, so it waits until its deadline
-    /// as long as an upstream may return. A caller that got nothing is told soon, because it can
-    /// send the request elsewhere; `waits_left` tells whether it waits once more.
-    #[must_use]
-    pub const fn waits_for_upstream(&self, waits_left: bool, may_return: bool) -> bool {
-        waits_left || (self.delivered_tokens > 0 && may_return)
-    }
 }
 
 /// Limits on retries of one request.
--- a/crates/masticdock-daemon/src/entry/callers/retries.rs
+++ b/crates/masticdock-daemon/src/entry/callers/retries.rs
@@ -24,18 +24,19 @@
 /// Maximum number of times a request that delivered nothing waits for an upstream.
 const NO_UPSTREAM_RETRIES_MAX: u32 = 10;
 
-/// Time between two polls of an idempotency key that an earlier attempt of the request claimed.
-const IN_PROGRESS_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between the first two polls of an idempotency key that an earlier attempt of the request
+/// claimed; doubles with each further one up to [`KEY_POLL_INTERVAL_MAX`].
+const KEY_POLL_INTERVAL_MIN: Duration = Duration::from_millis(200);
 
-/// Maximum number of polls of a key that an earlier attempt of the request claimed.
-const IN_PROGRESS_POLLS_MAX: u32 = 50;
+/// Maximum time between two such polls.
+const KEY_POLL_INTERVAL_MAX: Duration = Duration::from_secs(1);
 
 /// State that a request carries from one attempt to the next.
 pub(super) struct AttemptState {
     progress: RequestProgress,
     pub(super) tried: Vec<CompactString>,
     no_upstream_retries: u32,
-    in_progress_polls: u32,
+    key_poll_interval: Duration,
 }
 
 impl AttemptState {
@@ -45,7 +46,7 @@
             progress: RequestProgress::new(call.deadline),
             tried: Vec::new(),
             no_upstream_retries: 0,
-            in_progress_polls: 0,
+            key_poll_interval: KEY_POLL_INTERVAL_MIN,
         }
     }
 }
@@ -102,12 +103,10 @@
     if response.has_begun() {
         state.progress.delivered_tokens = response.tokens();
     }
-    let may_have_run = state.progress.may_have_run;
-    let own_attempt_running = problem.kind == ProblemKind::RequestInProgress && may_have_run;
-    if own_attempt_running && state.in_progress_polls < IN_PROGRESS_POLLS_MAX {
-        state.in_progress_polls += 1;
+    if state.progress.asks_again(problem.kind) {
         state.tried.clear();
-        sleep_until_retry(shared, call, IN_PROGRESS_POLL_INTERVAL);
+        sleep_until_retry(shared, call, state.key_poll_interval);
+        state.key_poll_interval = KEY_POLL_INTERVAL_MAX.min(state.key_poll_interval * 2);
         return Ok(());
     }
     if problem.kind == ProblemKind::RequestInProgress {
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -6,12 +6,15 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use masticdock_core::problem::Problem;
 use serde_json::{Value, json};
 use tiny_http::Request;
 
-use crate::request_http::{HandlerLimits, Listener, header_name, header_value, respond};
+use crate::request_http::{
+    HandlerLimits, Listener, header_name, header_value, respond, respond_problem,
+};
 
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -188,6 +191,29 @@
     })
 }
 
+/// Starts a fake agent that breaks its first connection, rejects requests with `problem` for
+/// `duration`, and then returns the answer of a plain service.
+pub(super) fn spawn_recovering_agent(problem: Problem, duration: Duration) -> SocketAddr {
+    let broken_at = Mutex::new(None);
+    serve(move |mut request| {
+        if request.url() == "/v1/load" {
+            let load = json!({ "in_progress": 0, "queued": 0, "serving": true });
+            return respond(request, 200, "a/b", &[], load.to_string().into_bytes());
+        }
+        let _ = read_json(&mut request);
+        let broken_at = *lock(&broken_at).get_or_insert_with(Instant::now);
+        if broken_at.elapsed() < Duration::from_millis(50) {
+            drop(request.into_writer());
+        } else if broken_at.elapsed() < duration {
+            respond_problem(request, &problem, &[]);
+        } else {
+            let answer = json!({ "status": 200, "content_type": "a/b", "body": "{}" });
+            let events = format!("event: answer\ndata: {answer}\n\ndata: [DONE]\n\n");
+            respond(request, 200, "text/event-stream", &[], events.into_bytes());
+        }
+    })
+}
+
 /// A fake plain service that responds with its number of runs.
 pub(super) struct FakeService {
     pub(super) addr: SocketAddr,
--- a/crates/masticdock-daemon/src/tests/request_path/keys.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/keys.rs
@@ -2,11 +2,12 @@
 //! reported as `not_run`.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use masticdock_core::problem::RunState;
+use masticdock_core::problem::{Problem, ProblemKind, RunState};
 
 use super::cluster::{TestCluster, eventually, post_order};
-use super::fakes::{FakeService, TableMode, lock};
+use super::fakes::{FakeService, TableMode, lock, spawn_recovering_agent};
 
 /// Guards against a failed or second run of a request when the table applies each write but its
 /// response is lost.
@@ -122,6 +123,28 @@
     assert_eq!(plain.runs(), 1);
 }
 
+/// Guards against an unknown outcome, long before the deadline, of a request whose first attempt broke
+/// and whose outcome can be asked for again: the first attempt still runs, or the table is down.
+#[test]
+fn the_outcome_of_a_broken_attempt_is_asked_for_until_the_deadline() {
+    let cases = [
+        (ProblemKind::RequestInProgress, Duration::from_secs(12)),
+        (ProblemKind::TableUnavailable, Duration::from_secs(2)),
+    ];
+    std::thread::scope(|scope| {
+        for (kind, duration) in cases {
+            scope.spawn(move || {
+                let cluster = TestCluster::new();
+                let problem = Problem::not_run(kind, "later");
+                let agent = spawn_recovering_agent(problem, duration);
+                cluster.publish_agent("vm-1", agent, "orders", None);
+                let response = post_order(&cluster.entry("entry-1"), "k1");
+                assert_eq!(response.status, 200, "{kind:?}: {response:?}");
+            });
+        }
+    });
+}
+
 /// Guards against returning the stored response of one request for a different request that has
 /// the same key.
 #[test]
