Pass over an odd entry of the fleet view (product path)

What was seen: one entry of another shape in the fleet view (a port out of range, deeply nested, a number too large, fields missing) made every read of the list fail. No process followed it any longer: VMs marked as leaving went on getting requests, new VMs got no labels and so no weights.

Cause: the list is decoded as a whole. Class: data of several writers is decoded as one unit, so that one of them decides for all.

Evidence before (masticdock-standins, storage, one_odd_entry_does_not_hide_the_rest_of_the_fleet_view):

Err value: PlatformError { kind: Malformed, call: "fleet view read", message: "invalid socket address syntax at line 2 column 41" }

Entries are now split without being interpreted (`RawValue`, which is not bound by the depth of nesting) and decoded one by one. A VM that was known keeps its last entry if its id can be read: an unreadable entry is no removal, and without its labels a VM would fall out of its rollout.

--- a/crates/masticdock-daemon/src/control/fleet_reader.rs
+++ b/crates/masticdock-daemon/src/control/fleet_reader.rs
@@ -83,7 +83,12 @@
 
     fn read_once(&mut self) {
         match self.client.read() {
-            Ok(Some(list)) => self.control.send(ControlMsg::Fleet(list)),
+            Ok(Some(list)) => {
+                for error in self.client.unreadable() {
+                    log_event!(event::FLEET_ENTRY_UNREADABLE, "{error}");
+                }
+                self.control.send(ControlMsg::Fleet(list));
+            }
             Ok(None) => {}
             Err(error) => {
                 if self.reachable {
--- a/crates/masticdock-platform/src/fleet/mod.rs
+++ b/crates/masticdock-platform/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 use masticdock_core::membership::Role;
 use masticdock_core::resource::Labels;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::http::{HttpSettings, PlatformError, PlatformErrorKind, prepare};
 
@@ -51,12 +52,27 @@
     pub vms: Vec<FleetVm>,
 }
 
-/// Client of the fleet view. Stores the last `ETag` to detect an unchanged list.
+/// List whose entries are decoded one by one, so that an odd one does not hide the others.
+#[derive(Deserialize)]
+struct RawList<'a> {
+    #[serde(borrow)]
+    vms: Vec<&'a RawValue>,
+}
+
+/// Part of an entry that can be read even if the rest cannot.
+#[derive(Deserialize)]
+struct EntryId {
+    id: CompactString,
+}
+
+/// Client of the fleet view. Stores the last list and its `ETag`, to detect an unchanged list.
 #[derive(Debug, Clone)]
 pub struct FleetClient {
     url: String,
     http: HttpSettings,
     etag: Option<String>,
+    last: FleetList,
+    unreadable: Vec<String>,
 }
 
 impl FleetClient {
@@ -67,11 +83,21 @@
             url: url.into(),
             http,
             etag: None,
+            last: FleetList::default(),
+            unreadable: Vec::new(),
         }
     }
 
+    /// Returns the errors of the entries of the last list that could not be read.
+    #[must_use]
+    pub fn unreadable(&self) -> &[String] {
+        &self.unreadable
+    }
+
     /// Reads the list. Returns `None` if it is unchanged since the last read.
     ///
+    /// An entry that cannot be read is passed over; a VM that is known keeps its last entry.
+    ///
     /// # Errors
     ///
     /// Returns an error if the fleet view does not answer or its list cannot be
@@ -99,7 +125,27 @@
         let list = serde_json::from_str(&text).map_err(|error| {
             PlatformError::new(PlatformErrorKind::Malformed, CALL, error.to_string())
         })?;
+        self.last = self.decode(&list);
         self.etag = etag;
-        Ok(Some(list))
+        Ok(Some(self.last.clone()))
+    }
+
+    fn decode(&mut self, list: &RawList<'_>) -> FleetList {
+        self.unreadable.clear();
+        let mut vms = Vec::with_capacity(list.vms.len());
+        for entry in &list.vms {
+            let error = match serde_json::from_str(entry.get()) {
+                Ok(vm) => {
+                    vms.push(vm);
+                    continue;
+                }
+                Err(error) => error,
+            };
+            let id = serde_json::from_str(entry.get()).map(|EntryId { id }| id);
+            let id = id.unwrap_or_default();
+            self.unreadable.push(format!("{id}: {error}"));
+            vms.extend(self.last.vms.iter().find(|vm| vm.id == id).cloned());
+        }
+        FleetList { vms }
     }
 }
--- a/crates/masticdock-standins/tests/storage.rs
+++ b/crates/masticdock-standins/tests/storage.rs
@@ -90,6 +90,41 @@
     assert_eq!(client.read().unwrap(), None);
 }
 
+/// Guards against a fleet view that is no longer followed because of one odd entry, and against the
+/// loss of a known VM whose entry turns odd.
+#[test]
+fn one_odd_entry_does_not_hide_the_rest_of_the_fleet_view() {
+    let running = fleet::spawn(any_addr(), 0).unwrap();
+    let mut client = FleetClient::new(running.url(), HttpSettings::default());
+    let vm = |id: &str, port: &str, labels: &str| {
+        format!(
+            r#"{{"id":"{id}","role":"agent","state":"live","region":"r","zone":"r-a",
+            "peer_addr":"127.0.0.1:{port}","labels":{labels}}}"#
+        )
+    };
+    let mut read = |entries: &[String]| {
+        let list = format!(r#"{{"vms":[{}]}}"#, entries.join(","));
+        attohttpc::put(running.url()).text(list).send().unwrap();
+        let vms = client.read().unwrap().unwrap().vms;
+        vms.into_iter().map(|vm| vm.id).collect::<Vec<_>>()
+    };
+    let good = [vm("vm-1", "1", "{}"), vm("vm-2", "2", "{}")];
+    assert_eq!(read(&good), ["vm-1", "vm-2"]);
+    let nested = "[".repeat(5_000) + &"]".repeat(5_000);
+    let odd = [
+        vm("vm-1", "70000", "{}"),
+        vm("vm-1", "1", &nested),
+        vm("vm-1", "1", r#"{"fleet": 1e999}"#),
+        r#"{"id":"vm-1"}"#.to_owned(),
+    ];
+    for entry in odd {
+        let list = [entry.clone(), good[1].clone(), vm("vm-3", "3", "{}")];
+        assert_eq!(read(&list), ["vm-1", "vm-2", "vm-3"], "{entry:.80}");
+        assert_eq!(read(&[nested.clone(), good[1].clone()]), ["vm-2"]);
+        assert_eq!(read(&good), ["vm-1", "vm-2"]);
+    }
+}
+
 /// Guards against a new list that is visible before the lag has passed.
 #[test]
 fn fleet_list_lags() {
