Pass over odd rows in the configuration table (product path)

What was seen: one row of another writer in the table (an attribute of another type, deeply nested, a number too large, no body, a body of another shape) made every read of the log or of the resources fail. No process learned of any later change, a process that started adopted no configuration and served nothing, and operators were told that the table does not answer. A resource row with a huge revision did the same to every start.

Cause: the answer to a query is decoded as a whole, one undecodable attribute or body fails the page, and a page shorter than its limit counts as the last.

Items are split without being interpreted and decoded one by one; an attribute that is neither text nor a number in range counts as missing. Rows that cannot be read are passed over and logged (E2004): log rows whose revision is not that of their key, and resources above the head, count among them. Whether a page is the last is taken from the number of rows that were sent.

A log row that is needed may be the odd one. The change would then stay a gap for good, so the reader adopts the configuration from the resource rows, which the same transaction wrote (`missing_revision`). A change with a base revision is still refused while a log row after it is missing, since a conflict could hide there.

What remains: an odd head row stops the following of changes, since nothing else tells the revision; a resource whose own row is odd is absent in a process that adopts from the table.

--- a/crates/masticdock-core/src/config_log/adoption.rs
+++ b/crates/masticdock-core/src/config_log/adoption.rs
@@ -101,6 +101,22 @@
     }
 }
 
+/// Returns the first revision above `applied`, up to `head`, that `log` lacks.
+#[must_use]
+pub fn missing_revision(
+    applied: Revision,
+    head: Revision,
+    log: &[AcceptedChange],
+) -> Option<Revision> {
+    let mut reached = applied;
+    for change in log {
+        if reached < head && change.revision == reached.next() {
+            reached = change.revision;
+        }
+    }
+    (reached < head).then(|| reached.next())
+}
+
 /// Configuration revision reported by a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerRevision<P> {
--- a/crates/masticdock-core/src/config_log/mod.rs
+++ b/crates/masticdock-core/src/config_log/mod.rs
@@ -13,7 +13,7 @@
 mod state;
 mod window;
 
-pub use adoption::{AdoptionError, PeerRevision, TableAdoption, choose_peer};
+pub use adoption::{AdoptionError, PeerRevision, TableAdoption, choose_peer, missing_revision};
 pub use apply::ApplyOutcome;
 pub use change::AcceptedChange;
 pub use proposal::{
--- a/crates/masticdock-core/src/config_log/rows.rs
+++ b/crates/masticdock-core/src/config_log/rows.rs
@@ -34,9 +34,15 @@
 ///
 /// # Errors
 ///
-/// Returns an error if `body` is not the JSON of a change.
+/// Returns an error if `body` is not the JSON of a change or its revision is not that of the row.
 pub fn change_from_row(sk: &str, body: &str) -> Result<AcceptedChange, RowError> {
-    serde_json::from_str(body).map_err(|error| RowError::new(PK_LOG, sk, error.to_string()))
+    let change: AcceptedChange =
+        serde_json::from_str(body).map_err(|error| RowError::new(PK_LOG, sk, error.to_string()))?;
+    if revision_sort_key(change.revision) != sk {
+        let message = format!("it holds revision {}", change.revision);
+        return Err(RowError::new(PK_LOG, sk, message));
+    }
+    Ok(change)
 }
 
 /// Parses a resource row.
--- a/crates/masticdock-daemon/src/control/config_table.rs
+++ b/crates/masticdock-daemon/src/control/config_table.rs
@@ -1,12 +1,16 @@
 //! Client for the configuration rows of the table service.
 
 use masticdock_core::config_log::{
-    self, ATTR_BODY, ATTR_REVISION, AcceptedChange, AdoptionError, ConfigState, TableAdoption,
+    self, ATTR_BODY, ATTR_REVISION, AcceptedChange, AdoptionError, ConfigState, StoredResource,
+    TableAdoption,
 };
+use masticdock_core::event;
 use masticdock_core::ids::{ChangeId, Revision};
 use masticdock_core::table_row::{RowError, RowWrite};
 use masticdock_platform::{Item, ItemKey, PlatformError, TableClient, Write};
 
+use crate::event_log::log_event;
+
 /// Maximum number of log rows read by one call.
 const LOG_PAGE_LEN: usize = 200;
 
@@ -49,70 +53,75 @@
         number(&item, ATTR_REVISION).map(Revision)
     }
 
-    /// Reads all changes above revision `after` from the log.
+    /// Reads all changes above revision `after` from the log, without rows that cannot be read.
     ///
     /// # Errors
     ///
-    /// Fails when the call to the table service fails or a row is malformed.
+    /// Fails when the call to the table service fails.
     pub(crate) fn log_after(
         &self,
         after: Revision,
     ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
         let mut changes: Vec<AcceptedChange> = Vec::new();
+        let mut after = config_log::revision_sort_key(after);
         loop {
-            let last = changes.last().map_or(after, |change| change.revision);
-            let page = self.page(config_log::PK_LOG, last, LOG_PAGE_LEN)?;
-            let complete = page.len() < LOG_PAGE_LEN;
-            changes.extend(page);
-            if complete {
-                return Ok(changes);
+            let page = self
+                .table
+                .query_page(config_log::PK_LOG, &after, LOG_PAGE_LEN)?;
+            changes.extend(readable_changes(&page.items));
+            match page.next {
+                Some(next) => after = next,
+                None => return Ok(changes),
             }
         }
     }
 
-    /// Reads up to `limit` rows of the audit trail above revision `after`.
+    /// Reads up to `limit` rows of the audit trail above revision `after`, without those that cannot be
+    /// read.
     ///
     /// # Errors
     ///
-    /// Fails when the call to the table service fails or a row is malformed.
+    /// Fails when the call to the table service fails.
     pub(crate) fn audit_after(
         &self,
         after: Revision,
         limit: usize,
     ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
-        self.page(config_log::PK_AUDIT, after, limit)
-    }
-
-    fn page(
-        &self,
-        pk: &str,
-        after: Revision,
-        limit: usize,
-    ) -> Result<Vec<AcceptedChange>, ConfigReadError> {
-        let after_sk = config_log::revision_sort_key(after);
-        let mut changes = Vec::new();
-        for item in self.table.query_after(pk, &after_sk, limit)? {
-            let body = text(&item, ATTR_BODY)?;
-            changes.push(config_log::change_from_row(&item.key.sk, body)?);
-        }
-        Ok(changes)
+        let after = config_log::revision_sort_key(after);
+        let items = self
+            .table
+            .query_after(config_log::PK_AUDIT, &after, limit)?;
+        Ok(readable_changes(&items))
     }
 
-    /// Reads the whole configuration.
+    /// Reads the whole configuration, without resources whose rows cannot be read.
     ///
     /// # Errors
     ///
-    /// Fails when a call to the table service fails, a row is malformed, or a read is stale.
+    /// Fails when a call to the table service fails, the head is malformed, or a read is stale.
     pub(crate) fn adopt(&self) -> Result<ConfigState, ConfigReadError> {
         let first_head = self.head()?;
         let mut resources = Vec::new();
         for item in self.table.query_all(config_log::PK_RESOURCE)? {
-            let revision = number(&item, ATTR_REVISION)?;
-            let body = text(&item, ATTR_BODY)?;
-            resources.push(config_log::resource_from_row(&item.key.sk, revision, body)?);
+            match read_resource(&item) {
+                Ok(resource) => resources.push(resource),
+                Err(error) => pass_over(&error),
+            }
+        }
+        let mut second_head = self.head()?;
+        if resources.iter().any(|stored| stored.revision > second_head) {
+            second_head = self.head()?;
         }
+        // Each transaction writes both, so a row that stays above the head is of another writer.
+        resources.retain(|stored| {
+            let is_known = stored.revision <= second_head;
+            if !is_known {
+                let key = stored.resource.key();
+                pass_over(&format_args!("{key} has revision {}", stored.revision));
+            }
+            is_known
+        });
         let adoption = TableAdoption::new(first_head, resources);
-        let second_head = self.head()?;
         let log = if second_head > first_head {
             self.log_after(adoption.log_start())?
         } else {
@@ -145,6 +154,31 @@
     }
 }
 
+/// Returns the changes of those rows that can be read.
+fn readable_changes(items: &[Item]) -> Vec<AcceptedChange> {
+    let mut changes = Vec::with_capacity(items.len());
+    for item in items {
+        let change = text(item, ATTR_BODY)
+            .and_then(|body| Ok(config_log::change_from_row(&item.key.sk, body)?));
+        match change {
+            Ok(change) => changes.push(change),
+            Err(error) => pass_over(&error),
+        }
+    }
+    changes
+}
+
+fn read_resource(item: &Item) -> Result<StoredResource, ConfigReadError> {
+    let revision = number(item, ATTR_REVISION)?;
+    let body = text(item, ATTR_BODY)?;
+    Ok(config_log::resource_from_row(&item.key.sk, revision, body)?)
+}
+
+/// Logs a row that is passed over, so that a row of another writer does not hide the others.
+fn pass_over(error: &dyn std::fmt::Display) {
+    log_event!(event::CONFIG_ROW_UNREADABLE, "{error}");
+}
+
 fn number(item: &Item, name: &'static str) -> Result<u64, ConfigReadError> {
     let missing = || RowError::new(&item.key.pk, &item.key.sk, format!("no number `{name}`"));
     Ok(item.number(name).ok_or_else(missing)?)
--- a/crates/masticdock-daemon/src/control/mod.rs
+++ b/crates/masticdock-daemon/src/control/mod.rs
@@ -14,6 +14,8 @@
 mod state;
 mod table_reader;
 #[cfg(test)]
+mod table_tests;
+#[cfg(test)]
 mod tests;
 mod thread;
 mod views;
--- a/crates/masticdock-daemon/src/control/table_reader.rs
+++ b/crates/masticdock-daemon/src/control/table_reader.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use masticdock_core::config_log::missing_revision;
 use masticdock_core::event;
 use masticdock_core::membership::is_reader;
 
@@ -82,7 +83,7 @@
         own.is_none_or(|own| is_reader(b"table", &snapshot.members, own, READERS_PER_ZONE))
     }
 
-    fn read_once(&self, snapshot: &Snapshot) -> Result<(), ConfigReadError> {
+    pub(super) fn read_once(&self, snapshot: &Snapshot) -> Result<(), ConfigReadError> {
         if !snapshot.adopted {
             let state = self.table.adopt()?;
             self.control.send(ControlMsg::Adopted(state));
@@ -98,7 +99,13 @@
             return Ok(());
         }
         let changes = self.table.log_after(own)?;
-        self.control.send(ControlMsg::Changes(changes));
+        let message = if missing_revision(own, head, &changes).is_some() {
+            // The rows of the resources hold the effect of a change whose log row cannot be read.
+            ControlMsg::Adopted(self.table.adopt()?)
+        } else {
+            ControlMsg::Changes(changes)
+        };
+        self.control.send(message);
         Ok(())
     }
 
--- a/crates/masticdock-daemon/src/control/tests.rs
+++ b/crates/masticdock-daemon/src/control/tests.rs
@@ -41,7 +41,7 @@
     ControlState::new(Swim::new(SwimConfig::default(), member("own", "a", 1), 1))
 }
 
-fn config(revision: u64) -> ConfigState {
+pub(super) fn config(revision: u64) -> ConfigState {
     ConfigState::from_resources(Revision(revision), Vec::new())
 }
 
@@ -129,7 +129,7 @@
 type Calls = Arc<Mutex<Vec<(SocketAddr, PeerRequest)>>>;
 
 /// Returns a fake RPC handle that gives the replies in order, and the calls that it recorded.
-fn rpc(replies: Vec<Result<PeerReply, RpcError>>) -> (RpcHandle, Calls) {
+pub(super) fn rpc(replies: Vec<Result<PeerReply, RpcError>>) -> (RpcHandle, Calls) {
     let replies: Replies = Arc::new(Mutex::new(replies.into()));
     let calls = Calls::default();
     let recorded = Arc::clone(&calls);
--- a/crates/masticdock-daemon/src/entry/operators/changes.rs
+++ b/crates/masticdock-daemon/src/entry/operators/changes.rs
@@ -6,7 +6,8 @@
 
 use masticdock_core::config_log::{
     Accepted, AcceptedChange, ApplyOutcome, CHANGE_ID_WRITE_INDEX, ConfigState, Proposal,
-    ProposalError, ProposalPorts, TableUnavailableError, WriteOutcome, propose, transaction,
+    ProposalError, ProposalPorts, TableUnavailableError, WriteOutcome, missing_revision, propose,
+    transaction,
 };
 use masticdock_core::event;
 use masticdock_core::ids::{OperatorId, Revision};
@@ -102,14 +103,30 @@
     let log = shared.table.log_after(state.revision());
     for change in log.map_err(|error| outage(&error))? {
         if let ApplyOutcome::Gap { missing } = state.apply(&change) {
-            return Err(TableUnavailableError(format!(
-                "the log has no row for revision {missing}"
-            )));
+            return Err(no_log_row(missing));
         }
     }
     Ok(state)
 }
 
+/// Returns all changes above a revision.
+fn changes_after(
+    shared: &Shared,
+    after: Revision,
+) -> Result<Vec<AcceptedChange>, TableUnavailableError> {
+    let log = shared.table.log_after(after);
+    let log = log.map_err(|error| outage(&error))?;
+    let last = log.last().map_or(after, |change| change.revision);
+    match missing_revision(after, last, &log) {
+        Some(missing) => Err(no_log_row(missing)),
+        None => Ok(log),
+    }
+}
+
+fn no_log_row(missing: Revision) -> TableUnavailableError {
+    TableUnavailableError(format!("the log has no row for revision {missing}"))
+}
+
 /// Validates a change without writing it.
 fn dry_run(shared: &Shared, change: &ChangeRequest) -> ApiResult {
     let state = state_at_head(shared).map_err(|error| problems::table_unavailable(error.0))?;
@@ -184,7 +201,7 @@
         &mut ProposalPorts {
             revision_of: &mut |id| shared.table.revision_of(id).map_err(|e| outage(&e)),
             state_at_head: &mut || state_at_head(shared),
-            changes_after: &mut |after| shared.table.log_after(after).map_err(|e| outage(&e)),
+            changes_after: &mut |after| changes_after(shared, after),
             check: &mut |state| {
                 let snapshot = shared.control.snapshot();
                 let checked = check(state, &snapshot, &change.changes)?;
--- a/crates/masticdock-platform/src/lib.rs
+++ b/crates/masticdock-platform/src/lib.rs
@@ -13,4 +13,4 @@
 pub use http::{HttpSettings, PlatformError, PlatformErrorKind};
 pub use object::ObjectClient;
 pub use origin::OriginClient;
-pub use table::{Condition, Item, ItemKey, TableClient, Value, Write};
+pub use table::{Condition, Item, ItemKey, Page, TableClient, Value, Write};
--- a/crates/masticdock-platform/src/table/json.rs
+++ b/crates/masticdock-platform/src/table/json.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::{Map, Value as Json, json};
 
 use super::{Condition, Item, ItemKey, Value, Write};
@@ -33,7 +35,22 @@
     Json::Object(fields)
 }
 
-fn decode_value(value: &Json) -> Option<Value> {
+/// Answer to a query whose items are decoded one by one, so that an odd one does not hide the others.
+#[derive(Deserialize)]
+pub(super) struct QueryAnswer<'a> {
+    #[serde(borrow, rename = "Items")]
+    pub(super) items: Vec<&'a RawValue>,
+}
+
+/// Answer to the read of an item.
+#[derive(Deserialize)]
+pub(super) struct GetAnswer<'a> {
+    #[serde(borrow, default, rename = "Item")]
+    pub(super) item: Option<&'a RawValue>,
+}
+
+fn decode_value(value: &RawValue) -> Option<Value> {
+    let value: Json = serde_json::from_str(value.get()).ok()?;
     if let Some(text) = value.get("S").and_then(Json::as_str) {
         return Some(Value::Text(text.to_owned()));
     }
@@ -41,16 +58,15 @@
     number.parse().ok().map(Value::Number)
 }
 
-pub(super) fn decode_item(json: &Json) -> Result<Item, PlatformError> {
-    let Some(fields) = json.as_object() else {
-        return Err(malformed("an item is no object"));
-    };
+/// Decodes an item. Attributes that are neither text nor a number in range are left out.
+pub(super) fn decode_item(item: &RawValue) -> Result<Item, PlatformError> {
+    let fields: BTreeMap<CompactString, &RawValue> =
+        serde_json::from_str(item.get()).map_err(|error| malformed(&error.to_string()))?;
     let mut attributes = BTreeMap::new();
     for (name, value) in fields {
-        let Some(value) = decode_value(value) else {
-            return Err(malformed("an attribute is neither text nor a number"));
-        };
-        attributes.insert(CompactString::new(name), value);
+        if let Some(value) = decode_value(value) {
+            attributes.insert(name, value);
+        }
     }
     let mut key_part = |name: &str| match attributes.remove(name) {
         Some(Value::Text(text)) => Ok(CompactString::from(text)),
--- a/crates/masticdock-platform/src/table/mod.rs
+++ b/crates/masticdock-platform/src/table/mod.rs
@@ -9,6 +9,8 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
 use serde_json::{Value as Json, json};
 
 use crate::http::{HttpSettings, PlatformError, PlatformErrorKind, prepare};
@@ -149,6 +151,15 @@
     },
 }
 
+/// Page of the items of a partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Items that could be decoded.
+    pub items: Vec<Item>,
+    /// Sort key after which the next page begins; `None` for the last page.
+    pub next: Option<CompactString>,
+}
+
 /// Client of a table.
 #[derive(Debug, Clone)]
 pub struct TableClient {
@@ -181,14 +192,12 @@
             "ConsistentRead": true,
         });
         let answer = self.call("GetItem", &body)?;
-        match answer.get("Item") {
-            None | Some(Json::Null) => Ok(None),
-            Some(item) => json::decode_item(item).map(Some),
-        }
+        let answer: json::GetAnswer = decode("GetItem", &answer)?;
+        answer.item.map(json::decode_item).transpose()
     }
 
     /// Reads up to `limit` items of a partition with sort keys greater than `after`,
-    /// in the order of their sort keys.
+    /// in the order of their sort keys, without those that cannot be decoded.
     ///
     /// # Errors
     ///
@@ -200,6 +209,15 @@
         after: &str,
         limit: usize,
     ) -> Result<Vec<Item>, PlatformError> {
+        self.query_page(pk, after, limit).map(|page| page.items)
+    }
+
+    /// Reads a page like [`Self::query_after`] does and tells where the next one begins.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Self::query_after`].
+    pub fn query_page(&self, pk: &str, after: &str, limit: usize) -> Result<Page, PlatformError> {
         let mut body = json!({
             "TableName": self.table,
             "KeyConditionExpression": "pk = :pk AND sk > :after",
@@ -214,14 +232,20 @@
             body["ExpressionAttributeValues"] = json!({ ":pk": { "S": pk } });
         }
         let answer = self.call("Query", &body)?;
-        let Some(items) = answer.get("Items").and_then(Json::as_array) else {
-            return Err(json::malformed("the answer has no `Items`"));
-        };
-        let mut decoded = Vec::with_capacity(items.len());
-        for item in items {
-            decoded.push(json::decode_item(item)?);
+        let answer: json::QueryAnswer = decode("Query", &answer)?;
+        let mut items: Vec<Item> = Vec::with_capacity(answer.items.len());
+        for item in &answer.items {
+            match json::decode_item(item) {
+                Ok(item) => items.push(item),
+                Err(error) => log::warn!("an item of partition {pk} is passed over: {error}"),
+            }
         }
-        Ok(decoded)
+        let is_full = answer.items.len() >= limit;
+        let next = items.last().map(|item| item.key.sk.clone());
+        Ok(Page {
+            items,
+            next: next.filter(|_| is_full),
+        })
     }
 
     /// Reads all items of a partition, page by page.
@@ -234,13 +258,13 @@
         /// Maximum number of items read by a call.
         const PAGE_ITEMS: usize = 500;
         let mut items: Vec<Item> = Vec::new();
+        let mut after = CompactString::default();
         loop {
-            let after = items.last().map_or("", |item| item.key.sk.as_str());
-            let page = self.query_after(pk, after, PAGE_ITEMS)?;
-            let is_last_page = page.len() < PAGE_ITEMS;
-            items.extend(page);
-            if is_last_page {
-                return Ok(items);
+            let page = self.query_page(pk, &after, PAGE_ITEMS)?;
+            items.extend(page.items);
+            match page.next {
+                Some(next) => after = next,
+                None => return Ok(items),
             }
         }
     }
@@ -262,10 +286,11 @@
             items.push(json::encode_write(&self.table, write));
         }
         let body = json!({ "TransactItems": items, "ClientRequestToken": token });
-        self.call("TransactWriteItems", &body).map(|_| ())
+        let answer = self.call("TransactWriteItems", &body)?;
+        decode("TransactWriteItems", &answer).map(|_: IgnoredAny| ())
     }
 
-    fn call(&self, operation: &'static str, body: &Json) -> Result<Json, PlatformError> {
+    fn call(&self, operation: &'static str, body: &Json) -> Result<String, PlatformError> {
         let from_http = |error: attohttpc::Error| PlatformError::from_http(operation, &error);
         let response = prepare(attohttpc::post(&self.url), self.http)
             .header("X-Amz-Target", format!("DynamoDB_20120810.{operation}"))
@@ -278,8 +303,15 @@
         if status != 200 {
             return Err(json::decode_error(operation, status, &text));
         }
-        serde_json::from_str(&text).map_err(|error| {
-            PlatformError::new(PlatformErrorKind::Malformed, operation, error.to_string())
-        })
+        Ok(text)
     }
 }
+
+fn decode<'a, T: Deserialize<'a>>(
+    operation: &'static str,
+    text: &'a str,
+) -> Result<T, PlatformError> {
+    serde_json::from_str(text).map_err(|error| {
+        PlatformError::new(PlatformErrorKind::Malformed, operation, error.to_string())
+    })
+}
