Read no number from the table that leaves no next one (product path)

What was seen: another writer left the head row with the highest number that fits. Every process that started adopted it as its revision. No later change can exceed it, so none would ever be in force; the next number of a fence or of a renewal counter read in the same way wraps to 0 in release builds and ends the thread that claims switch slots in debug builds.

Cause: numbers from the table are counted on (`next()`) without a bound. Class: arithmetic on values from outside.

Evidence before (masticdock-daemon, control::table_tests, a_head_out_of_range_is_not_adopted): Ok(Revision). The wrapping of fences and renewals is read in the code, not run.

The table client reads numbers up to half of the range and treats a higher one as missing, like one that does not fit at all. An odd head is then an error of the read: processes keep their configuration and go on once it is corrected.

--- a/crates/masticdock-daemon/src/control/table_tests.rs
+++ b/crates/masticdock-daemon/src/control/table_tests.rs
@@ -154,3 +154,11 @@
     };
     assert_eq!(state.revision(), Revision(4));
 }
+
+/// Guards against a head of another writer that no later change can exceed, so that none is in force.
+#[test]
+fn a_head_out_of_range_is_not_adopted() {
+    let table = spawn_table(Vec::new(), Vec::new(), u64::MAX);
+    let adopted = table.adopt().map(|state| state.revision());
+    assert!(adopted.is_err(), "{adopted:?}");
+}
--- a/crates/masticdock-platform/src/table/json.rs
+++ b/crates/masticdock-platform/src/table/json.rs
@@ -49,13 +49,17 @@
     pub(super) item: Option<&'a RawValue>,
 }
 
+/// Highest number that is read. All numbers in the table count upwards from 0, so a higher one is of
+/// another writer, and none that is read overflows when the next one is written.
+const NUMBER_MAX: u64 = u64::MAX / 2;
+
 fn decode_value(value: &RawValue) -> Option<Value> {
     let value: Json = serde_json::from_str(value.get()).ok()?;
     if let Some(text) = value.get("S").and_then(Json::as_str) {
         return Some(Value::Text(text.to_owned()));
     }
-    let number = value.get("N")?.as_str()?;
-    number.parse().ok().map(Value::Number)
+    let number = value.get("N")?.as_str()?.parse().ok()?;
+    (number <= NUMBER_MAX).then_some(Value::Number(number))
 }
 
 /// Decodes an item. Attributes that are neither text nor a number in range are left out.
