End a stopping process only while no request is in progress (product path)

Callers saw: callers keep using open connections until a process is gone. A request that arrived after the process had found itself idle was still read, and the process ended 150 ms later whatever was in progress, so its rejection, or an answer being written, could be cut off.

Cause: the stop checks once that nothing is in progress, then announces that it has left, waits for the last datagrams and ends. Class: a check whose result is used later without being made again.

Evidence before (masticdock-daemon, a_stopping_process_ends_only_while_no_request_is_in_progress, in which a request arrives with the last announcement and takes a second):

assertion `left == right` failed, right: 0 (the left value was not kept)

The process now waits again after the last announcement. A request takes milliseconds by then, since all are rejected.

After: the test passes, and the 31 others of request_path.

--- a/crates/masticdock-daemon/src/drain/mod.rs
+++ b/crates/masticdock-daemon/src/drain/mod.rs
@@ -38,13 +38,18 @@
         "stop requested; {} requests in progress",
         in_progress()
     );
+    let wait_until_idle = || {
+        while in_progress() > 0 {
+            thread::sleep(POLL_INTERVAL);
+        }
+    };
     control.send(ControlMsg::Leave);
     thread::sleep(LEAVE_NOTICE_TIME);
-    while in_progress() > 0 {
-        thread::sleep(POLL_INTERVAL);
-    }
+    wait_until_idle();
     control.send(ControlMsg::Left);
     thread::sleep(LAST_SEND_TIME);
+    // Requests that arrived meanwhile are rejected, and their responses must not be cut off.
+    wait_until_idle();
     log_event!(event::PROCESS_STOPPED, "no request in progress");
 }
 
--- a/crates/masticdock-daemon/src/tests/request_path/entry.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/entry.rs
@@ -1,10 +1,15 @@
 //! Checks and limits of the callers' listener, and the `not_run` outcome.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
 use masticdock_core::problem::RunState;
 use serde_json::json;
 
 use super::cluster::{TestCluster, post_order, post_prompt, request, send_json};
 use super::fakes::{FakeEngine, FakeService, TableMode};
+use crate::control::ControlMsg;
+use crate::drain::leave_when_idle;
 use crate::request_http::header_name;
 
 /// Guards against `not_run` for a request that ran: the first attempt has an unknown outcome, and
@@ -113,6 +118,25 @@
     assert!(entry.wait_idle(std::time::Duration::from_secs(10)));
 }
 
+/// Guards against a process that ends while it rejects a request which arrived after its last check.
+#[test]
+fn a_stopping_process_ends_only_while_no_request_is_in_progress() {
+    let cluster = TestCluster::new();
+    let in_progress = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for message in cluster.messages.iter().take(2) {
+                let late = usize::from(matches!(message, ControlMsg::Left));
+                in_progress.store(late, Ordering::SeqCst);
+            }
+            std::thread::sleep(Duration::from_secs(1));
+            in_progress.store(0, Ordering::SeqCst);
+        });
+        leave_when_idle(&cluster.control, || in_progress.load(Ordering::SeqCst));
+        assert_eq!(in_progress.load(Ordering::SeqCst), 0);
+    });
+}
+
 /// Guards against a second run of a request whose key was claimed by a VM that died before it
 /// stored the outcome.
 #[test]
