Tell callers to close connections to a stopping entry (product path)

Callers saw: an entry that stops rejects each request with `stopping`, but leaves the connection open as if it could be used further. The caller sends the next request on it, and the one that is under way when the process ends gets neither an answer nor a rejection.

Cause: the rejection carries no `Connection: close`; `tiny_http` leaves this header out of its responses. Class: a connection is closed without the other side having been told to stop sending.

Evidence before (masticdock-daemon, a_draining_entry_tells_callers_to_close_their_connections): the head was

HTTP/1.1 503 Service Unavailable / Server: tiny-http (Rust) / Date: .. / Content-Type: application/problem+json / Content-Length: ..

The rejection is now written with `Connection: close`, like event streams directly to the connection, so that a caller that keeps a connection moves at its first request after the stop began.

What remains: an idle connection gets no such notice before the process ends; a request that crosses the end on the wire is lost, as with any HTTP server. There is no idle timeout and no reload in this path, so neither closes a connection.

--- a/crates/masticdock-daemon/src/request_http/listener.rs
+++ b/crates/masticdock-daemon/src/request_http/listener.rs
@@ -10,7 +10,7 @@
 use masticdock_core::problem::{Problem, ProblemKind};
 use tiny_http::{Request, Server};
 
-use super::respond_problem;
+use super::{respond_problem, respond_problem_and_close};
 use crate::settings::HttpLimits;
 
 /// Maximum number of connections that wait to be accepted.
@@ -231,7 +231,8 @@
         let _guard = self.listener.in_flight_count.enter();
         if self.listener.draining.load(Ordering::SeqCst) {
             let detail = "this process stops; send the request to another one";
-            return reject(request, &Problem::not_run(ProblemKind::Stopping, detail));
+            let problem = Problem::not_run(ProblemKind::Stopping, detail);
+            return respond_problem_and_close(request, &problem);
         }
         if self.listener.in_flight() > self.limits.requests_max {
             let detail = "send fewer requests at once or use another entry";
--- a/crates/masticdock-daemon/src/request_http/mod.rs
+++ b/crates/masticdock-daemon/src/request_http/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use headers::{header_name, header_value, parse_header};
 pub(crate) use heartbeat::{HeartbeatStream, Heartbeats};
 pub(crate) use listener::{HandlerLimits, Listener, ReadError, read_body};
-pub(crate) use respond::{EventWriter, respond, respond_problem};
+pub(crate) use respond::{EventWriter, respond, respond_problem, respond_problem_and_close};
--- a/crates/masticdock-daemon/src/request_http/respond.rs
+++ b/crates/masticdock-daemon/src/request_http/respond.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 
 use masticdock_core::problem::{PROBLEM_MEDIA_TYPE, Problem};
-use tiny_http::{Header, Request, Response};
+use tiny_http::{Header, Request, Response, StatusCode};
 
 use super::StreamEvent;
 
@@ -49,6 +49,26 @@
     );
 }
 
+/// Sends a problem as the response and tells the sender to close the connection.
+///
+/// Writes to the connection directly because `tiny_http` leaves out a `Connection` header.
+pub(crate) fn respond_problem_and_close(request: Request, problem: &Problem) {
+    let status = StatusCode(problem.kind.status());
+    let body = problem.to_json();
+    let response = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: {PROBLEM_MEDIA_TYPE}\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n{body}",
+        status.0,
+        status.default_reason_phrase(),
+        body.len(),
+    );
+    let mut writer = request.into_writer();
+    let written = writer.write_all(response.as_bytes());
+    if let Err(error) = written.and_then(|()| writer.flush()) {
+        log::debug!("cannot deliver the response: {error}");
+    }
+}
+
 /// Writes an event stream and flushes it after each event.
 pub(crate) struct EventWriter {
     writer: Box<dyn Write + Send>,
--- a/crates/masticdock-daemon/src/tests/request_path/entry.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/entry.rs
@@ -1,9 +1,11 @@
 //! Checks and limits of the callers' listener, and the `not_run` outcome.
 
+use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use masticdock_core::problem::RunState;
+use masticdock_core::problem::{Problem, RunState};
 use serde_json::json;
 
 use super::cluster::{TestCluster, post_order, post_prompt, request, send_json};
@@ -137,6 +139,39 @@
     });
 }
 
+/// Guards against callers that keep a connection to a stopping process and lose the request that
+/// they send when it ends.
+#[test]
+fn a_draining_entry_tells_callers_to_close_their_connections() {
+    let cluster = TestCluster::new();
+    let entry = cluster.entry("entry-1");
+    entry.begin_drain();
+    let mut connection = TcpStream::connect(entry.addr()).expect("a connection");
+    let request = "POST /v1/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    // The second request shows that the first response has the length that it states.
+    for _ in 0..2 {
+        connection.write_all(request.as_bytes()).expect("a write");
+        let mut head = String::new();
+        let mut reader = BufReader::new(&connection);
+        while !head.ends_with("\r\n\r\n") {
+            assert_ne!(reader.read_line(&mut head).expect("a line"), 0, "{head}");
+        }
+        assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+        assert!(head.contains("Connection: close\r\n"), "{head}");
+        let length = head.split("Content-Length: ").nth(1).expect("a length");
+        let length: usize = length
+            .lines()
+            .next()
+            .expect("a line")
+            .parse()
+            .expect("a number");
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).expect("a body");
+        let problem: Problem = serde_json::from_slice(&body).expect("a problem");
+        assert_eq!(problem.kind.slug(), "stopping");
+    }
+}
+
 /// Guards against a second run of a request whose key was claimed by a VM that died before it
 /// stored the outcome.
 #[test]
