Test that panicking handlers do not stop a listener (product path)

A panic in a request handler ends its pool thread. Whether 64 of them leave a listener that still answers was not covered.

--- a/crates/masticdock-daemon/src/tests/request_path/entry.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/entry.rs
@@ -9,10 +9,10 @@
 use serde_json::json;
 
 use super::cluster::{TestCluster, post_order, post_prompt, request, send_json};
-use super::fakes::{FakeEngine, FakeService, TableMode};
+use super::fakes::{FakeEngine, FakeService, TableMode, loopback};
 use crate::control::ControlMsg;
 use crate::drain::leave_when_idle;
-use crate::request_http::header_name;
+use crate::request_http::{HandlerLimits, Listener, header_name, respond};
 
 /// Guards against `not_run` for a request that ran: the first attempt has an unknown outcome, and
 /// the rejection of a later attempt must not replace it.
@@ -172,6 +172,30 @@
     }
 }
 
+/// Guards against a listener that stops because its handlers panic.
+#[test]
+fn panicking_handlers_do_not_stop_a_listener() {
+    let limits = HandlerLimits {
+        body_bytes_max: 1 << 10,
+        header_bytes_max: 1 << 10,
+        requests_max: 16,
+    };
+    let listener = Listener::spawn("panics", loopback(), limits, |request| {
+        assert_ne!(request.url(), "/panic", "a panic that the test asks for");
+        respond(request, 200, "text/plain", &[], Vec::new());
+    });
+    let listener = listener.expect("a listener");
+    let status = |path: &str| {
+        let response = attohttpc::get(format!("http://{}{path}", listener.addr())).send();
+        response.map(|response| response.status().as_u16()).ok()
+    };
+    for _ in 0..64 {
+        assert_ne!(status("/panic"), Some(200));
+    }
+    assert_eq!(status("/"), Some(200));
+    super::cluster::eventually("no request is in flight", || listener.in_flight() == 0);
+}
+
 /// Guards against a second run of a request whose key was claimed by a VM that died before it
 /// stored the outcome.
 #[test]
