Test that a repeated rejection answers no other request (product path)

An upstream that writes an earlier rejection once more on a kept connection cannot mislead this path: entry and agent open a connection for each request and read one response on it. The test shows it with a service that repeats a 503 after each answer; it passes on the present code and guards against a connection pool without a check.

--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -256,6 +256,25 @@
     }
 }
 
+/// Starts a plain service that keeps its connections and sends an earlier rejection once more after
+/// each response.
+pub(super) fn spawn_repeating_service() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for connection in listener.incoming() {
+            let mut connection = connection.expect("a connection");
+            let _ = connection.read(&mut [0; 4_096]);
+            let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+            let rejection = "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\n{}";
+            let _ = write!(connection, "{answer}{rejection}");
+            kept.push(connection);
+        }
+    });
+    addr
+}
+
 /// Starts a plain service that crashes on its first request: its port closes, then the
 /// connection. Counts the request in `runs`.
 pub(super) fn spawn_crashing_service(runs: &Arc<AtomicU64>) -> SocketAddr {
--- a/crates/masticdock-daemon/src/tests/request_path/keys.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/keys.rs
@@ -7,7 +7,7 @@
 use masticdock_core::problem::{Problem, ProblemKind, RunState};
 
 use super::cluster::{TestCluster, eventually, post_order};
-use super::fakes::{FakeService, TableMode, lock, spawn_recovering_agent};
+use super::fakes::{FakeService, TableMode, lock, spawn_recovering_agent, spawn_repeating_service};
 
 /// Guards against a failed or second run of a request when the table applies each write but its
 /// response is lost.
@@ -145,6 +145,19 @@
     });
 }
 
+/// Guards against a rejection that an upstream repeats on a kept connection and that is taken for the
+/// response to the next request.
+#[test]
+fn a_repeated_rejection_answers_no_other_request() {
+    let cluster = TestCluster::new();
+    let _agent = cluster.plain_agent_at("vm-1", spawn_repeating_service());
+    let entry = cluster.entry("entry-1");
+    for key in ["k1", "k2", "k3"] {
+        let response = post_order(&entry, key);
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
 /// Guards against returning the stored response of one request for a different request that has
 /// the same key.
 #[test]
