Read tables anew when the store comes back from a copy

What callers saw: after the store had come back from a copy some seconds old, a route that had been added was answered with 404 by an entry that polled late, until the next change of the configuration.

Cause: the position of a poll was the version of the store alone. A store that comes back from a copy gives the lost versions out again, and once it has passed the position of the entry, the position looks valid: rows that were written below it are never delivered. A lost history (410) shows only while the new versions are lower. Class: a position without the epoch of the sequence that it belongs to.

Change: a position is the era that replies name together with the version. A store that names no era stays as it was. The event store.restored tells the table and both eras.

--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
-use masticdock_core::serving::{PollLimits, PollReply, TableObservation, poll_pause};
+use masticdock_core::serving::{
+    PollLimits, PollReply, StorePosition, TableObservation, poll_pause,
+};
 use masticdock_core::units::MonoMs;
 use rand::Rng;
 use tokio::time::sleep;
@@ -100,7 +102,7 @@
     /// the next poll; never returns.
     pub(crate) async fn run(self, mut apply: impl FnMut(TableEvent) -> PollPause) {
         let store = StoreClient::new(self.store);
-        let mut version = None;
+        let mut position = None;
         let mut failures = 0_u32;
         let mut attempt_ended_at = clock::now();
         let mut observation = TableObservation::new(attempt_ended_at);
@@ -115,11 +117,11 @@
             if let Some(pause) = pauses::after(attempt_ended_at) {
                 observation.record_pause(&pause);
             }
-            let result = self.poll(&store, version, wait, &mut observation).await;
+            let result = self.poll(&store, position, wait, &mut observation).await;
             attempt_ended_at = clock::now();
             let event = match result {
-                Ok((event, new_version)) => {
-                    version = new_version;
+                Ok((event, new_position)) => {
+                    position = new_position;
                     event
                 }
                 Err(error) => {
@@ -153,10 +155,10 @@
     async fn poll(
         &self,
         store: &StoreClient,
-        version: Option<u64>,
+        position: Option<StorePosition>,
         wait: Duration,
         observation: &mut TableObservation,
-    ) -> Result<(Option<(TableEvent, Duration)>, Option<u64>), StoreError> {
+    ) -> Result<(Option<(TableEvent, Duration)>, Option<StorePosition>), StoreError> {
         let sent_at = clock::now();
         // Returns the greatest age of the changes in the reply, in milliseconds.
         let mut observe = |body_duration: Duration| {
@@ -169,40 +171,55 @@
             observation.record_reply(&reply);
             duration_ms(age)
         };
-        let Some(version) = version else {
+        let Some(position) = position else {
             let snapshot = store.read(self.table).await?;
             let event = TableEvent::Snapshot(snapshot.rows, observe(snapshot.body_duration));
             return Ok((
                 Some((event, snapshot.body_duration)),
-                Some(snapshot.version),
+                Some(snapshot.position),
             ));
         };
         match store
-            .poll_changes(self.table, version, wait, RESPONSE_TIMEOUT)
+            .poll_changes(self.table, position, wait, RESPONSE_TIMEOUT)
             .await?
         {
             Feed::Changes {
                 rows,
-                version,
+                position,
                 body_duration,
             } => {
                 let age_ms = observe(body_duration);
                 if rows.is_empty() {
-                    return Ok((Some((TableEvent::Unchanged, Duration::ZERO)), Some(version)));
+                    return Ok((
+                        Some((TableEvent::Unchanged, Duration::ZERO)),
+                        Some(position),
+                    ));
                 }
                 let event = TableEvent::Changes(rows, age_ms);
-                Ok((Some((event, body_duration)), Some(version)))
+                Ok((Some((event, body_duration)), Some(position)))
             }
             Feed::HistoryLost => {
                 log::warn!(
                     event = "store.history_lost",
                     table = self.table.as_str(),
-                    version = version;
+                    version = position.version;
                     "the store no longer has the changes since this version; rereading the table"
                 );
                 observation.record_failure(is_waking());
                 Ok((None, None))
             }
+            // The changes that the next read finds are not older than the last reply, in
+            // whichever era they were made, so the observation stays valid.
+            Feed::Restored { era } => {
+                log::warn!(
+                    event = "store.restored",
+                    table = self.table.as_str(),
+                    old_era = position.era.map_or(0, |era| era.0),
+                    era = era.map_or(0, |era| era.0);
+                    "the store came back from a copy; rereading the table"
+                );
+                Ok((None, None))
+            }
         }
     }
 
