Adopt a configuration whose lost number was given out again

What callers saw: after the store had come back from a copy, a confirmed configuration with the number of a lost one was never in force: its route was answered with 404.

Cause: the number alone decided whether a configuration replaces the one in force. That keeps an older one out, but a store that comes back from a copy may accept a lost number for other content. Class: an order that holds only within one era of the store, applied across eras.

Within an era nothing changes. After a return, until the store holds the number in force or a higher one again, the same number with other content is adopted, a lower number of a full read or one that was in force here before is ignored, and an unknown lower number that is written in the new era is held until it is clear that no lost ones follow. Declared versions of weights only rise, as before.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod chunk_sources;
 mod configuration;
+mod configuration_order;
 mod connection_timer;
 mod crashes;
 mod deadline_estimate;
@@ -36,6 +37,10 @@
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
 };
+pub use configuration_order::{
+    ConfigurationDecision, ConfigurationId, ConfigurationOrder, ConfigurationOrderSettings,
+    ConfigurationSource,
+};
 pub use connection_timer::{ConnectionPhase, ConnectionTimeout, ConnectionTimer};
 pub use crashes::{
     BlockedFeature, CRASH_SUSPICION_MS, CrashHistory, CrashHistorySettings, CrashRecord,
--- /dev/null
+++ b/crates/masticdock-core/tests/serving_configuration_order.rs
@@ -0,0 +1,70 @@
+//! Tests of the order of configurations when the store comes back from a copy.
+
+use masticdock_core::serving::{
+    ConfigurationDecision, ConfigurationId, ConfigurationOrder, ConfigurationOrderSettings,
+    ConfigurationSource,
+};
+use masticdock_core::units::MonoMs;
+
+use ConfigurationDecision::{Adopt, Hold, Ignore};
+use ConfigurationSource::{Change, Snapshot};
+
+fn id(number: u64, content_hash: u64) -> ConfigurationId {
+    ConfigurationId {
+        number,
+        content_hash,
+    }
+}
+
+/// Returns the order of a process that had 5 and then 8 in force when the store came back
+/// at 10 s from a copy with 5.
+fn restored_order() -> ConfigurationOrder {
+    let mut order = ConfigurationOrder::new(ConfigurationOrderSettings::default());
+    assert_eq!(order.offer(id(5, 5), Snapshot, MonoMs(0)), Adopt);
+    assert_eq!(order.offer(id(8, 8), Change, MonoMs(9_000)), Adopt);
+    order.store_restored(MonoMs(10_000));
+    assert_eq!(order.offer(id(5, 5), Snapshot, MonoMs(10_000)), Ignore);
+    order
+}
+
+/// Guards against an older configuration that comes back while operators write the lost
+/// ones again, of which this process has seen only some.
+#[test]
+fn lost_configurations_that_are_written_again_bring_no_older_one_into_force() {
+    let mut order = restored_order();
+    assert_eq!(order.offer(id(5, 5), Change, MonoMs(10_200)), Ignore);
+    for (number, at) in [(6, 10_300), (7, 11_900)] {
+        let now = MonoMs(at);
+        assert!(matches!(order.offer(id(number, 0), Change, now), Hold(_)));
+        assert!(!order.adopt_held(now.plus_ms(900)));
+    }
+    assert_eq!(order.offer(id(8, 8), Change, MonoMs(12_850)), Ignore);
+    assert!(!order.adopt_held(MonoMs(60_000)));
+    // From then on, a lower number is an older configuration as usual.
+    assert_eq!(order.offer(id(7, 1), Change, MonoMs(60_000)), Ignore);
+    assert_eq!(order.offer(id(8, 1), Change, MonoMs(60_000)), Ignore);
+    assert_eq!(order.offer(id(9, 9), Change, MonoMs(60_000)), Adopt);
+}
+
+/// Guards against a confirmed change that is never in force because its number is that of
+/// a lost one, or lower.
+#[test]
+fn numbers_of_lost_configurations_that_are_given_out_again_come_into_force() {
+    let mut order = restored_order();
+    assert_eq!(order.offer(id(8, 1), Snapshot, MonoMs(10_300)), Adopt);
+    let mut order = restored_order();
+    let until = MonoMs(12_000);
+    assert_eq!(order.offer(id(6, 1), Change, MonoMs(10_300)), Hold(until));
+    assert!(!order.adopt_held(MonoMs(11_999)));
+    assert!(order.adopt_held(until));
+    assert_eq!(order.offer(id(7, 1), Change, MonoMs(20_000)), Adopt);
+    assert_eq!(order.offer(id(8, 1), Change, MonoMs(30_000)), Adopt);
+}
+
+/// Guards against the copy's configuration in force at a process that never saw it before.
+#[test]
+fn an_unknown_older_configuration_of_the_copy_is_not_taken_over() {
+    let mut order = restored_order();
+    assert_eq!(order.offer(id(7, 7), Snapshot, MonoMs(10_100)), Ignore);
+    assert!(!order.adopt_held(MonoMs(60_000)));
+}
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -19,7 +19,7 @@
 
 use super::version_chunks::VersionChunks;
 use crate::datagram::{ConfiguredTarget, Hello};
-use crate::tables::{Catalog, TableEvent, current_age_max_ms};
+use crate::tables::{Catalog, TableEvent, TableSnapshot, current_age_max_ms};
 use crate::{clock, upstream_list};
 
 /// Share of the VM's link that uploads may use, in percent. The events of streams share
@@ -120,8 +120,8 @@
 
 impl Agent {
     pub(crate) fn new(settings: Rc<NodeSettings>, upstream: SocketAddr) -> Self {
-        let deadline_ms = settings.bounds.version_deadline_ms;
         let store = StoreClient::new(settings.store_address);
+        let catalog = RefCell::new(Catalog::new(&settings.bounds));
         let store_reads = StoreReadSettings {
             informed_ms: current_age_max_ms(&settings.bounds),
             ..StoreReadSettings::default()
@@ -133,7 +133,7 @@
             upstream,
             engine: EngineClient::new(upstream),
             store,
-            catalog: RefCell::new(Catalog::new(deadline_ms)),
+            catalog,
             engine_report: RefCell::new(None),
             chunks: RefCell::default(),
             last_manifest: RefCell::new(None),
@@ -206,7 +206,11 @@
     async fn read_upstreams_from_store(&self) -> bool {
         match self.store.read(Table::Upstreams).await {
             Ok(snapshot) => {
-                let event = TableEvent::Snapshot(snapshot.rows, 0);
+                let event = TableEvent::Snapshot(TableSnapshot {
+                    rows: snapshot.rows,
+                    age_ms: 0,
+                    era: snapshot.position.era,
+                });
                 self.catalog.borrow_mut().apply_upstream_event(event);
                 true
             }
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -14,17 +14,16 @@
 use super::state::Agent;
 use crate::clock;
 use crate::datagram::ConfiguredTarget;
-use crate::tables::TableEvent;
+use crate::tables::{TableEvent, TableSnapshot};
 
 /// Maximum time between checks of the schedule, which hellos postpone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Reads the table whenever the schedule says so; never returns.
 pub(crate) async fn run(agent: Rc<Agent>) {
-    let mut snapshot_applied = false;
     loop {
         wait_until_due(&agent).await;
-        read_operators(&agent, &mut snapshot_applied).await;
+        read_operators(&agent).await;
         let mut store_reads = agent.store_reads.get();
         store_reads.record_read(clock::now());
         agent.store_reads.set(store_reads);
@@ -45,14 +44,14 @@
 
 /// Reads the configuration until it names the model of this agent, and only the rows of
 /// versions from then on: the configuration can be large.
-async fn read_operators(agent: &Agent, snapshot_applied: &mut bool) {
+async fn read_operators(agent: &Agent) {
     let result = if agent.target_model().is_none() {
         agent.store.read(Table::Operators).await
     } else {
         agent.store.read_versions().await
     };
-    let rows = match result {
-        Ok(snapshot) => snapshot.rows,
+    let snapshot = match result {
+        Ok(snapshot) => snapshot,
         Err(error) => {
             log::warn!(
                 event = "store.read_failed",
@@ -63,13 +62,12 @@
             return;
         }
     };
-    let event = if *snapshot_applied {
+    let event = TableEvent::Snapshot(TableSnapshot {
+        rows: snapshot.rows,
         // An agent only plans its switch by the age; entries keep the limits.
-        TableEvent::Changes(rows, 0)
-    } else {
-        TableEvent::Snapshot(rows, 0)
-    };
-    *snapshot_applied = true;
+        age_ms: 0,
+        era: snapshot.position.era,
+    });
     let mut catalog = agent.catalog.borrow_mut();
     catalog.apply_operator_event(event);
     let target = catalog.configuration.as_ref().and_then(|configuration| {
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -150,6 +150,7 @@
 async fn run_cleanup(entry: Rc<Entry>) {
     loop {
         sleep(CLEANUP_INTERVAL).await;
+        entry.catalog.borrow_mut().adopt_held_configuration();
         let changes = entry.catalog.borrow_mut().expire();
         discard_stale_state(&entry, &changes);
         entry.connections.apply_limits(&entry.limits());
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -59,11 +59,11 @@
 
 impl Entry {
     pub(crate) fn new(settings: Rc<NodeSettings>) -> Self {
-        let in_force_ms = settings.bounds.version_deadline_ms;
+        let catalog = RefCell::new(Catalog::new(&settings.bounds));
         Self {
             buffers: ResponseBuffers::new(settings.memory_bytes),
             settings,
-            catalog: RefCell::new(Catalog::new(in_force_ms)),
+            catalog,
             loads: RefCell::default(),
             reports: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 
 use masticdock_adapter::{
-    DeclaredVersion, OperatorRow, Row, decode_operator_row, decode_upstream_row,
+    DeclaredVersion, NodeBounds, OperatorRow, Row, decode_operator_row, decode_upstream_row,
 };
 use masticdock_core::ids::{ModelId, UpstreamId};
 use masticdock_core::serving::{
-    Configuration, Directory, DirectoryChange, Upstream, VersionTimeline,
+    Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
+    ConfigurationOrderSettings, ConfigurationSource, Directory, DirectoryChange, StoreEra,
+    Upstream, VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -39,13 +41,21 @@
     pub(crate) upstreams_polled_at: Option<MonoMs>,
     versions: BTreeMap<ModelId, VersionTimeline>,
     operators_loaded: bool,
+    /// Era of the store in which the operators' table was read last.
+    operators_era: Option<StoreEra>,
+    configuration_order: ConfigurationOrder,
+    /// Configuration that replaces the current one unless another one is written.
+    held_configuration: Option<Configuration>,
     version_deadline_ms: u64,
 }
 
 impl Catalog {
-    /// Returns an empty catalog. `version_deadline_ms` is the time within which a
-    /// declared version has to be in effect.
-    pub(crate) const fn new(version_deadline_ms: u64) -> Self {
+    /// Returns an empty catalog.
+    pub(crate) fn new(bounds: &NodeBounds) -> Self {
+        let order = ConfigurationOrderSettings {
+            hold_ms: bounds.configuration_deadline_ms / 2,
+            ..ConfigurationOrderSettings::default()
+        };
         Self {
             configuration: None,
             directory: Directory::new(LAPSED_ROW_GRACE_MS),
@@ -54,7 +64,10 @@
             upstreams_polled_at: None,
             versions: BTreeMap::new(),
             operators_loaded: false,
-            version_deadline_ms,
+            operators_era: None,
+            configuration_order: ConfigurationOrder::new(order),
+            held_configuration: None,
+            version_deadline_ms: bounds.version_deadline_ms,
         }
     }
 
@@ -69,30 +82,43 @@
         self.operators_polled_at = Some(clock::now());
         match event {
             TableEvent::Recovered | TableEvent::Unchanged => false,
-            TableEvent::Snapshot(rows, age_ms) => {
+            TableEvent::Snapshot(snapshot) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
+                if !is_first && snapshot.era != self.operators_era {
+                    self.configuration_order.store_restored(clock::now());
+                }
+                self.operators_era = snapshot.era;
                 let age_ms = if is_first {
                     UNKNOWN_VERSION_AGE_MS
                 } else {
-                    age_ms
+                    snapshot.age_ms
                 };
-                self.apply_operator_rows(&rows, age_ms)
+                self.apply_operator_rows(&snapshot.rows, ConfigurationSource::Snapshot, age_ms)
+            }
+            TableEvent::Changes(rows, age_ms) => {
+                self.apply_operator_rows(&rows, ConfigurationSource::Change, age_ms)
             }
-            TableEvent::Changes(rows, age_ms) => self.apply_operator_rows(&rows, age_ms),
         }
     }
 
     /// Applies rows whose changes are at most `age_ms` old; returns true if one declares a
     /// new version.
-    fn apply_operator_rows(&mut self, rows: &[Row], age_ms: u64) -> bool {
+    fn apply_operator_rows(
+        &mut self,
+        rows: &[Row],
+        source: ConfigurationSource,
+        age_ms: u64,
+    ) -> bool {
         let now = clock::now();
         let declared_at = MonoMs(now.0.saturating_sub(age_ms.min(UNKNOWN_VERSION_AGE_MS)));
         let mut any_new = false;
         for row in rows {
             match decode_operator_row(row) {
                 Ok(OperatorRow::Configuration(configuration)) => {
-                    self.apply_configuration(*configuration);
+                    let content = row.value.as_deref().unwrap_or_default();
+                    let offered = ConfigurationId::new(configuration.version, content);
+                    self.apply_configuration(*configuration, offered, source);
                 }
                 Ok(OperatorRow::Version(declared)) => {
                     any_new |= self.record_version(&declared, declared_at, "store");
@@ -155,14 +181,48 @@
 
     /// Makes a configuration the current one unless the current one is the same or
     /// newer.
-    fn apply_configuration(&mut self, configuration: Configuration) {
-        let current = self
-            .configuration
-            .as_ref()
-            .map_or(0, |current| current.version);
-        if configuration.version <= current {
-            return;
+    fn apply_configuration(
+        &mut self,
+        configuration: Configuration,
+        offered: ConfigurationId,
+        source: ConfigurationSource,
+    ) {
+        self.held_configuration = None;
+        match self
+            .configuration_order
+            .offer(offered, source, clock::now())
+        {
+            ConfigurationDecision::Ignore => {}
+            ConfigurationDecision::Adopt => self.adopt_configuration(configuration),
+            ConfigurationDecision::Hold(until) => {
+                log::warn!(
+                    event = "configuration.held",
+                    version = configuration.version,
+                    current = self.configuration_version(),
+                    until_ms = until.0;
+                    "a lower number was written after the store came back from a copy; waiting for further writes"
+                );
+                self.held_configuration = Some(configuration);
+            }
         }
+    }
+
+    /// Makes the held configuration the current one once it is due.
+    pub(crate) fn adopt_held_configuration(&mut self) {
+        if self.configuration_order.adopt_held(clock::now())
+            && let Some(configuration) = self.held_configuration.take()
+        {
+            self.adopt_configuration(configuration);
+        }
+    }
+
+    fn configuration_version(&self) -> u64 {
+        let current = self.configuration.as_ref();
+        current.map_or(0, |current| current.version)
+    }
+
+    fn adopt_configuration(&mut self, configuration: Configuration) {
+        let current = self.configuration_version();
         log::info!(
             event = "configuration.adopted",
             version = configuration.version,
@@ -183,9 +243,9 @@
                 self.directory.store_recovered(now);
                 Vec::new()
             }
-            TableEvent::Snapshot(rows, _) => {
+            TableEvent::Snapshot(snapshot) => {
                 self.upstreams_loaded = true;
-                let upstreams = rows.iter().filter_map(decode_row).collect();
+                let upstreams = snapshot.rows.iter().filter_map(decode_row).collect();
                 self.directory.replace(upstreams, now)
             }
             TableEvent::Changes(rows, _) => {
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -7,7 +7,7 @@
 
 use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
 use masticdock_core::serving::{
-    PollLimits, PollReply, StorePosition, TableObservation, poll_pause,
+    PollLimits, PollReply, StoreEra, StorePosition, TableObservation, poll_pause,
 };
 use masticdock_core::units::MonoMs;
 use rand::Rng;
@@ -50,12 +50,21 @@
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// All rows of a table.
+#[derive(Debug)]
+pub(crate) struct TableSnapshot {
+    pub(crate) rows: Vec<Row>,
+    /// Greatest age that changes since the previous event can have, in milliseconds.
+    pub(crate) age_ms: u64,
+    /// Era of the store in which the table was read.
+    pub(crate) era: Option<StoreEra>,
+}
+
 /// Event that a [`TableWatcher`] delivers.
 #[derive(Debug)]
 pub(crate) enum TableEvent {
-    /// All rows of the table, and the greatest age that changes since the previous event
-    /// can have, in milliseconds.
-    Snapshot(Vec<Row>, u64),
+    /// All rows of the table.
+    Snapshot(TableSnapshot),
     /// Rows that changed since the previous event, and the greatest age that the changes
     /// can have, in milliseconds.
     Changes(Vec<Row>, u64),
@@ -173,7 +182,11 @@
         };
         let Some(position) = position else {
             let snapshot = store.read(self.table).await?;
-            let event = TableEvent::Snapshot(snapshot.rows, observe(snapshot.body_duration));
+            let event = TableEvent::Snapshot(TableSnapshot {
+                rows: snapshot.rows,
+                age_ms: observe(snapshot.body_duration),
+                era: snapshot.position.era,
+            });
             return Ok((
                 Some((event, snapshot.body_duration)),
                 Some(snapshot.position),
