Keep upstreams that joined after the store's copy was taken

What callers saw: 503 on a service whose upstream had joined shortly before the store came back from a copy, until the upstream had written again.

Cause: the grace period for rows that are missing after an outage began only when a call had failed before. A return from a copy that no failed call precedes removed the upstream at once. Class: the disturbance was deduced from failed calls instead of from what the store says.

Change: the first read of another era begins the grace period itself (Directory::replace_restored).

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -204,6 +204,14 @@
         changes
     }
 
+    /// Replaces the contents with a full read of the rows after the store came back from a
+    /// copy. Upstreams that joined since the copy was taken have the grace period to write
+    /// their rows again.
+    pub fn replace_restored(&mut self, rows: Vec<Upstream>, now: MonoMs) -> Vec<DirectoryChange> {
+        self.store_recovered(now);
+        self.replace(rows, now)
+    }
+
     /// Removes upstreams whose grace period has ended.
     pub fn expire(&mut self, now: MonoMs) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -127,3 +127,15 @@
         assert!(!running.is_replaced_by(started_at_ms));
     }
 }
+
+/// Guards against rejections for an upstream that joined after the copy was taken.
+#[test]
+fn upstreams_missing_in_a_copy_have_a_grace_period_although_no_call_failed() {
+    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    directory.put(upstream("u-1", false, 1));
+    let until = MonoMs(10_000 + GRACE_PERIOD_MS);
+    assert_eq!(
+        directory.replace_restored(Vec::new(), MonoMs(10_000)),
+        [DirectoryChange::Lapsed(id("u-1"), until)]
+    );
+}
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -41,6 +41,8 @@
     pub(crate) upstreams_polled_at: Option<MonoMs>,
     versions: BTreeMap<ModelId, VersionTimeline>,
     operators_loaded: bool,
+    /// Era of the store in which the table of upstreams was read last.
+    upstreams_era: Option<StoreEra>,
     /// Era of the store in which the operators' table was read last.
     operators_era: Option<StoreEra>,
     configuration_order: ConfigurationOrder,
@@ -64,6 +66,7 @@
             upstreams_polled_at: None,
             versions: BTreeMap::new(),
             operators_loaded: false,
+            upstreams_era: None,
             operators_era: None,
             configuration_order: ConfigurationOrder::new(order),
             held_configuration: None,
@@ -244,9 +247,15 @@
                 Vec::new()
             }
             TableEvent::Snapshot(snapshot) => {
+                let is_restored = self.upstreams_loaded && snapshot.era != self.upstreams_era;
                 self.upstreams_loaded = true;
+                self.upstreams_era = snapshot.era;
                 let upstreams = snapshot.rows.iter().filter_map(decode_row).collect();
-                self.directory.replace(upstreams, now)
+                if is_restored {
+                    self.directory.replace_restored(upstreams, now)
+                } else {
+                    self.directory.replace(upstreams, now)
+                }
             }
             TableEvent::Changes(rows, _) => {
                 let mut changes = Vec::new();
