Send nothing to upstreams that left before the store's return

What callers saw: requests reached an upstream that this entry knew to be leaving, or gone, once the store had come back from a copy that lists it as ready.

Cause: the newest row decided. That a process announced its shutdown, or that its row was removed, was forgotten as soon as a row said otherwise. Class: a final state of a process that was kept as a property of its row.

Change: a shutdown is final for one process (id and start time), also after its row was removed; the directory remembers it for 10 minutes. A process whose row was only removed, and one without a start time, is withheld when a copy lists it, until it writes its row or the row outlasts 6 s, by when the store has removed the rows of those that do not write.

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -3,6 +3,10 @@
 //! A row that is missing after a store outage may merely have expired: a live
 //! upstream writes it again soon after the store recovers. Such an upstream stays
 //! usable for a grace period, in which connection results decide whether it is used.
+//!
+//! A store that comes back from a copy lists upstreams again that left since. A process
+//! that announced its shutdown stays unusable for good, one whose row was only removed
+//! until it writes again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -109,14 +113,50 @@
 
 #[derive(Debug, Clone)]
 struct Record {
+    /// The upstream; leaving while it is withheld.
     upstream: Upstream,
     expires_at: Option<MonoMs>,
+    /// Time until which the upstream is unusable because its row may be from a copy.
+    withheld_until: Option<MonoMs>,
+}
+
+impl Record {
+    const fn has_announced_leaving(&self) -> bool {
+        self.upstream.leaving && self.withheld_until.is_none()
+    }
+}
+
+/// A process that left.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    started_at_ms: Option<u64>,
+    announced: bool,
+    at: MonoMs,
 }
 
+/// How a row reached this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RowSource {
+    /// The upstream wrote it since the previous reply.
+    Write,
+    /// It was in the table.
+    Table,
+    /// It was in the table of a store that came back from a copy.
+    Copy,
+}
+
+/// Time after the return of the store from a copy by which it has removed the rows of
+/// upstreams that do not write, in milliseconds.
+const WITHHELD_MS: u64 = 6_000;
+/// Time for which a process that left is remembered, in milliseconds; longer than any copy
+/// is old.
+const DEPARTURES_KEPT_MS: u64 = 600_000;
+
 /// All known upstreams.
 #[derive(Debug, Clone)]
 pub struct Directory {
     records: BTreeMap<UpstreamId, Record>,
+    departures: BTreeMap<UpstreamId, Departure>,
     /// Time after the store recovers in which upstreams restore expired rows, in
     /// milliseconds.
     grace_period_ms: u64,
@@ -129,6 +169,7 @@
     pub const fn new(grace_period_ms: u64) -> Self {
         Self {
             records: BTreeMap::new(),
+            departures: BTreeMap::new(),
             grace_period_ms,
             store_recovered_at: None,
         }
@@ -139,14 +180,57 @@
         self.store_recovered_at = Some(now);
     }
 
-    /// Inserts or updates the row of an upstream.
+    /// Inserts or updates the row that an upstream wrote.
     pub fn put(&mut self, upstream: Upstream) -> Option<DirectoryChange> {
+        self.insert(upstream, RowSource::Write, MonoMs(0))
+    }
+
+    /// Returns whether a row that says nothing of a shutdown belongs to a process that left,
+    /// and until when it counts as such.
+    fn departure(&self, row: &Upstream, source: RowSource, now: MonoMs) -> (bool, Option<MonoMs>) {
+        let record = self.records.get(&row.id);
+        let departure = self.departures.get(&row.id);
+        let (started_at_ms, announced) = match (record, departure) {
+            (Some(record), _) => (
+                record.upstream.started_at_ms,
+                record.has_announced_leaving(),
+            ),
+            (None, Some(departure)) => (departure.started_at_ms, departure.announced),
+            (None, None) => return (false, None),
+        };
+        if row.leaving || started_at_ms != row.started_at_ms {
+            return (false, None);
+        }
+        // Without a start time, a restart under the same id looks like the same process.
+        if announced && started_at_ms.is_some() {
+            return (true, None);
+        }
+        let withheld_until = record.and_then(|record| record.withheld_until);
+        let until = match source {
+            RowSource::Table => withheld_until,
+            RowSource::Copy if announced || record.is_none() || withheld_until.is_some() => {
+                Some(now.plus_ms(WITHHELD_MS))
+            }
+            RowSource::Copy | RowSource::Write => None,
+        };
+        (until.is_some(), until)
+    }
+
+    fn insert(
+        &mut self,
+        mut upstream: Upstream,
+        source: RowSource,
+        now: MonoMs,
+    ) -> Option<DirectoryChange> {
+        let (has_left, withheld_until) = self.departure(&upstream, source, now);
+        upstream.leaving |= has_left;
         let id = upstream.id.clone();
         let previous = self.records.insert(
             id.clone(),
             Record {
                 upstream: upstream.clone(),
                 expires_at: None,
+                withheld_until,
             },
         );
         let Some(previous) = previous else {
@@ -156,7 +240,8 @@
             return Some(DirectoryChange::Joined(upstream));
         };
         let previous = previous.upstream;
-        if previous.started_at_ms != upstream.started_at_ms {
+        let returns = previous.leaving && !upstream.leaving;
+        if returns || previous.started_at_ms != upstream.started_at_ms {
             return Some(DirectoryChange::Joined(upstream));
         }
         if upstream.leaving && !previous.leaving {
@@ -184,12 +269,41 @@
             record.expires_at = Some(grace_ends_at);
             return Some(DirectoryChange::Lapsed(id.clone(), grace_ends_at));
         }
-        self.records.remove(id);
+        let record = self.records.remove(id)?;
+        self.record_departure(id.clone(), &record, now);
         Some(DirectoryChange::Gone(id.clone()))
     }
 
+    fn record_departure(&mut self, id: UpstreamId, record: &Record, now: MonoMs) {
+        self.departures
+            .retain(|_, departure| now.since_ms(departure.at) < DEPARTURES_KEPT_MS);
+        let departure = Departure {
+            started_at_ms: record.upstream.started_at_ms,
+            announced: record.has_announced_leaving(),
+            at: now,
+        };
+        self.departures.insert(id, departure);
+    }
+
     /// Replaces the contents with a full read of the rows.
     pub fn replace(&mut self, rows: Vec<Upstream>, now: MonoMs) -> Vec<DirectoryChange> {
+        self.replace_from(rows, RowSource::Table, now)
+    }
+
+    /// Replaces the contents with a full read of the rows after the store came back from a
+    /// copy. Upstreams that joined since the copy was taken have the grace period to write
+    /// their rows again.
+    pub fn replace_restored(&mut self, rows: Vec<Upstream>, now: MonoMs) -> Vec<DirectoryChange> {
+        self.store_recovered(now);
+        self.replace_from(rows, RowSource::Copy, now)
+    }
+
+    fn replace_from(
+        &mut self,
+        rows: Vec<Upstream>,
+        source: RowSource,
+        now: MonoMs,
+    ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
         let known: Vec<UpstreamId> = self.records.keys().cloned().collect();
         for id in known {
@@ -199,29 +313,32 @@
             changes.extend(self.remove(&id, now));
         }
         for row in rows {
-            changes.extend(self.put(row));
+            changes.extend(self.insert(row, source, now));
         }
         changes
     }
 
-    /// Replaces the contents with a full read of the rows after the store came back from a
-    /// copy. Upstreams that joined since the copy was taken have the grace period to write
-    /// their rows again.
-    pub fn replace_restored(&mut self, rows: Vec<Upstream>, now: MonoMs) -> Vec<DirectoryChange> {
-        self.store_recovered(now);
-        self.replace(rows, now)
-    }
-
-    /// Removes upstreams whose grace period has ended.
+    /// Removes upstreams whose grace period has ended, and makes those usable whose rows the
+    /// store would have removed by now if they did not write.
     pub fn expire(&mut self, now: MonoMs) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        self.records.retain(|id, record| {
-            let keep = record.expires_at.is_none_or(|at| now < at);
-            if !keep {
-                changes.push(DirectoryChange::Gone(id.clone()));
+        let is_due = |at: Option<MonoMs>| at.is_some_and(|at| now >= at);
+        let expired = self
+            .records
+            .extract_if(.., |_, record| is_due(record.expires_at));
+        let expired: Vec<(UpstreamId, Record)> = expired.collect();
+        for (id, record) in expired {
+            self.record_departure(id.clone(), &record, now);
+            changes.push(DirectoryChange::Gone(id));
+        }
+        for record in self.records.values_mut() {
+            if !is_due(record.withheld_until) {
+                continue;
             }
-            keep
-        });
+            record.withheld_until = None;
+            record.upstream.leaving = false;
+            changes.push(DirectoryChange::Joined(record.upstream.clone()));
+        }
         changes
     }
 
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -128,6 +128,52 @@
     }
 }
 
+/// Guards against requests to upstreams that left and that a copy of the store lists again.
+#[test]
+fn upstreams_that_left_stay_unusable_when_the_store_comes_back_from_a_copy() {
+    let serving = |directory: &Directory| {
+        let service = "llm".parse().unwrap();
+        let ids = directory.serving(&service).map(|row| row.id.to_string());
+        ids.collect::<Vec<_>>()
+    };
+    let without_start = |mut row: Upstream| {
+        row.started_at_ms = None;
+        row
+    };
+    let mut copy: Vec<Upstream> = ["leaving", "left", "gone", "stays"]
+        .map(|id| upstream(id, false, 1))
+        .to_vec();
+    copy.push(without_start(upstream("no-start", false, 1)));
+    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    directory.replace(copy.clone(), MonoMs(0));
+    for id in ["leaving", "left"] {
+        directory.put(upstream(id, true, 1));
+    }
+    directory.put(without_start(upstream("no-start", true, 1)));
+    for gone in ["left", "gone"] {
+        directory.remove(&id(gone), MonoMs(5_000));
+    }
+    directory.replace_restored(copy.clone(), MonoMs(8_000));
+    assert_eq!(serving(&directory), ["stays"]);
+    // A later read of the same table is no sign of life, a write is, and so is a row that
+    // the store keeps. A shutdown that was announced stays.
+    directory.replace(copy.clone(), MonoMs(9_000));
+    assert_eq!(serving(&directory), ["stays"]);
+    for row in copy {
+        directory.put(row);
+    }
+    assert_eq!(serving(&directory), ["gone", "no-start", "stays"]);
+    directory.remove(&id("gone"), MonoMs(10_000));
+    directory.replace_restored(vec![upstream("gone", false, 1)], MonoMs(11_000));
+    assert_eq!(directory.expire(MonoMs(16_999)).len(), 2);
+    assert_eq!(serving(&directory), [""; 0]);
+    directory.expire(MonoMs(17_000));
+    assert_eq!(serving(&directory), ["gone"]);
+    // Another process under the same id is usable at once.
+    directory.put(upstream("left", false, 2));
+    assert_eq!(serving(&directory), ["gone", "left"]);
+}
+
 /// Guards against rejections for an upstream that joined after the copy was taken.
 #[test]
 fn upstreams_missing_in_a_copy_have_a_grace_period_although_no_call_failed() {
