Hand configurations on with the era in which they were written

What callers saw: nothing was seen at callers. An agent kept the model target (origin, layers, slots) of a lost configuration when operators gave its number or a lower one out again, and read weights from the old origin.

Cause: hellos of entries carried the number alone, and the agent took only a higher one.

Change: a hello (mdh3) has the latest era in which the configuration is known to have been written; ConfigurationStamp::replaces compares. What an entry reads at its start has none, since it may be from the copy: such an entry does not bring an older configuration back. The list of upstreams that entries serve needs no era: it lists what the directory of the entry holds usable, and only chooses sources of chunks, which are checked. Agents that read the store themselves pass the same Catalog.

--- a/crates/masticdock-core/src/serving/configuration_order.rs
+++ b/crates/masticdock-core/src/serving/configuration_order.rs
@@ -11,6 +11,8 @@
 use crate::field_hash::hash_fields;
 use crate::units::MonoMs;
 
+use super::store_position::StoreEra;
+
 /// Number and content of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigurationId {
@@ -31,6 +33,28 @@
     }
 }
 
+/// What a process that hands a configuration on knows of its place in the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigurationStamp {
+    /// Number of the configuration.
+    pub number: u64,
+    /// Latest era of the store in which it is known to have been written.
+    pub written_in: Option<StoreEra>,
+}
+
+impl ConfigurationStamp {
+    /// Returns true if a process that holds the configuration `current` takes over the one
+    /// with this stamp.
+    #[must_use]
+    pub fn replaces(self, current: Self) -> bool {
+        match (self.written_in, current.written_in) {
+            (Some(era), Some(current_era)) if era != current_era => era > current_era,
+            // A configuration of unknown era may be from the copy of a restored store.
+            (era, current_era) => (self.number, era) > (current.number, current_era),
+        }
+    }
+}
+
 /// How the store told of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigurationSource {
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -39,7 +39,7 @@
 };
 pub use configuration_order::{
     ConfigurationDecision, ConfigurationId, ConfigurationOrder, ConfigurationOrderSettings,
-    ConfigurationSource,
+    ConfigurationSource, ConfigurationStamp,
 };
 pub use connection_timer::{ConnectionPhase, ConnectionTimeout, ConnectionTimer};
 pub use crashes::{
--- a/crates/masticdock-core/tests/serving_configuration_order.rs
+++ b/crates/masticdock-core/tests/serving_configuration_order.rs
@@ -2,7 +2,7 @@
 
 use masticdock_core::serving::{
     ConfigurationDecision, ConfigurationId, ConfigurationOrder, ConfigurationOrderSettings,
-    ConfigurationSource,
+    ConfigurationSource, ConfigurationStamp, StoreEra,
 };
 use masticdock_core::units::MonoMs;
 
@@ -68,3 +68,22 @@
     assert_eq!(order.offer(id(7, 7), Snapshot, MonoMs(10_100)), Ignore);
     assert!(!order.adopt_held(MonoMs(60_000)));
 }
+
+/// Guards against an agent that keeps the target of a lost configuration, or takes over
+/// that of the store's copy from an entry that started after the return.
+#[test]
+fn a_handed_on_configuration_replaces_those_of_earlier_eras_only_if_written_later() {
+    let stamp = |era: u64, number| ConfigurationStamp {
+        number,
+        written_in: (era > 0).then_some(StoreEra(era)),
+    };
+    let lost = stamp(1, 8);
+    for replacing in [stamp(1, 9), stamp(0, 9), stamp(2, 8), stamp(2, 6)] {
+        assert!(replacing.replaces(lost), "{replacing:?}");
+    }
+    for older in [stamp(1, 8), stamp(1, 7), stamp(0, 8), stamp(0, 5)] {
+        assert!(!older.replaces(lost), "{older:?}");
+    }
+    assert!(!lost.replaces(stamp(2, 6)));
+    assert!(lost.replaces(stamp(0, 8)));
+}
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -262,13 +262,13 @@
         is_new
     }
 
-    /// Makes a target the current one unless it comes from an older configuration.
+    /// Makes a target the current one unless it comes from the same or an older configuration.
     pub(crate) fn adopt_target(&self, adopted: ConfiguredTarget) {
         let mut target = self.target.borrow_mut();
-        let is_older = target
+        let replaces = target
             .as_ref()
-            .is_some_and(|current| current.configuration_version >= adopted.configuration_version);
-        if is_older {
+            .is_none_or(|current| adopted.configuration.replaces(current.configuration));
+        if !replaces {
             return;
         }
         let is_same = target
@@ -278,7 +278,7 @@
             log::info!(
                 event = "target.adopted",
                 model = adopted.target.model.as_str(),
-                configuration = adopted.configuration_version,
+                configuration = adopted.configuration.number,
                 origin:% = adopted.target.origin.address;
                 "the configuration names the model to serve"
             );
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -71,7 +71,8 @@
     let mut catalog = agent.catalog.borrow_mut();
     catalog.apply_operator_event(event);
     let target = catalog.configuration.as_ref().and_then(|configuration| {
-        ConfiguredTarget::of(configuration, agent.settings.service.as_ref()?)
+        let service = agent.settings.service.as_ref()?;
+        ConfiguredTarget::of(configuration, catalog.configuration_stamp(), service)
     });
     drop(catalog);
     if let Some(target) = target {
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -5,15 +5,18 @@
 
 use masticdock_adapter::DeclaredVersion;
 use masticdock_core::ids::{ServiceId, ZoneId};
-use masticdock_core::serving::{Configuration, ModelTarget, Origin, VersionNumber};
+use masticdock_core::serving::{
+    Configuration, ConfigurationStamp, ModelTarget, Origin, StoreEra, VersionNumber,
+};
 
 use super::DATAGRAM_BYTES_MAX;
 
 /// Prefix of a hello; its last byte is the format version.
-const HELLO_MAGIC: [u8; 4] = *b"mdh2";
+const HELLO_MAGIC: [u8; 4] = *b"mdh3";
 const RESUMABLE_FLAG: u8 = 1;
 const TARGET_FLAG: u8 = 2;
 const STARTING_FLAG: u8 = 4;
+const ERA_FLAG: u8 = 8;
 
 /// Subscription of an entry to the reports of an agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,18 +37,22 @@
     pub(crate) versions: Vec<(DeclaredVersion, u64)>,
 }
 
-/// Model of a service, and the version of the configuration that names it.
+/// Model of a service, and the stamp of the configuration that names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ConfiguredTarget {
-    pub(crate) configuration_version: u64,
+    pub(crate) configuration: ConfigurationStamp,
     pub(crate) target: ModelTarget,
 }
 
 impl ConfiguredTarget {
     /// Returns the model that the upstreams of `service` run, if they run one.
-    pub(crate) fn of(configuration: &Configuration, service: &ServiceId) -> Option<Self> {
+    pub(crate) fn of(
+        configuration: &Configuration,
+        stamp: ConfigurationStamp,
+        service: &ServiceId,
+    ) -> Option<Self> {
         Some(Self {
-            configuration_version: configuration.version,
+            configuration: stamp,
             target: configuration.model_target(service)?,
         })
     }
@@ -60,8 +67,11 @@
         if self.resumable {
             flags |= RESUMABLE_FLAG;
         }
-        if self.target.is_some() {
+        if let Some(target) = &self.target {
             flags |= TARGET_FLAG;
+            if target.configuration.written_in.is_some() {
+                flags |= ERA_FLAG;
+            }
         }
         if self.starting {
             flags |= STARTING_FLAG;
@@ -93,7 +103,7 @@
         let target = if flags & TARGET_FLAG == 0 {
             None
         } else {
-            Some(read_target(&mut reader)?)
+            Some(read_target(&mut reader, flags & ERA_FLAG != 0)?)
         };
         let mut versions = Vec::new();
         while !reader.0.is_empty() {
@@ -115,7 +125,10 @@
 
 fn put_target(bytes: &mut Vec<u8>, configured: &ConfiguredTarget) {
     let target = &configured.target;
-    bytes.extend_from_slice(&configured.configuration_version.to_le_bytes());
+    bytes.extend_from_slice(&configured.configuration.number.to_le_bytes());
+    if let Some(era) = configured.configuration.written_in {
+        bytes.extend_from_slice(&era.0.to_le_bytes());
+    }
     put_text(bytes, target.model.as_str());
     bytes.extend_from_slice(&target.slots.to_le_bytes());
     bytes.extend_from_slice(&target.layers.to_le_bytes());
@@ -127,8 +140,13 @@
     put_text(bytes, zone);
 }
 
-fn read_target(reader: &mut Reader<'_>) -> Option<ConfiguredTarget> {
-    let configuration_version = reader.u64()?;
+fn read_target(reader: &mut Reader<'_>, has_era: bool) -> Option<ConfiguredTarget> {
+    let number = reader.u64()?;
+    let written_in = if has_era {
+        Some(StoreEra(reader.u64()?))
+    } else {
+        None
+    };
     let model = reader.text()?.parse().ok()?;
     let slots = u32::from_le_bytes(reader.take()?);
     let layers = u32::from_le_bytes(reader.take()?);
@@ -140,7 +158,7 @@
         zone => Some(zone.parse().ok()?),
     };
     Some(ConfiguredTarget {
-        configuration_version,
+        configuration: ConfigurationStamp { number, written_in },
         target: ModelTarget {
             model,
             slots,
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -89,8 +89,9 @@
 fn build_hello(entry: &Entry, service: &ServiceId) -> Hello {
     let catalog = entry.catalog.borrow();
     let configuration = catalog.configuration.as_ref();
-    let target =
-        configuration.and_then(|configuration| ConfiguredTarget::of(configuration, service));
+    let target = configuration.and_then(|configuration| {
+        ConfiguredTarget::of(configuration, catalog.configuration_stamp(), service)
+    });
     let poll_age_ms = catalog
         .operators_polled_at
         .map_or(u64::MAX, |polled_at| clock::now().since_ms(polled_at));
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -9,8 +9,8 @@
 use masticdock_core::ids::{ModelId, UpstreamId};
 use masticdock_core::serving::{
     Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
-    ConfigurationOrderSettings, ConfigurationSource, Directory, DirectoryChange, StoreEra,
-    Upstream, VersionTimeline,
+    ConfigurationOrderSettings, ConfigurationSource, ConfigurationStamp, Directory,
+    DirectoryChange, StoreEra, Upstream, VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -46,6 +46,8 @@
     /// Era of the store in which the operators' table was read last.
     operators_era: Option<StoreEra>,
     configuration_order: ConfigurationOrder,
+    /// Latest era in which the current configuration is known to have been written.
+    configuration_written_in: Option<StoreEra>,
     /// Configuration that replaces the current one unless another one is written.
     held_configuration: Option<Configuration>,
     version_deadline_ms: u64,
@@ -69,6 +71,7 @@
             upstreams_era: None,
             operators_era: None,
             configuration_order: ConfigurationOrder::new(order),
+            configuration_written_in: None,
             held_configuration: None,
             version_deadline_ms: bounds.version_deadline_ms,
         }
@@ -191,12 +194,22 @@
         source: ConfigurationSource,
     ) {
         self.held_configuration = None;
+        let is_first = self.configuration.is_none();
+        let is_current = offered.number == self.configuration_version();
+        if source == ConfigurationSource::Change && is_current {
+            self.configuration_written_in = self.operators_era;
+        }
         match self
             .configuration_order
             .offer(offered, source, clock::now())
         {
             ConfigurationDecision::Ignore => {}
-            ConfigurationDecision::Adopt => self.adopt_configuration(configuration),
+            ConfigurationDecision::Adopt => {
+                self.adopt_configuration(configuration);
+                if is_first && source == ConfigurationSource::Snapshot {
+                    self.configuration_written_in = None;
+                }
+            }
             ConfigurationDecision::Hold(until) => {
                 log::warn!(
                     event = "configuration.held",
@@ -219,6 +232,14 @@
         }
     }
 
+    /// Returns the stamp of the current configuration for processes that it is handed on to.
+    pub(crate) fn configuration_stamp(&self) -> ConfigurationStamp {
+        ConfigurationStamp {
+            number: self.configuration_version(),
+            written_in: self.configuration_written_in,
+        }
+    }
+
     fn configuration_version(&self) -> u64 {
         let current = self.configuration.as_ref();
         current.map_or(0, |current| current.version)
@@ -234,6 +255,7 @@
             "configuration applied"
         );
         self.configuration = Some(Rc::new(configuration));
+        self.configuration_written_in = self.operators_era;
     }
 
     /// Applies an event of the upstreams' table and returns the changes.
