Keep a held configuration when the table is read again

A configuration that is held after a return of the store (decision 12) was dropped when the table was read again within the hold, for example after a lost history: a full read of a lower number is ignored, and the store tells of the change only once. Found by reading, on the new code.

Evidence, before: a_held_configuration_stays_held_when_the_table_is_read_again: left: Ignore right: Hold(MonoMs(12000))

After: it passes, with the other tests of serving_configuration_order.

--- a/crates/masticdock-core/src/serving/configuration_order.rs
+++ b/crates/masticdock-core/src/serving/configuration_order.rs
@@ -136,6 +136,11 @@
         source: ConfigurationSource,
         now: MonoMs,
     ) -> ConfigurationDecision {
+        if let Some((held, until)) = self.held
+            && held == offered
+        {
+            return ConfigurationDecision::Hold(until);
+        }
         self.held = None;
         let Some(current) = self.current else {
             self.adopt(offered);
--- a/crates/masticdock-core/tests/serving_configuration_order.rs
+++ b/crates/masticdock-core/tests/serving_configuration_order.rs
@@ -61,6 +61,16 @@
     assert_eq!(order.offer(id(8, 1), Change, MonoMs(30_000)), Adopt);
 }
 
+/// Guards against a change that is dropped because the table is read again while it is held.
+#[test]
+fn a_held_configuration_stays_held_when_the_table_is_read_again() {
+    let mut order = restored_order();
+    let held = Hold(MonoMs(12_000));
+    assert_eq!(order.offer(id(6, 1), Change, MonoMs(10_300)), held);
+    assert_eq!(order.offer(id(6, 1), Snapshot, MonoMs(11_500)), held);
+    assert!(order.adopt_held(MonoMs(12_000)));
+}
+
 /// Guards against the copy's configuration in force at a process that never saw it before.
 #[test]
 fn an_unknown_older_configuration_of_the_copy_is_not_taken_over() {
