Use upstreams again that a restored store keeps, at agents too

An agent reads the table of upstreams now and then, hears of no writes and runs no expiry: a peer that was withheld after a return of the store from a copy stayed unusable as a source of chunks for good. Besides, a list that came from an entry made the first read of the store look like a return.

Evidence, before: an_upstream_whose_row_outlasts_the_return_is_usable_at_the_next_read: assertion failed: !directory.get(&id("u-1")).unwrap().leaving

A read after the time until which a row is withheld makes it usable, and a return is one only if the era before it is known.

After: it passes, with the other tests of serving_directory.

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -207,7 +207,7 @@
         }
         let withheld_until = record.and_then(|record| record.withheld_until);
         let until = match source {
-            RowSource::Table => withheld_until,
+            RowSource::Table => withheld_until.filter(|until| now < *until),
             RowSource::Copy if announced || record.is_none() || withheld_until.is_some() => {
                 Some(now.plus_ms(WITHHELD_MS))
             }
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -185,3 +185,18 @@
         [DirectoryChange::Lapsed(id("u-1"), until)]
     );
 }
+
+/// Guards against an agent that never uses a peer again: it reads the table now and then and
+/// hears of no writes.
+#[test]
+fn an_upstream_whose_row_outlasts_the_return_is_usable_at_the_next_read() {
+    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let copy = vec![upstream("u-1", false, 1)];
+    directory.replace(copy.clone(), MonoMs(0));
+    directory.replace(Vec::new(), MonoMs(5_000));
+    directory.replace_restored(copy.clone(), MonoMs(8_000));
+    directory.replace(copy.clone(), MonoMs(13_000));
+    assert!(directory.get(&id("u-1")).unwrap().leaving);
+    directory.replace(copy, MonoMs(20_000));
+    assert!(!directory.get(&id("u-1")).unwrap().leaving);
+}
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -91,7 +91,7 @@
             TableEvent::Snapshot(snapshot) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
-                if !is_first && snapshot.era != self.operators_era {
+                if self.operators_era.is_some() && snapshot.era != self.operators_era {
                     self.configuration_order.store_restored(clock::now());
                 }
                 self.operators_era = snapshot.era;
@@ -269,7 +269,9 @@
                 Vec::new()
             }
             TableEvent::Snapshot(snapshot) => {
-                let is_restored = self.upstreams_loaded && snapshot.era != self.upstreams_era;
+                // A list from an entry has no era.
+                let is_restored =
+                    self.upstreams_era.is_some() && snapshot.era != self.upstreams_era;
                 self.upstreams_loaded = true;
                 self.upstreams_era = snapshot.era;
                 let upstreams = snapshot.rows.iter().filter_map(decode_row).collect();
