Prefer other upstreams to one that leaves a request unanswered

Callers waited more often for upstreams that answer some requests and are silent on others. Such an upstream counted as sound as soon as it sent a byte on any connection, and since silence causes no backoff any more nothing kept new requests from it. Class: one signal (activity) stands for two states (silent as a whole, silent on a request).

The extended unit test failed before: silent_upstreams_are_chosen_last: assertion failed: load.is_silent(now.plus_ms(1_400))

Change: an upstream that sent data for others while a request waited is avoided for 1 s after that; one that was silent as a whole is avoided as before, until it sends anything. Both are only preferences: where no other upstream has room it is still used.

The test's former line that such an upstream is not avoided stated the old rule; the new lines check the opposite and that it ends.

After: serving_placement, silent_upstreams (7) and entry_connections (5) passed, tests of masticdock-core and masticdock-node passed.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -124,8 +124,11 @@
     consecutive_failures: u32,
     backoff_until: MonoMs,
     last_activity_at: MonoMs,
-    /// Time until which other upstreams are preferred, since this one was silent.
-    avoided_until: MonoMs,
+    /// Time until which other upstreams are preferred, since this one sent nothing.
+    silent_until: MonoMs,
+    /// Time until which other upstreams are preferred, since this one did not answer a
+    /// request although it sent data for others.
+    unresponsive_until: MonoMs,
     /// Smoothed service time, in milliseconds, and when it was last updated.
     service: Option<(f64, MonoMs)>,
 }
@@ -270,25 +273,29 @@
     pub fn record_activity(&mut self, now: MonoMs) {
         self.last_activity_at = now;
         self.consecutive_failures = 0;
-        self.avoided_until = MonoMs(0);
+        self.silent_until = MonoMs(0);
     }
 
     /// Records that a request has waited for `waited_ms` without a byte. If the upstream sent
-    /// none on other connections either, it is avoided for as long as it has been silent.
+    /// none on other connections either, it is avoided for as long as it has been silent, or
+    /// until it sends any.
     pub fn record_silence(&mut self, waited_ms: u64, now: MonoMs) {
-        let silent_ms = now.since_ms(self.last_activity_at);
-        if waited_ms.min(silent_ms) < SILENCE_MIN_MS {
+        if waited_ms < SILENCE_MIN_MS {
             return;
         }
         let (min_ms, max_ms) = SILENCE_AVOIDANCE_RANGE_MS;
-        let avoided_ms = silent_ms.clamp(min_ms, max_ms);
-        self.avoided_until = now.plus_ms(avoided_ms);
+        let silent_ms = now.since_ms(self.last_activity_at);
+        if silent_ms < SILENCE_MIN_MS {
+            self.unresponsive_until = now.plus_ms(min_ms);
+            return;
+        }
+        self.silent_until = now.plus_ms(silent_ms.clamp(min_ms, max_ms));
     }
 
     /// Returns true while other upstreams are preferred because this one is silent.
     #[must_use]
     pub fn is_silent(&self, now: MonoMs) -> bool {
-        now < self.avoided_until
+        now < self.silent_until.max(self.unresponsive_until)
     }
 
     /// Returns when the upstream last sent data.
@@ -339,7 +346,7 @@
     pub fn record_recovery(&mut self, now: MonoMs) {
         self.consecutive_failures = 0;
         self.backoff_until = self.backoff_until.min(now);
-        self.avoided_until = MonoMs(0);
+        self.silent_until = MonoMs(0);
     }
 
     /// Returns true while no requests are sent to the upstream.
