Refuse a cut error text of the engine (product path)

Callers saw: an engine rejected a prompt with 400 and its connection broke in the middle of the text. The caller got the part as a whole answer: 400 with `{"error":`.

Cause: the HTTP client reports no error for a body that ends before its stated length. Calls to plain services check the length for this reason, calls to engines did not, and a read error gave an empty text. Class: an end that looks complete.

Evidence before (masticdock-daemon, a_cut_rejection_by_the_engine_is_not_taken_for_its_answer):

left: "{\"error\":" right: "{\"error\": \"prompt too long\"}"

Both kinds of upstream now read whole answers with the same function (`body::read_response`). A cut one is a broken connection, so the request is retried where it may be.

--- /dev/null
+++ b/crates/masticdock-daemon/src/agent/proxy/body.rs
@@ -0,0 +1,52 @@
+//! Reading of complete response bodies of an upstream.
+
+use std::io::Read as _;
+
+use attohttpc::Response;
+use compact_str::format_compact;
+use masticdock_core::problem::{Problem, ProblemKind};
+
+use super::engine::CallOutcome;
+use crate::request_http::PlainResponse;
+
+/// Maximum size of a response body.
+const RESPONSE_BYTES_MAX: u64 = 16 << 20;
+
+/// Reads a response with its whole body.
+///
+/// # Errors
+///
+/// Returns the outcome of the call when the body ends early, is too large or is no text.
+pub(super) fn read_response(response: Response) -> Result<PlainResponse, CallOutcome> {
+    let (status, headers, body) = response.split();
+    let header_text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let content_length: Option<usize> =
+        header_text("content-length").and_then(|text| text.parse().ok());
+    let mut bytes = Vec::new();
+    body.take(RESPONSE_BYTES_MAX + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|error| CallOutcome::Broken(error.to_string()))?;
+    // The HTTP client reports no error for a body that ends early.
+    if content_length.is_some_and(|length| length != bytes.len()) {
+        return Err(CallOutcome::Broken("the answer ended early".to_owned()));
+    }
+    let invalid_response = |detail: &str| {
+        CallOutcome::Failed(Problem::unknown(
+            ProblemKind::UpstreamError,
+            format_compact!("the upstream's answer {detail}"),
+        ))
+    };
+    if bytes.len() as u64 > RESPONSE_BYTES_MAX {
+        return Err(invalid_response("is over 16 MiB"));
+    }
+    let Ok(text) = String::from_utf8(bytes) else {
+        return Err(invalid_response("is not UTF-8 text"));
+    };
+    Ok(PlainResponse {
+        status: status.as_u16(),
+        content_type: header_text("content-type")
+            .unwrap_or("application/json")
+            .to_owned(),
+        body: text,
+    })
+}
--- a/crates/masticdock-daemon/src/agent/proxy/engine.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/engine.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use attohttpc::ProxySettings;
+use attohttpc::{ProxySettings, Response};
 use compact_str::format_compact;
 use masticdock_core::ids::VersionId;
 use masticdock_core::limiter::Priority;
 use masticdock_core::problem::{Problem, ProblemKind};
 use serde_json::{Value, json};
 
+use super::body::read_response;
 use super::run_request::RunRequest;
 use crate::request_http::{EventReader, PlainResponse, StreamEvent, header_name};
 
@@ -116,30 +117,36 @@
     };
     let status = response.status().as_u16();
     if status != 200 {
-        return handle_error_status(status, response.text_utf8().unwrap_or_default(), sink);
+        return handle_error_status(status, response, sink);
     }
     let (_, _, body) = response.split();
     forward_events(EventReader::new(body), request, version, sink)
 }
 
 /// Handles an engine's response with a status other than 200.
-fn handle_error_status(status: u16, text: String, sink: &mut EventSink<'_>) -> CallOutcome {
+fn handle_error_status(status: u16, response: Response, sink: &mut EventSink<'_>) -> CallOutcome {
+    let is_answer = matches!(status, 400..=499) && status != 429;
+    if is_answer {
+        return match read_response(response) {
+            Ok(answer) => {
+                sink(StreamEvent::Response(PlainResponse {
+                    content_type: "application/json".to_owned(),
+                    ..answer
+                }));
+                CallOutcome::Complete
+            }
+            Err(outcome) => outcome,
+        };
+    }
+    let text = response.text_utf8().unwrap_or_default();
     let excerpt: String = text.chars().take(ERROR_EXCERPT_CHARS_MAX).collect();
     let detail = format_compact!("the engine answered {status}: {excerpt}");
-    match status {
-        // An engine rejects a request with these statuses before it runs any of it.
-        429 | 503 => CallOutcome::Failed(Problem::not_run(ProblemKind::Overloaded, detail)),
-        400..=499 => {
-            let answer = StreamEvent::Response(PlainResponse {
-                status,
-                content_type: "application/json".to_owned(),
-                body: text,
-            });
-            sink(answer);
-            CallOutcome::Complete
-        }
-        _ => CallOutcome::Failed(Problem::unknown(ProblemKind::UpstreamError, detail)),
-    }
+    // An engine rejects a request with these statuses before it runs any of it.
+    CallOutcome::Failed(if matches!(status, 429 | 503) {
+        Problem::not_run(ProblemKind::Overloaded, detail)
+    } else {
+        Problem::unknown(ProblemKind::UpstreamError, detail)
+    })
 }
 
 /// Forwards the tokens of a stream, and checks their version and order.
--- a/crates/masticdock-daemon/src/agent/proxy/mod.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Agent side of the request path: receives requests from entries and runs them
 //! on the upstream.
 
+mod body;
 mod claims;
 mod engine;
 mod metrics;
--- a/crates/masticdock-daemon/src/agent/proxy/plain.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/plain.rs
@@ -1,17 +1,10 @@
 //! Calls to a plain service, which answers with one response instead of a stream.
 
-use std::io::Read as _;
-
-use compact_str::format_compact;
-use masticdock_core::problem::{Problem, ProblemKind};
-
+use super::body::read_response;
 use super::engine::{CallOutcome, classify_send_error, request_builder};
 use super::run_request::RunRequest;
 use crate::request_http::PlainResponse;
 
-/// Maximum size of a plain service's response body.
-const SERVICE_RESPONSE_BYTES_MAX: u64 = 16 << 20;
-
 /// Runs a call and returns the response of the service, whatever its status.
 pub(super) fn call(base_url: &str, request: &RunRequest) -> Result<PlainResponse, CallOutcome> {
     let url = format!("{base_url}/{}", request.service_path);
@@ -20,35 +13,5 @@
         .bytes(request.body.clone())
         .send()
         .map_err(|error| classify_send_error(&error))?;
-    let (status, headers, body) = response.split();
-    let header_text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let content_length: Option<usize> =
-        header_text("content-length").and_then(|text| text.parse().ok());
-    let mut bytes = Vec::new();
-    body.take(SERVICE_RESPONSE_BYTES_MAX + 1)
-        .read_to_end(&mut bytes)
-        .map_err(|error| CallOutcome::Broken(error.to_string()))?;
-    // The HTTP client reports no error for a body that ends early.
-    if content_length.is_some_and(|length| length != bytes.len()) {
-        return Err(CallOutcome::Broken("the answer ended early".to_owned()));
-    }
-    let invalid_response = |detail: &str| {
-        CallOutcome::Failed(Problem::unknown(
-            ProblemKind::UpstreamError,
-            format_compact!("the service's answer {detail}"),
-        ))
-    };
-    if bytes.len() as u64 > SERVICE_RESPONSE_BYTES_MAX {
-        return Err(invalid_response("is over 16 MiB"));
-    }
-    let Ok(text) = String::from_utf8(bytes) else {
-        return Err(invalid_response("is not UTF-8 text"));
-    };
-    Ok(PlainResponse {
-        status: status.as_u16(),
-        content_type: header_text("content-type")
-            .unwrap_or("application/json")
-            .to_owned(),
-        body: text,
-    })
+    read_response(response)
 }
--- a/crates/masticdock-daemon/src/tests/request_path/cluster.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/cluster.rs
@@ -151,6 +151,12 @@
         self.agent(id, true, engine.addr, GateState::Serving(Some(version)))
     }
 
+    /// Starts an agent in front of the engine at an address and publishes it with version `v1`.
+    pub(super) fn engine_agent_at(&self, id: &str, engine: SocketAddr) -> Agent {
+        let version = "v1".parse().expect("a version");
+        self.agent(id, true, engine, GateState::Serving(Some(version)))
+    }
+
     /// Starts an agent in front of a fake plain service and publishes it.
     pub(super) fn plain_agent(&self, id: &str, plain: &FakeService) -> Agent {
         self.plain_agent_at(id, plain.addr)
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -275,6 +275,25 @@
     addr
 }
 
+/// Starts an engine whose first rejection of a completion breaks off within its body.
+pub(super) fn spawn_cut_rejection() -> SocketAddr {
+    let completions = AtomicU64::new(0);
+    serve(move |mut request| {
+        if request.url() == "/status" {
+            return respond(request, 404, "text/plain", &[], Vec::new());
+        }
+        let _ = read_json(&mut request);
+        let body = r#"{"error": "prompt too long"}"#;
+        if completions.fetch_add(1, Ordering::SeqCst) > 0 {
+            return respond(request, 400, "application/json", &[], body.into());
+        }
+        let mut writer = request.into_writer();
+        let length = body.len();
+        let head = format!("HTTP/1.1 400 Bad Request\r\nContent-Length: {length}\r\n\r\n");
+        let _ = write!(writer, "{head}{}", &body[..9]).and_then(|()| writer.flush());
+    })
+}
+
 /// Starts a plain service that crashes on its first request: its port closes, then the
 /// connection. Counts the request in `runs`.
 pub(super) fn spawn_crashing_service(runs: &Arc<AtomicU64>) -> SocketAddr {
--- a/crates/masticdock-daemon/src/tests/request_path/streams.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/streams.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use super::cluster::{TestCluster, eventually, post_prompt, request, stream_completion};
-use super::fakes::{EngineBehavior, FakeEngine, spawn_silent_agent};
+use super::fakes::{EngineBehavior, FakeEngine, spawn_cut_rejection, spawn_silent_agent};
 use crate::agent::GateState;
 
 /// Guards against lost, reordered or unversioned tokens, both streamed and in one response.
@@ -129,6 +129,18 @@
     assert_eq!(streamed.text, FakeEngine::text("v1", 0, 6));
 }
 
+/// Guards against an error text of the engine that reaches the caller cut off, as if it were whole.
+#[test]
+fn a_cut_rejection_by_the_engine_is_not_taken_for_its_answer() {
+    let cluster = TestCluster::new();
+    let _agent = cluster.engine_agent_at("vm-1", spawn_cut_rejection());
+    let entry = cluster.entry("entry-1");
+    let body = json!({ "prompt": "p", "max_tokens": 6 }).to_string();
+    let response = request(entry.addr(), "assistant").text(body).send();
+    let text = response.expect("an answer").text_utf8().expect("a body");
+    assert_eq!(text, r#"{"error": "prompt too long"}"#);
+}
+
 /// Guards against a stream that is cut because its next upstream rejects it for some seconds.
 #[test]
 fn a_broken_stream_outlasts_rejections_by_an_overloaded_engine() {
