--- a/crates/masticdock-core/tests/serving_load.rs
+++ b/crates/masticdock-core/tests/serving_load.rs
@@ -1,7 +1,7 @@
 //! Waits for an upstream, as one entry remembers them.
 
 use masticdock_core::serving::{
-    Candidate, Placement, PlacementRules, RequestSize, UpstreamLoad, place,
+    Candidate, EngineRoom, PlaceRules, Placement, PlacementRules, RequestSize, UpstreamLoad, place,
 };
 use masticdock_core::units::MonoMs;
 
@@ -86,3 +86,45 @@
     let later = place_at(slow_at.plus_ms(3_000));
     assert!(matches!(later, Placement::Send { .. }), "{later:?}");
 }
+
+/// Guards against numbers near their maximum, as another writer or a faulty upstream may name
+/// them, that stop the placement of requests.
+#[test]
+fn numbers_near_their_maximum_do_not_stop_placement() {
+    let now = MonoMs(10_000);
+    let size = RequestSize {
+        prompt_tokens: u64::MAX,
+        answer_tokens: u64::MAX,
+    };
+    let mut load = UpstreamLoad::default();
+    load.record_report(u32::MAX, u32::MAX, now);
+    load.set_entry_count(u32::MAX);
+    for _ in 0..4 {
+        load.begin_request(size.prompt_tokens);
+    }
+    assert!(load.others_pending_prefills(1.0, now).is_finite());
+    let candidate = |slots, total| Candidate {
+        slots,
+        total,
+        pending_prefill_tokens: load.pending_prefill_tokens,
+        others_pending_prefills: 0.0,
+        slowdown: 1.0,
+        link_delay_ms: 0.0,
+        switch_in_ms: None,
+        service_ms: 0.0,
+        distance_ms: 0.0,
+        has_place: None,
+        silent: false,
+        draw: 0.0,
+    };
+    let candidates = [candidate(u32::MAX, load.total(now)), candidate(u32::MAX, 0)];
+    let rules = PlacementRules::default();
+    let placement = place(&candidates, None, size, 400.0, false, &rules);
+    assert!(matches!(placement, Placement::Send { index: 1, .. }));
+    let room = EngineRoom {
+        slots: u32::MAX,
+        mean_prefill_ms: 1,
+        ..EngineRoom::default()
+    };
+    assert!(room.free_places(&PlaceRules::default()) > 0);
+}
