Start long-running tasks again after a panic, and report panics

A panic in a long-running task (the watcher of a table, the loop that accepts connections, the cleanup, an agent's loops) ended it for good while the process went on and reported itself ready: the entry stayed on an old configuration or accepted nothing. A panic elsewhere took its request along; both showed on standard error only.

Cause: `spawn_local` drops the result of a task. Class: an unsupervised task.

Change: `spawn_restarted` starts such a task again a second after a panic, a table's watcher with a full read. A hook logs each panic as `task.panicked` and counts it in `masticdock_panics_total`.

--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -18,10 +18,10 @@
 use std::rc::Rc;
 
 use masticdock_adapter::NodeSettings;
-use tokio::task::spawn_local;
 
 use crate::StartError;
 use crate::signals::{SignalAction, Signals};
+use crate::tasks::spawn_restarted;
 use state::Agent;
 
 /// Runs the agent until it receives SIGTERM.
@@ -33,12 +33,12 @@
         )));
     };
     let agent = Rc::new(Agent::new(Rc::clone(&settings), upstream));
-    spawn_local(store_reads::run(Rc::clone(&agent)));
-    spawn_local(engine_poll::run(Rc::clone(&agent)));
-    spawn_local(fetch_loop::run(Rc::clone(&agent)));
-    spawn_local(switch_loop::run(Rc::clone(&agent)));
-    spawn_local(reporter::run(Rc::clone(&agent)));
-    spawn_local(peer_server::run(Rc::clone(&agent)));
+    spawn_for(&agent, "store_reads", store_reads::run);
+    spawn_for(&agent, "engine_poll", engine_poll::run);
+    spawn_for(&agent, "fetch_loop", fetch_loop::run);
+    spawn_for(&agent, "switch_loop", switch_loop::run);
+    spawn_for(&agent, "reporter", reporter::run);
+    spawn_for(&agent, "peer_server", peer_server::run);
     loop {
         match signals.next().await {
             SignalAction::Stop => {
@@ -49,3 +49,11 @@
         }
     }
 }
+
+fn spawn_for<T>(agent: &Rc<Agent>, name: &'static str, run: impl Fn(Rc<Agent>) -> T + 'static)
+where
+    T: Future<Output = ()> + 'static,
+{
+    let agent = Rc::clone(agent);
+    spawn_restarted(name, move || run(Rc::clone(&agent)));
+}
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -155,7 +155,7 @@
 }
 
 /// Accepts connections until the task is aborted.
-pub(crate) async fn accept(entry: Rc<Entry>, listener: TcpListener) {
+pub(crate) async fn accept(entry: Rc<Entry>, listener: Rc<TcpListener>) {
     loop {
         let stream = http_server::accept(&listener).await;
         let open_max = entry
--- a/crates/masticdock-node/src/lib.rs
+++ b/crates/masticdock-node/src/lib.rs
@@ -12,12 +12,14 @@
 mod pauses;
 mod signals;
 mod tables;
+mod tasks;
 mod upstream_list;
 
 use std::rc::Rc;
 
 pub use http_server::{ResponseBody, respond, serve, serve_on};
 use masticdock_adapter::{NodeSettings, read_settings, settings_path};
+pub use tasks::spawn_restarted;
 
 /// Error that prevents a process from starting.
 #[derive(Debug, thiserror::Error)]
@@ -50,6 +52,7 @@
     let path = settings_path();
     let settings = Rc::new(read_settings(&path)?);
     let log = json_log::install(&settings.node);
+    tasks::report_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -32,6 +32,8 @@
     pub(crate) request_seconds: HistogramVec,
     /// Time in which the process did not run, in seconds.
     pub(crate) paused_seconds: Counter,
+    /// Number of panics of tasks.
+    pub(crate) panics: IntCounter,
 }
 
 /// Histogram bucket bounds, in seconds: finest around objectives of 0.3 to 0.5 s, and
@@ -86,6 +88,10 @@
             "masticdock_paused_seconds_total",
             "Time in which the process did not run.",
         )?;
+        let panics = IntCounter::new(
+            "masticdock_panics_total",
+            "Panics of tasks, which are faults of the program.",
+        )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
@@ -93,6 +99,7 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(paused_seconds.clone()))?;
+        registry.register(Box::new(panics.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -102,6 +109,7 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
+            panics,
         })
     }
 }
