Keep the service time of an idle upstream that is quick

Found by the review: the decay of the service time, which lets an upstream that was slow be tried again, also raised that of a quick one to the assumed 50 ms while it got no requests. With an objective near that, each request would count as late and nothing would be sent: the same class of fault, an estimate that excludes what would correct it.

Evidence: an_idle_upstream_is_not_taken_for_slower fails before (10 ms measured, above 10 ms after 30 s without requests) and passes now. Only a longer time than the assumed one decays.

--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -317,8 +317,8 @@
         self.service = Some((service_ms, now));
     }
 
-    /// Returns the smoothed service time, in milliseconds; 0 when unknown. Decays to the
-    /// assumed one, so that an upstream which was slow is tried again although it got no
+    /// Returns the smoothed service time, in milliseconds; 0 when unknown. A longer one than
+    /// assumed decays, so that an upstream which was slow is tried again although it got no
     /// requests since.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
@@ -327,7 +327,8 @@
             return 0.0;
         };
         let decay = 0.5_f64.powf(now.since_ms(at) as f64 / SERVICE_HALF_LIFE_MS);
-        ASSUMED_SERVICE_MS + (service_ms - ASSUMED_SERVICE_MS) * decay
+        let excess_ms = (service_ms - ASSUMED_SERVICE_MS).max(0.0);
+        service_ms - excess_ms * (1.0 - decay)
     }
 
     /// Backs off exponentially after a failed connection or a broken response.
--- a/crates/masticdock-core/tests/serving_load.rs
+++ b/crates/masticdock-core/tests/serving_load.rs
@@ -128,3 +128,12 @@
     };
     assert!(room.free_places(&PlaceRules::default()) > 0);
 }
+
+/// Guards against a quick upstream that counts as slow because it got no requests for a while.
+#[test]
+fn an_idle_upstream_is_not_taken_for_slower() {
+    let quick_at = MonoMs(60_000);
+    let mut load = UpstreamLoad::default();
+    load.record_service_time(10, quick_at);
+    assert!(load.service_ms(quick_at.plus_ms(30_000)) <= 10.0);
+}
