End connections whose request head stays incomplete

A caller that sent a part of a head kept its connection, and at a shutdown the process, without limit.

Cause: 'has arrived' stood for both what was read before the timeout and what has come since. Class: a check that stale input keeps true.

Evidence: a_head_that_stays_incomplete_ends_its_connection (limit 0.5 s, the rest sent after 3 s) got 200 before, and the connection is closed now; the eight other tests of entry_keep_alive pass, with the_rest_of_a_head_that_arrives_during_a_pause_ is_in_time. In a head, only bytes that no server has read are progress.

--- a/crates/masticdock-node/src/entry/caller_stream.rs
+++ b/crates/masticdock-node/src/entry/caller_stream.rs
@@ -43,12 +43,14 @@
         }
     }
 
-    /// Returns whether the caller has sent bytes that no server has parsed. Asks the socket
+    /// Returns whether a server has read bytes without parsing them.
+    pub(super) fn has_unparsed(&self) -> bool {
+        !self.unparsed.is_empty()
+    }
+
+    /// Returns whether the caller has sent bytes that no server has read. Asks the socket
     /// itself, since the event loop may not have seen its latest events yet.
-    pub(super) fn has_input(&self) -> bool {
-        if !self.unparsed.is_empty() {
-            return true;
-        }
+    pub(super) fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.stream).peek(&mut byte);
         peeked.is_ok_and(|bytes| bytes > 0)
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -175,10 +175,13 @@
     let mut stream = CallerStream::new(stream, Rc::clone(&connection));
     while let Some(returned) = serve_requests(&entry, &connection, stream).await {
         stream = returned;
-        if !connection.is_due(&entry.limits()) || stream.has_input() {
+        let is_head = connection.phase() == ConnectionPhase::Head;
+        // A part of a head that was read before the timeout is not progress.
+        let has_input = stream.has_unread() || !is_head && stream.has_unparsed();
+        if !connection.is_due(&entry.limits()) || has_input {
             continue;
         }
-        if connection.phase() == ConnectionPhase::Head {
+        if is_head {
             log::info!(event = "connection.slow_head"; "request head not received in time; the connection is closed");
             return;
         }
