--- a/crates/masticdock-node/src/agent/mod.rs
+++ b/crates/masticdock-node/src/agent/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::StartError;
 use crate::signals::{SignalAction, Signals};
-use crate::tasks::spawn_restarted;
+use crate::tasks::spawn_with_state;
 use state::Agent;
 
 /// Runs the agent until it receives SIGTERM.
@@ -33,12 +33,12 @@
         )));
     };
     let agent = Rc::new(Agent::new(Rc::clone(&settings), upstream));
-    spawn_for(&agent, "store_reads", store_reads::run);
-    spawn_for(&agent, "engine_poll", engine_poll::run);
-    spawn_for(&agent, "fetch_loop", fetch_loop::run);
-    spawn_for(&agent, "switch_loop", switch_loop::run);
-    spawn_for(&agent, "reporter", reporter::run);
-    spawn_for(&agent, "peer_server", peer_server::run);
+    spawn_with_state(&agent, "store_reads", store_reads::run);
+    spawn_with_state(&agent, "engine_poll", engine_poll::run);
+    spawn_with_state(&agent, "fetch_loop", fetch_loop::run);
+    spawn_with_state(&agent, "switch_loop", switch_loop::run);
+    spawn_with_state(&agent, "reporter", reporter::run);
+    spawn_with_state(&agent, "peer_server", peer_server::run);
     loop {
         match signals.next().await {
             SignalAction::Stop => {
@@ -49,11 +49,3 @@
         }
     }
 }
-
-fn spawn_for<T>(agent: &Rc<Agent>, name: &'static str, run: impl Fn(Rc<Agent>) -> T + 'static)
-where
-    T: Future<Output = ()> + 'static,
-{
-    let agent = Rc::clone(agent);
-    spawn_restarted(name, move || run(Rc::clone(&agent)));
-}
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -34,7 +34,7 @@
 use masticdock_adapter::{NodeSettings, Table};
 use masticdock_core::serving::DirectoryChange;
 use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::StartError;
@@ -42,7 +42,7 @@
 use crate::metrics;
 use crate::signals::{SignalAction, Signals};
 use crate::tables::{PollPause, TableWatcher, poll_limits};
-use crate::tasks::spawn_restarted;
+use crate::tasks::spawn_with_state;
 use state::Entry;
 
 /// Range of the interval between polls while the configuration changes rapidly; a
@@ -70,15 +70,15 @@
     };
     let entry = Rc::new(Entry::new(Rc::clone(&settings)));
     let listener = Rc::new(TcpListener::bind(callers).await?);
-    spawn_for(&entry, "readiness", move |entry| {
+    spawn_with_state(&entry, "readiness", move |entry| {
         serve_readiness(readiness, entry)
     });
     spawn_local(metrics::serve_metrics(settings.ip));
     follow_tables(&entry);
-    spawn_for(&entry, "reports", reports::run);
-    spawn_for(&entry, "upstreams_server", upstreams_server::run);
-    spawn_for(&entry, "cleanup", run_cleanup);
-    let accept_task = spawn_for(&entry, "accept", move |entry| {
+    spawn_with_state(&entry, "reports", reports::run);
+    spawn_with_state(&entry, "upstreams_server", upstreams_server::run);
+    spawn_with_state(&entry, "cleanup", run_cleanup);
+    let accept_task = spawn_with_state(&entry, "accept", move |entry| {
         connections::accept(entry, Rc::clone(&listener))
     });
     loop {
@@ -91,18 +91,6 @@
     Ok(())
 }
 
-fn spawn_for<T>(
-    entry: &Rc<Entry>,
-    name: &'static str,
-    run: impl Fn(Rc<Entry>) -> T + 'static,
-) -> JoinHandle<()>
-where
-    T: Future<Output = ()> + 'static,
-{
-    let entry = Rc::clone(entry);
-    spawn_restarted(name, move || run(Rc::clone(&entry)))
-}
-
 async fn serve_readiness(address: SocketAddr, entry: Rc<Entry>) {
     let result = serve(address, move |_request| {
         let status = if entry.is_ready() {
@@ -125,7 +113,7 @@
         store: entry.settings.store_address,
         long_poll_wait: limits.long_poll(),
     };
-    spawn_for(entry, "operators_table", move |entry| {
+    spawn_with_state(entry, "operators_table", move |entry| {
         watcher.run(move |event| {
             if entry.catalog.borrow_mut().apply_operator_event(event) {
                 entry.version_declared.notify_one();
@@ -137,7 +125,7 @@
         table: Table::Upstreams,
         ..watcher
     };
-    spawn_for(entry, "upstreams_table", move |entry| {
+    spawn_with_state(entry, "upstreams_table", move |entry| {
         watcher.run(move |event| {
             let changes = entry.catalog.borrow_mut().apply_upstream_event(event);
             discard_stale_state(&entry, &changes);
--- a/crates/masticdock-node/src/tasks/mod.rs
+++ b/crates/masticdock-node/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 use std::future::poll_fn;
 use std::panic::{AssertUnwindSafe, PanicHookInfo, catch_unwind};
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -58,3 +59,17 @@
         }
     })
 }
+
+/// Spawns a task of a role like [`spawn_restarted`]; `run` gets the state of the role.
+pub(crate) fn spawn_with_state<S, T>(
+    state: &Rc<S>,
+    name: &'static str,
+    run: impl Fn(Rc<S>) -> T + 'static,
+) -> JoinHandle<()>
+where
+    S: 'static,
+    T: Future<Output = ()> + 'static,
+{
+    let state = Rc::clone(state);
+    spawn_restarted(name, move || run(Rc::clone(&state)))
+}
