Copy the failed attempts of a request only while an upstream is silent

Cause: each attempt copied the list of failed upstreams and extended it for a retry that only a silent upstream needs; the relay built the same list again by itself, and the functions of retry.rs took the two parts of FailedAttempts apart.

Change: FailedAttempts::with_silent makes the copy where silence is found, for attempts and streams, and retry.rs takes FailedAttempts whole.

--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -103,7 +103,7 @@
         begin_window: chosen.begin_window,
         predicted_ms: chosen.nominal_ms,
         engine_ms: chosen.engine_ms,
-        retry: RetryWhileSilent::new(failures, id),
+        retry: RetryWhileSilent::new(failures),
     };
     let result = exchange(
         entry,
@@ -154,7 +154,7 @@
     target: &UpstreamTarget,
     acquired: AttemptConnection,
     load: LoadGuard,
-    limits: &WaitLimits,
+    limits: &WaitLimits<'_>,
 ) -> AttemptResult {
     let AttemptConnection {
         mut connection,
@@ -258,7 +258,7 @@
     entry: &Entry,
     call: &Call,
     target: &UpstreamTarget,
-    limits: &WaitLimits,
+    limits: &WaitLimits<'_>,
     mut stream: OpenStream,
 ) -> AttemptResult {
     while stream.first_events.is_empty() {
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -218,14 +218,7 @@
 
     /// Resumes a stream that broke, now or later; returns an end if that is not possible.
     fn resume_broken(&mut self) -> Option<RelayEnd> {
-        let failures = &self.failures;
-        let plan = plan_retry(
-            &self.entry,
-            &self.call,
-            &failures.history,
-            &failures.upstreams,
-        );
-        match plan {
+        match plan_retry(&self.entry, &self.call, &self.failures) {
             RetryPlan::Send(chosen) => {
                 self.open_standby(*chosen, None);
                 None
@@ -249,13 +242,11 @@
         if self.standby.is_some() {
             return;
         }
-        let mut history = self.failures.history;
-        let mut excluded = self.failures.upstreams.clone();
-        if !current.is_recorded {
-            history.record(AttemptOutcome::Silent);
-            excluded.push(id.clone());
-        }
-        let plan = plan_retry(&self.entry, &self.call, &history, &excluded);
+        let plan = if current.is_recorded {
+            plan_retry(&self.entry, &self.call, &self.failures)
+        } else {
+            plan_retry(&self.entry, &self.call, &self.failures.with_silent(id))
+        };
         let decision = match &plan {
             RetryPlan::Send(_) => "resumed",
             RetryPlan::Later(reason) | RetryPlan::Never(reason) => reason,
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -241,6 +241,14 @@
             .with_label_values(&[failure.as_str()])
             .inc();
     }
+
+    /// Returns the attempts with one at `upstream`, which is silent, among the failed ones.
+    pub(crate) fn with_silent(&self, upstream: &UpstreamId) -> Self {
+        let mut failures = self.clone();
+        failures.history.record(AttemptOutcome::Silent);
+        failures.upstreams.push(upstream.clone());
+        failures
+    }
 }
 
 /// Sends a request to upstreams until it has a response or no retry is allowed.
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -1,11 +1,10 @@
 //! Decides whether a request can be sent to another upstream at the moment.
 
-use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
 use super::candidates::ChosenUpstream;
 use super::pool::{AttemptConnection, acquire_connection};
-use super::request::{Call, attempts_max, choose_for_call};
+use super::request::{Call, FailedAttempts, attempts_max, choose_for_call};
 use super::state::Entry;
 use crate::clock;
 
@@ -27,15 +26,10 @@
     pub(super) connection: AttemptConnection,
 }
 
-/// Plans another attempt after those in `history`, at an upstream other than `excluded`.
-pub(super) fn plan_retry(
-    entry: &Entry,
-    call: &Call,
-    history: &AttemptHistory,
-    excluded: &[UpstreamId],
-) -> RetryPlan {
-    let plan = choose_retry(entry, call, history, excluded);
-    if matches!(plan, RetryPlan::Send(_)) && !spend_budget(entry, call, history) {
+/// Plans another attempt after failed ones, at another upstream.
+pub(super) fn plan_retry(entry: &Entry, call: &Call, failures: &FailedAttempts) -> RetryPlan {
+    let plan = choose_retry(entry, call, failures);
+    if matches!(plan, RetryPlan::Send(_)) && !spend_budget(entry, call, &failures.history) {
         return RetryPlan::Later("no_budget");
     }
     plan
@@ -50,10 +44,10 @@
 pub(super) async fn prepare_retry(
     entry: &Entry,
     call: &Call,
-    history: &AttemptHistory,
-    excluded: &[UpstreamId],
+    failures: &FailedAttempts,
 ) -> Result<Box<PreparedAttempt>, &'static str> {
-    let chosen = match choose_retry(entry, call, history, excluded) {
+    let history = &failures.history;
+    let chosen = match choose_retry(entry, call, failures) {
         RetryPlan::Send(chosen) => *chosen,
         RetryPlan::Later(reason) | RetryPlan::Never(reason) => return Err(reason),
     };
@@ -71,12 +65,11 @@
 }
 
 /// Plans another attempt without spending the retry budget.
-fn choose_retry(
-    entry: &Entry,
-    call: &Call,
-    history: &AttemptHistory,
-    excluded: &[UpstreamId],
-) -> RetryPlan {
+fn choose_retry(entry: &Entry, call: &Call, failures: &FailedAttempts) -> RetryPlan {
+    let FailedAttempts {
+        history,
+        upstreams: excluded,
+    } = failures;
     let attempts_max = attempts_max(entry, call);
     let checked = check_retry(call.route.kind, attempts_max, history, call.time_left_ms());
     if let Err(denial) = checked {
--- a/crates/masticdock-node/src/entry/wait.rs
+++ b/crates/masticdock-node/src/entry/wait.rs
@@ -5,7 +5,7 @@
 
 use masticdock_adapter::UpstreamTarget;
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{AttemptHistory, AttemptOutcome, BeginWindow};
+use masticdock_core::serving::BeginWindow;
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, sleep_until};
 
@@ -25,7 +25,7 @@
 
 /// Limits on the time that an attempt waits for its response.
 #[derive(Debug)]
-pub(super) struct WaitLimits {
+pub(super) struct WaitLimits<'a> {
     pub(super) started_at: Instant,
     pub(super) started_mono: MonoMs,
     /// Limits on the start of the request if the upstream's version expires.
@@ -34,38 +34,32 @@
     pub(super) predicted_ms: f64,
     /// Part of the predicted time that the request spends at the engine, in milliseconds.
     pub(super) engine_ms: f64,
-    pub(super) retry: RetryWhileSilent,
+    pub(super) retry: RetryWhileSilent<'a>,
 }
 
 /// Retry of a request whose present attempt is silent.
 #[derive(Debug)]
-pub(super) struct RetryWhileSilent {
-    /// Attempts with the present one.
-    history: AttemptHistory,
-    excluded: Vec<UpstreamId>,
+pub(super) struct RetryWhileSilent<'a> {
+    /// Failed attempts before the present one.
+    failures: &'a FailedAttempts,
     /// Attempt that takes the place of the present one.
     pub(super) prepared: RefCell<Option<Box<PreparedAttempt>>>,
     /// Last logged reason why no retry can be sent.
     logged_reason: Cell<Option<&'static str>>,
 }
 
-impl RetryWhileSilent {
-    /// Creates the state for an attempt at `upstream` after `failures`.
-    pub(super) fn new(failures: &FailedAttempts, upstream: &UpstreamId) -> Self {
-        let mut history = failures.history;
-        history.record(AttemptOutcome::Silent);
-        let mut excluded = failures.upstreams.clone();
-        excluded.push(upstream.clone());
+impl<'a> RetryWhileSilent<'a> {
+    /// Creates the state for an attempt after `failures`.
+    pub(super) fn new(failures: &'a FailedAttempts) -> Self {
         Self {
-            history,
-            excluded,
+            failures,
             prepared: RefCell::default(),
             logged_reason: Cell::default(),
         }
     }
 }
 
-impl WaitLimits {
+impl WaitLimits<'_> {
     /// Returns the time since the attempt was sent, in milliseconds.
     pub(super) fn waited_ms(&self) -> f64 {
         self.started_at.elapsed().as_secs_f64() * 1_000.0
@@ -98,7 +92,7 @@
     entry: &Entry,
     call: &Call,
     target: &UpstreamTarget,
-    limits: &WaitLimits,
+    limits: &WaitLimits<'_>,
     future: impl Future<Output = T>,
 ) -> Result<T, Duration> {
     let mut future = std::pin::pin!(future);
@@ -128,12 +122,13 @@
         }
         limits.record_silence(entry, &target.id);
         let retry = &limits.retry;
+        let failures = retry.failures.with_silent(&target.id);
         // The response may arrive while the retry connects.
         let prepared = tokio::select! {
             biased;
             done = &mut future => return Ok(done),
             () = sleep_until(ends_at) => continue,
-            prepared = prepare_retry(entry, call, &retry.history, &retry.excluded) => prepared,
+            prepared = prepare_retry(entry, call, &failures) => prepared,
         };
         match prepared {
             Ok(prepared) => {
@@ -149,7 +144,7 @@
 fn log_kept_attempt(
     call: &Call,
     target: &UpstreamTarget,
-    limits: &WaitLimits,
+    limits: &WaitLimits<'_>,
     reason: &'static str,
 ) {
     if limits.retry.logged_reason.replace(Some(reason)) == Some(reason) {
@@ -167,7 +162,7 @@
 
 /// Records how long an upstream kept the attempt waiting for its first byte or event, or
 /// how long it did so until the attempt gave up.
-pub(super) fn record_wait(entry: &Entry, target: &UpstreamTarget, limits: &WaitLimits) {
+pub(super) fn record_wait(entry: &Entry, target: &UpstreamTarget, limits: &WaitLimits<'_>) {
     let waited_ms = limits.waited_ms();
     entry.with_load(&target.id, |load| {
         load.record_wait(waited_ms, limits.engine_ms, clock::now());
