Reject a request by its head in one place

Cause: three early returns of handle_request read the rest of the body and then rejected, each by itself; a fourth could forget the body.

No behaviour changes.

--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod reports;
 mod request;
 mod retry;
+mod route;
 mod shutdown;
 mod state;
 mod upstreams_server;
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, RouteMatch,
-    next_step,
+    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, next_step,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout_at};
@@ -27,15 +26,11 @@
 };
 use super::relay;
 use super::retry::PreparedAttempt;
+use super::route::{HeadRejection, RoutedRequest, route_request};
 use super::state::Entry;
 use crate::clock;
 use crate::metrics::metrics;
 
-/// Time after SIGTERM from which new requests are rejected, in milliseconds: a
-/// request that begins later may not end within the grace period.
-const ACCEPT_WHILE_STOPPING_MS: u64 = 3_000;
-/// `Retry-After` delay while the entry is not ready, in milliseconds.
-const NOT_READY_RETRY_AFTER_MS: u64 = 500;
 /// Maximum time for reading the body of a request that is rejected because of its head.
 const UNUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of requests that state none, in milliseconds.
@@ -95,42 +90,23 @@
     let (parts, body) = request.into_parts();
     let head = parse_caller_head(&parts.headers);
     let request_id = head.request_id.clone();
-    let Some(configuration) = entry.configuration().filter(|_| entry.accepts_requests()) else {
-        discard_body(&entry, &parts.headers, body, &in_use).await;
-        return reject(
-            &request_id,
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not_ready",
-            Some(NOT_READY_RETRY_AFTER_MS),
-            in_use,
-        );
-    };
-    let host = match parts.uri.authority() {
-        Some(authority) => Some(authority.as_str()),
-        None => parts.headers.get(HOST).and_then(|host| host.to_str().ok()),
-    };
-    let matched = configuration.find(
-        host.unwrap_or_default(),
-        parts.uri.path(),
-        head.api_key.as_deref(),
-    );
-    let (route, workspace) = match matched {
-        RouteMatch::Route { route, workspace } => (route.clone(), workspace.cloned()),
-        RouteMatch::NoRoute => {
-            discard_body(&entry, &parts.headers, body, &in_use).await;
-            return reject(&request_id, StatusCode::NOT_FOUND, "no_route", None, in_use);
-        }
-        RouteMatch::UnknownKey => {
+    let routed = match route_request(&entry, &parts, &head) {
+        Ok(routed) => routed,
+        Err(rejection) => {
             discard_body(&entry, &parts.headers, body, &in_use).await;
-            return reject(
-                &request_id,
-                StatusCode::UNAUTHORIZED,
-                "unknown_key",
-                None,
-                in_use,
-            );
+            let HeadRejection {
+                status,
+                reason,
+                retry_after_ms,
+            } = rejection;
+            return reject(&request_id, status, reason, retry_after_ms, in_use);
         }
     };
+    let RoutedRequest {
+        configuration,
+        route,
+        workspace,
+    } = routed;
     let deadline_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let time_ms = deadline_ms.min(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(time_ms);
@@ -389,14 +365,3 @@
         0
     }
 }
-
-impl Entry {
-    /// Returns true while new requests are accepted.
-    fn accepts_requests(&self) -> bool {
-        let upstreams_loaded = self.catalog.borrow().upstreams_loaded;
-        let stopping_ms = self
-            .stopping_since()
-            .map_or(0, |since| clock::now().since_ms(since));
-        upstreams_loaded && stopping_ms < ACCEPT_WHILE_STOPPING_MS
-    }
-}
--- /dev/null
+++ b/crates/masticdock-node/src/entry/route.rs
@@ -0,0 +1,86 @@
+//! Routing of a caller's request by its head.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use http::header::HOST;
+use http::request::Parts;
+use masticdock_adapter::CallerHead;
+use masticdock_core::serving::{Configuration, Route, RouteMatch, Workspace};
+
+use super::state::Entry;
+use crate::clock;
+
+/// Time after SIGTERM from which new requests are rejected, in milliseconds: a
+/// request that begins later may not end within the grace period.
+const ACCEPT_WHILE_STOPPING_MS: u64 = 3_000;
+/// `Retry-After` delay while the entry is not ready, in milliseconds.
+const NOT_READY_RETRY_AFTER_MS: u64 = 500;
+
+/// Route of a request and workspace of its caller, in the configuration in force.
+pub(super) struct RoutedRequest {
+    pub(super) configuration: Rc<Configuration>,
+    pub(super) route: Route,
+    pub(super) workspace: Option<Workspace>,
+}
+
+/// Rejection of a request by its head alone.
+pub(super) struct HeadRejection {
+    pub(super) status: StatusCode,
+    pub(super) reason: &'static str,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+/// Finds the route of a request.
+///
+/// # Errors
+///
+/// Returns a rejection if the entry takes no requests, no route matches or the API key is
+/// unknown.
+pub(super) fn route_request(
+    entry: &Entry,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<RoutedRequest, HeadRejection> {
+    let reject = |status, reason, retry_after_ms| HeadRejection {
+        status,
+        reason,
+        retry_after_ms,
+    };
+    let Some(configuration) = entry.configuration().filter(|_| entry.accepts_requests()) else {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(reject(status, "not_ready", Some(NOT_READY_RETRY_AFTER_MS)));
+    };
+    let host = match parts.uri.authority() {
+        Some(authority) => Some(authority.as_str()),
+        None => parts.headers.get(HOST).and_then(|host| host.to_str().ok()),
+    };
+    let matched = configuration.find(
+        host.unwrap_or_default(),
+        parts.uri.path(),
+        head.api_key.as_deref(),
+    );
+    let (route, workspace) = match matched {
+        RouteMatch::Route { route, workspace } => (route.clone(), workspace.cloned()),
+        RouteMatch::NoRoute => return Err(reject(StatusCode::NOT_FOUND, "no_route", None)),
+        RouteMatch::UnknownKey => {
+            return Err(reject(StatusCode::UNAUTHORIZED, "unknown_key", None));
+        }
+    };
+    Ok(RoutedRequest {
+        configuration,
+        route,
+        workspace,
+    })
+}
+
+impl Entry {
+    /// Returns true while new requests are accepted.
+    fn accepts_requests(&self) -> bool {
+        let upstreams_loaded = self.catalog.borrow().upstreams_loaded;
+        let stopping_ms = self
+            .stopping_since()
+            .map_or(0, |since| clock::now().since_ms(since));
+        upstreams_loaded && stopping_ms < ACCEPT_WHILE_STOPPING_MS
+    }
+}
