--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -205,10 +205,9 @@
         {
             ConfigurationDecision::Ignore => {}
             ConfigurationDecision::Adopt => {
-                self.adopt_configuration(configuration);
-                if is_first && source == ConfigurationSource::Snapshot {
-                    self.configuration_written_in = None;
-                }
+                let may_be_copy = is_first && source == ConfigurationSource::Snapshot;
+                let written_in = self.operators_era.filter(|_| !may_be_copy);
+                self.adopt_configuration(configuration, written_in);
             }
             ConfigurationDecision::Hold(until) => {
                 log::warn!(
@@ -228,7 +227,7 @@
         if self.configuration_order.adopt_held(clock::now())
             && let Some(configuration) = self.held_configuration.take()
         {
-            self.adopt_configuration(configuration);
+            self.adopt_configuration(configuration, self.operators_era);
         }
     }
 
@@ -245,7 +244,7 @@
         current.map_or(0, |current| current.version)
     }
 
-    fn adopt_configuration(&mut self, configuration: Configuration) {
+    fn adopt_configuration(&mut self, configuration: Configuration, written_in: Option<StoreEra>) {
         let current = self.configuration_version();
         log::info!(
             event = "configuration.adopted",
@@ -255,7 +254,7 @@
             "configuration applied"
         );
         self.configuration = Some(Rc::new(configuration));
-        self.configuration_written_in = self.operators_era;
+        self.configuration_written_in = written_in;
     }
 
     /// Applies an event of the upstreams' table and returns the changes.
