Show that an entry ignores a replica that says in its answers that it leaves

A script lets the store turn the entry away for 9 s, as the site file does, while a replica of the booking service leaves: its row says draining, and all its answers bear Server-Leaving. The entry passes these answers on and keeps sending to the replica until it ends, 6 s later; over 40 requests come later than drain-ms after the first such answer, and those that run at the end are cut.

--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -258,6 +259,8 @@
     changed: Condvar,
     started: Instant,
     pub address: SocketAddr,
+    /// True while the store turns the system's machines away with 503.
+    pub busy: AtomicBool,
 }
 
 impl Store {
@@ -268,12 +271,19 @@
             changed: Condvar::new(),
             started: Instant::now(),
             address: listener.local_addr().unwrap(),
+            busy: AtomicBool::new(false),
         });
         let served = Arc::clone(&store);
         serve(listener, move |request, conn| served.answer(request, conn));
         store
     }
 
+    /// Turns the system's machines away, or serves them again. Writes are still accepted.
+    pub fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.change(table, key, Some(value));
     }
@@ -336,6 +346,9 @@
                             Self::encode_row(of, key, value.as_deref(), *version)
                         })
                         .collect();
+                    if self.busy.load(Ordering::SeqCst) {
+                        break Vec::new();
+                    }
                     let left = until.saturating_duration_since(Instant::now());
                     if !newer.is_empty() || left.is_zero() {
                         break newer;
@@ -355,6 +368,9 @@
             self.started.elapsed().as_millis()
         );
         drop(rows);
+        if self.busy.load(Ordering::SeqCst) {
+            return conn.write(&response(503, &[], b""));
+        }
         let json = [("Content-Type", "application/json")];
         conn.write(&response(200, &json, body.as_bytes()))
     }
