--- a/review/standins/bodies.rs
+++ b/review/standins/bodies.rs
@@ -5,6 +5,7 @@
 
 mod kit;
 
+use std::collections::HashSet;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,6 +16,7 @@
 
 const MODEL: &str = "daka510000";
 const SERVICE: &str = "llm";
+const ORDERS: &str = "orders";
 /// Memory limit of the entry in its settings; the platform kills a process above it.
 const MEMORY_BYTES: u64 = 260 * 1_048_576;
 /// Size of the large bodies; the configuration allows 4,194,304 bytes.
@@ -25,8 +27,14 @@
 /// Rate of each of them, so that all together stay within the entry's link of 1,000 Mbit/s.
 const CALLER_BYTES_PER_S: usize = 1_200_000;
 
-/// Serves streams of 20 events in 2 s.
-fn start_replica(ip: &str, id: String, record: Arc<Record>, alive: Arc<AtomicU64>) -> String {
+/// Work of a booking.
+const WORK: Duration = Duration::from_millis(250);
+
+/// Ids of the requests that reached a replica.
+type Runs = Mutex<HashSet<String>>;
+
+/// Serves streams of 20 events in 2 s, and bookings.
+fn start_replica(ip: &str, id: String, record: Arc<Record>, runs: Arc<Runs>) -> String {
     let listener = kit::listen(&format!("{ip}:0"));
     let address = listener.local_addr().unwrap().to_string();
     kit::serve(listener, move |request, conn| {
@@ -39,7 +47,14 @@
             return conn.write(&response(421, &headers, b""));
         }
         record.line(&format!("{id} runs {request_id}, {} bytes", request.body.len()));
-        alive.fetch_add(1, Ordering::SeqCst);
+        runs.lock().unwrap().insert(request_id.to_owned());
+        if request.path.starts_with("/book/") {
+            thread::sleep(WORK);
+            let seal = format!("s.{id}.{request_id}");
+            let headers = [("X-Request-Id", request_id), ("X-Response-Seal", seal.as_str())];
+            record.line(&format!("{id} has run {request_id}"));
+            return conn.write(&response(200, &headers, request_id.as_bytes()));
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: s.{id}.{request_id}\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
@@ -56,7 +71,7 @@
 
 fn configuration() -> String {
     format!(
-        r#"{{"version":7,"routes":[{{"name":"chat","host":"chat.example","prefix":"/chat/","kind":"streaming","timeout-ms":6000,"goal-ms":400,"priority":1,"service":"{SERVICE}","attempts":2,"anonymous":false,"sticky":true,"resumable":true,"gap-target-ms":400}}],"services":[{{"name":"{SERVICE}","health-path":"/health","max-conns":264,"protocol":"h1","tls":false,"engine":{{"slot-count":16,"kv-tokens":317000,"kv-bytes":262144,"stride":5,"models":[{{"name":"{MODEL}","pace":1.0,"load-s":4.0,"warm-s":0.3}}],"mb":149000.0,"step_ms":9.27,"per_seq_ms":0.0232,"context_per_k":0.0322,"read_per_s":20700.0,"chunk":2048,"report_lag_ms":200.0,"usual":{{"prompt":600,"answer":100}},"layers":16,"layer_mb":4090.0,"chunks":48,"chunk-bytes":49152}}}}],"limits":{{"header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"t1","api-keys":["key1"],"priority":1}}]}}"#
+        r#"{{"version":7,"routes":[{{"name":"chat","host":"chat.example","prefix":"/chat/","kind":"streaming","timeout-ms":6000,"goal-ms":400,"priority":1,"service":"{SERVICE}","attempts":2,"anonymous":false,"sticky":true,"resumable":true,"gap-target-ms":400}},{{"name":"book","host":"book.example","prefix":"/book/","kind":"non_idempotent","timeout-ms":800,"goal-ms":300,"priority":2,"service":"{ORDERS}","attempts":1,"anonymous":false}}],"services":[{{"name":"{ORDERS}","health-path":"/health","max-conns":96,"protocol":"h1","tls":false}},{{"name":"{SERVICE}","health-path":"/health","max-conns":264,"protocol":"h1","tls":false,"engine":{{"slot-count":16,"kv-tokens":317000,"kv-bytes":262144,"stride":5,"models":[{{"name":"{MODEL}","pace":1.0,"load-s":4.0,"warm-s":0.3}}],"mb":149000.0,"step_ms":9.27,"per_seq_ms":0.0232,"context_per_k":0.0322,"read_per_s":20700.0,"chunk":2048,"report_lag_ms":200.0,"usual":{{"prompt":600,"answer":100}},"layers":16,"layer_mb":4090.0,"chunks":48,"chunk-bytes":49152}}}}],"limits":{{"header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"t1","api-keys":["key1"],"priority":1}}]}}"#
     )
 }
 
@@ -71,14 +86,21 @@
 struct Outcomes {
     answered: AtomicU64,
     refused: AtomicU64,
-    /// Closed without a whole answer after the answer had begun, on kept channels.
+    /// Passed on from kept channels, which were closed without an answer.
     lost: AtomicU64,
     large_answered: AtomicU64,
     large_refused: AtomicU64,
     large_failed: AtomicU64,
 }
 
-fn call(entry: &str, caller: usize, ends: &AtomicBool, outcomes: &Outcomes, record: &Record) {
+fn call(
+    entry: &str,
+    caller: usize,
+    ends: &AtomicBool,
+    outcomes: &Outcomes,
+    runs: &Runs,
+    record: &Record,
+) {
     let mut conn: Option<Conn> = None;
     let mut count = 0;
     while !ends.load(Ordering::SeqCst) {
@@ -95,10 +117,18 @@
             },
         };
         let _ = channel.stream.set_read_timeout(Some(Duration::from_secs(7)));
-        let text = head(&format!("{caller}/{count}"), &id, 2) + "hi";
+        let text = format!(
+            "POST /book/{caller}/{count} HTTP/1.1\r\nHost: book.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1500\r\nApi-Key: key1\r\nContent-Length: 4\r\n\r\nbook"
+        );
         let answer = channel.write(text.as_bytes()).and_then(|()| channel.read_head());
         let Some((first, headers)) = answer else {
-            record.line(&format!("caller {caller}: {id} closed before an answer, kept {is_kept}"));
+            let is_at_work = runs.lock().unwrap().contains(&id);
+            record.line(&format!(
+                "caller {caller}: {id} closed without an answer, kept {is_kept}, passed on {is_at_work}"
+            ));
+            if is_kept && is_at_work {
+                outcomes.lost.fetch_add(1, Ordering::SeqCst);
+            }
             thread::sleep(Duration::from_millis(300));
             continue;
         };
@@ -112,18 +142,15 @@
                 outcomes.refused.fetch_add(1, Ordering::SeqCst)
             }
             None => {
-                record.line(&format!(
-                    "caller {caller}: {id} was passed on, and its channel ends in the answer, kept {is_kept}"
-                ));
-                if is_kept {
-                    outcomes.lost.fetch_add(1, Ordering::SeqCst);
-                }
+                record.line(&format!("caller {caller}: {id} ends within its answer"));
                 0
             }
         };
         if body.is_some() {
             conn = Some(channel);
         }
+        // Callers keep no common pace.
+        thread::sleep(Duration::from_millis(20 + (caller * 7 + count * 13) as u64 % 23 * 5));
     }
 }
 
@@ -166,7 +193,19 @@
     let net = kit::network();
     let store = Store::start(&format!("{net}.9"));
     store.put("op", "config", &configuration());
-    let runs = Arc::new(AtomicU64::new(0));
+    let runs = Arc::new(Runs::default());
+    for number in 0..3 {
+        let id = format!("o-{number}");
+        let ip = format!("{net}.{}", 40 + number);
+        let address = start_replica(&ip, id.clone(), Arc::clone(&record), Arc::clone(&runs));
+        store.put(
+            "servers",
+            &id,
+            &format!(
+                r#"{{"service":"{ORDERS}","address":"{address}","zone":"wien-a","version":"v1","slot-count":6,"state":"ready","cold-left-ms":0,"seq":1,"born":1700000000000}}"#
+            ),
+        );
+    }
     for number in 0..8 {
         let id = format!("i-{number}");
         let ip = format!("{net}.{}", 20 + number);
@@ -193,10 +232,11 @@
     let ends = Arc::new(AtomicBool::new(false));
     let outcomes = Arc::new(Outcomes::default());
     let mut threads = Vec::new();
-    for caller in 0..24 {
+    for caller in 0..16 {
         let (ip, ends) = (entry_ip.clone(), Arc::clone(&ends));
         let (outcomes, record) = (Arc::clone(&outcomes), Arc::clone(&record));
-        threads.push(thread::spawn(move || call(&ip, caller, &ends, &outcomes, &record)));
+        let runs = Arc::clone(&runs);
+        threads.push(thread::spawn(move || call(&ip, caller, &ends, &outcomes, &runs, &record)));
     }
     thread::sleep(Duration::from_secs(8));
     record.line(&format!("{callers_large} callers begin to send {LARGE_BYTES} bytes each"));
@@ -229,7 +269,7 @@
     }
     let get = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
     record.say(&format!(
-        "peak {} MB, {kills} kills; small requests: {} answered, {} refused, {} lost on kept channels; large: {} answered, {} refused, {} failed; {} runs",
+        "peak {} MB, {kills} kills; bookings: {} answered, {} refused, {} passed on from kept channels and closed without an answer; large: {} answered, {} refused, {} failed; {} runs",
         peak / 1_048_576,
         get(&outcomes.answered),
         get(&outcomes.refused),
@@ -237,7 +277,7 @@
         get(&outcomes.large_answered),
         get(&outcomes.large_refused),
         get(&outcomes.large_failed),
-        get(&runs),
+        runs.lock().unwrap().len(),
     ));
     drop(entry);
     let _ = std::fs::remove_dir_all(&folder);
