--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,8 +19,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -55,9 +60,11 @@
     }
 }
 
-/// Ends the run with the status for a case that could not run.
+/// Ends the run with the status for a case that could not run. The processes under test end with
+/// this one.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let _ = fs::remove_dir_all(folder_path());
     std::process::exit(2);
 }
 
@@ -555,7 +562,15 @@
         let log = File::create(folder.join(format!("{name}.log")))
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
         let errors = log.try_clone().unwrap();
-        let child = Command::new("target/release/masticdockd")
+        let mut command = Command::new("target/release/masticdockd");
+        // SAFETY: `prctl` is async-signal-safe and touches nothing of the parent.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["node", role])
             .env("MASTICDOCK_NODE_FILE", &path)
             .stdin(Stdio::null())
@@ -624,9 +639,13 @@
     cannot_run("the entry did not become ready");
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("masticdock-review-{}", std::process::id()))
+}
+
 /// Creates a temporary folder for settings and logs.
 pub fn temporary_folder() -> PathBuf {
-    let path = std::env::temp_dir().join(format!("masticdock-review-{}", std::process::id()));
+    let path = folder_path();
     fs::create_dir_all(&path).unwrap_or_else(|error| cannot_run(&error.to_string()));
     path
 }
