--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -501,6 +501,17 @@
 
 // ---------------------------------------------------------------- processes
 
+/// Makes the kernel kill the command's process when this one ends.
+pub fn end_with_parent(command: &mut Command) {
+    // SAFETY: `prctl` is async-signal-safe and touches nothing of the parent.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+}
+
 /// A process under test; killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -563,13 +574,7 @@
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
         let errors = log.try_clone().unwrap();
         let mut command = Command::new("target/release/masticdockd");
-        // SAFETY: `prctl` is async-signal-safe and touches nothing of the parent.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
+        end_with_parent(&mut command);
         let child = command
             .args(["node", role])
             .env("MASTICDOCK_NODE_FILE", &path)
