Check loaded weights whose chunks were read long before the load

Cause: an engine takes the staged chunks as they are when it accepts an order, and nothing bounded how old the last read of each chunk was by then. Four orders of events show it: a drain with a pause of the agent, slow reads (48 one after the other), an order that the engine accepts only after a silence, and an agent that ends before its order is answered. The drain alone does not explain the users' record: both engines there took version 1, which an engine takes when it serves nothing and does not drain.

Change: the stage is read again before an order if the reads are older than 1.5 s. The loaded weights count as intact only if the engine confirmed the order within 2.5 s of the first read; corruption of the last 3 s is excused. After any other order the engine is reported as switching until its stage has been read again, and corrupt weights are dropped by an order of an empty range of layers and loaded again. A corrupt chunk does not heal, so chunks that are intact after a load were intact when they were taken, unless one was staged in between; that counts as corrupt. A report older than an accepted order no longer starts a second switch, which had repaired the stage behind the load. An agent that starts beside a load of its predecessor checks it while the engine serves.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 mod deadline_estimate;
 mod directory;
 mod load;
+mod loaded_weights;
 mod observation;
 mod pauses;
 mod placement;
@@ -50,6 +51,7 @@
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
 pub use load::{AgentReport, UpstreamLoad};
+pub use loaded_weights::{LoadId, LoadState, LoadedWeights, LoadedWeightsSettings, StageRead};
 pub use observation::{PollReply, TableObservation};
 pub use pauses::{Pause, PauseDetector, PauseSettings};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
--- a/crates/masticdock-node/src/agent/engine_poll.rs
+++ b/crates/masticdock-node/src/agent/engine_poll.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::crashes;
-use super::state::Agent;
+use super::state::{Agent, load_id};
 
 /// Interval between polls. It bounds the delay with which entries learn of a change.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -33,6 +33,10 @@
             }
         };
         crashes::record_engine(&agent, report.as_ref());
+        if let Some(report) = &report {
+            let mut weights = agent.loaded_weights.borrow_mut();
+            weights.record_report(load_id(report), report.busy);
+        }
         if previous.is_none() && report.is_some() {
             log::info!(
                 event = "dependency.regained",
--- a/crates/masticdock-node/src/agent/fetch_loop.rs
+++ b/crates/masticdock-node/src/agent/fetch_loop.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use masticdock_adapter::{CallError, HttpClient, Manifest, OriginClient};
-use masticdock_core::serving::{ChunkSource, ModelTarget, VersionNumber};
+use masticdock_core::serving::{ChunkSource, LoadState, ModelTarget, VersionNumber};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -50,7 +50,13 @@
     agent.engine_report.borrow().as_ref()?;
     let version = agent.newest_declared(&target);
     if agent.loaded_version(&target) == Some(version) {
-        agent.evict_chunks(version);
+        // Corrupt chunks of the stage are replaced from memory.
+        if agent
+            .load_state()
+            .is_some_and(|(_, state)| state == LoadState::Intact)
+        {
+            agent.evict_chunks(version);
+        }
         return None;
     }
     let complete = agent
@@ -138,7 +144,7 @@
 ///
 /// Asks one source after another without giving up the earlier ones: a reader that is
 /// itself waiting, slow or gone must not delay the engines whose chunks are all staged.
-async fn read_manifest(
+pub(super) async fn read_manifest(
     agent: &Rc<Agent>,
     target: &ModelTarget,
     version: VersionNumber,
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -10,8 +10,8 @@
 use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
     AgentReport, ChunkPeer, ChunkSourceSelector, CrashRecords, CrashRecordsSettings, EngineCrashes,
-    EngineCrashesSettings, ModelTarget, StoreReadSchedule, StoreReadSettings, VersionNumber,
-    VersionTimeline,
+    EngineCrashesSettings, LoadId, LoadState, LoadedWeights, ModelTarget, StoreReadSchedule,
+    StoreReadSettings, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -61,6 +61,8 @@
     /// Version of all staged chunks, once this process has staged them or the engine
     /// was found to serve the newest version.
     pub(crate) staged_version: Cell<Option<VersionNumber>>,
+    /// Which loads of the engine are known to be intact.
+    pub(crate) loaded_weights: RefCell<LoadedWeights>,
     /// Version of the last load order that the engine accepted.
     pub(crate) ordered_version: Cell<Option<VersionNumber>>,
     /// True from the announcement of a switch to the entries until the report of the
@@ -138,6 +140,7 @@
             chunks: RefCell::default(),
             last_manifest: RefCell::new(None),
             staged_version: Cell::new(None),
+            loaded_weights: RefCell::default(),
             ordered_version: Cell::new(None),
             switching: Cell::new(false),
             unresumable_at: Cell::new(MonoMs(0)),
@@ -310,6 +313,34 @@
         model.complete_version(target.layers)
     }
 
+    /// Returns what the engine has loaded and whether that is known to be intact.
+    pub(crate) fn load_state(&self) -> Option<(LoadId, LoadState)> {
+        let report = self.engine_report.borrow();
+        let load = load_id(report.as_ref()?);
+        Some((load, self.loaded_weights.borrow().state(load)))
+    }
+
+    /// Returns whether the engine may serve requests on a complete version.
+    pub(crate) fn serves(&self, target: &ModelTarget) -> bool {
+        let may_serve = self
+            .load_state()
+            .is_some_and(|(_, state)| state.may_serve());
+        may_serve && self.loaded_version(target).is_some()
+    }
+
+    /// Records that the engine accepted an order after `orders` others. Without a read of the
+    /// stage, the order takes no chunks.
+    pub(crate) fn record_accepted_order(&self, orders: u64, read_at: Option<MonoMs>) {
+        let report = self.engine_report.borrow();
+        let load = LoadId {
+            started_at_ms: report.as_ref().and_then(|report| report.started_at_ms),
+            orders: orders.saturating_add(1),
+        };
+        let now = clock::now();
+        let mut weights = self.loaded_weights.borrow_mut();
+        weights.record_accepted(load, read_at.unwrap_or(now), now);
+    }
+
     /// Returns the newest declared version, or version 1 if none is known.
     pub(crate) fn newest_declared(&self, target: &ModelTarget) -> VersionNumber {
         let catalog = self.catalog.borrow();
@@ -488,6 +519,7 @@
             link_delay_ms: self.link_delay_ms(),
             ..AgentReport::default()
         };
+        let may_serve = self.load_state().is_none_or(|(_, state)| state.may_serve());
         let report = self.engine_report.borrow();
         let Some(report) = report.as_ref() else {
             return common;
@@ -497,10 +529,18 @@
             queued: report.queued,
             pending_prefills: report.queued.saturating_add(self.new_requests.get()),
             version: loaded,
-            switching: report.busy || self.switching.get(),
+            switching: report.busy || self.switching.get() || !may_serve,
             reachable: true,
             started_at_ms: report.started_at_ms,
             ..common
         }
     }
 }
+
+/// Returns the id of what an engine has loaded.
+pub(crate) fn load_id(report: &EngineReport) -> LoadId {
+    LoadId {
+        started_at_ms: report.started_at_ms,
+        orders: report.orders,
+    }
+}
--- a/crates/masticdock-node/src/agent/switch_loop.rs
+++ b/crates/masticdock-node/src/agent/switch_loop.rs
@@ -1,15 +1,19 @@
 //! Switches the engine to a fetched version: stages the chunks, waits for the switch
 //! time of this upstream, verifies the stage, drains requests and orders the load.
+//!
+//! Weights that were loaded on old reads of the stage are checked first.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use masticdock_adapter::{OrderAnswer, OrderMode};
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{ModelTarget, SwitchPlan, VersionNumber};
+use masticdock_core::serving::{ModelTarget, StageRead, SwitchPlan, VersionNumber};
 use masticdock_core::units::MonoMs;
 use tokio::time::{sleep, timeout};
 
+use super::load_check;
+use super::stage::{repair_stage, stage_chunks};
 use super::state::Agent;
 use super::version_chunks::VersionChunks;
 use crate::clock;
@@ -19,7 +23,7 @@
 /// Delay before a failed step is retried.
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
 /// Timeout for an accepted order to show in the report of the engine.
-const ORDER_VISIBLE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const ORDER_VISIBLE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time between the announcement of a switch and the cut of the requests still in
 /// flight, in milliseconds. Entries send no new requests in this time, and short
@@ -35,6 +39,9 @@
 /// Switches the engine to fetched versions; never returns.
 pub(crate) async fn run(agent: Rc<Agent>) {
     loop {
+        if load_check::take_step(&agent).await {
+            continue;
+        }
         let Some((target, chunks)) = version_to_load(&agent) else {
             let _ = timeout(RECHECK_INTERVAL, agent.changed.notified()).await;
             continue;
@@ -49,6 +56,11 @@
 fn version_to_load(agent: &Agent) -> Option<(ModelTarget, Rc<VersionChunks>)> {
     let target = agent.target_model()?;
     let busy = agent.engine_report.borrow().as_ref()?.busy;
+    // Before the report shows an accepted order, it is unknown what is loaded.
+    let (load, _) = agent.load_state()?;
+    if agent.loaded_weights.borrow().is_outdated(load) {
+        return None;
+    }
     let chunks = agent.newest_fetched()?;
     if agent.loaded_version(&target) >= Some(chunks.version) {
         return None;
@@ -74,22 +86,39 @@
     if !wait_for_switch_time(agent, target, chunks.version).await {
         return true;
     }
-    if !repair_stage(agent, chunks).await {
+    let Some(read) = repair_stage(agent, chunks).await else {
         return false;
-    }
+    };
     agent.switching.set(true);
     agent.changed.notify_waiters();
     let mode = drain(agent, target).await;
-    let accepted = send_load_order(agent, target, chunks.version, mode).await;
+    let accepted = match reread_stage(agent, chunks, read).await {
+        Some(read) => send_load_order(agent, target, chunks.version, mode, read.began_at).await,
+        None => false,
+    };
     agent.switching.set(false);
     agent.changed.notify_waiters();
     accepted
 }
 
+/// Reads the stage again if it was read too long ago for an order; returns `None` if a
+/// corrupt chunk could not be staged.
+async fn reread_stage(agent: &Agent, chunks: &VersionChunks, read: StageRead) -> Option<StageRead> {
+    let is_old = agent
+        .loaded_weights
+        .borrow()
+        .must_read_again(read, clock::now());
+    if is_old {
+        repair_stage(agent, chunks).await
+    } else {
+        Some(read)
+    }
+}
+
 /// Waits for requests in flight to complete after the switch was announced, and decides
 /// whether the engine cuts the remaining ones.
 async fn drain(agent: &Agent, target: &ModelTarget) -> OrderMode {
-    if agent.loaded_version(target).is_none() {
+    if !agent.serves(target) {
         return OrderMode::AfterRequests;
     }
     let now = clock::now();
@@ -114,37 +143,6 @@
     }
 }
 
-/// Stages all chunks; returns false if one could not be staged.
-async fn stage_chunks(agent: &Agent, chunks: &VersionChunks) -> bool {
-    agent.staged_version.set(None);
-    for chunk_index in 0..chunks.count() {
-        if !stage_one_chunk(agent, chunks, chunk_index).await {
-            return false;
-        }
-    }
-    true
-}
-
-async fn stage_one_chunk(agent: &Agent, chunks: &VersionChunks, chunk_index: usize) -> bool {
-    let Some(bytes) = chunks.get(chunk_index) else {
-        return false;
-    };
-    let result = agent
-        .engine
-        .stage_chunk(&chunks.model, chunk_index, bytes)
-        .await;
-    if let Err(error) = &result {
-        log::warn!(
-            event = "piece.unstaged",
-            piece = chunk_index,
-            weights = chunks.version.0,
-            error:% = error;
-            "cannot stage a chunk; retrying"
-        );
-    }
-    result.is_ok()
-}
-
 /// Waits for the switch time of this upstream; returns false if another version
 /// supersedes `version`.
 async fn wait_for_switch_time(agent: &Agent, target: &ModelTarget, version: VersionNumber) -> bool {
@@ -158,7 +156,7 @@
             return false;
         }
         // An engine that serves nothing loses nothing by an immediate switch.
-        if agent.loaded_version(target).is_none() {
+        if !agent.serves(target) {
             return true;
         }
         let switch_time = switch_time(agent, target, version, &plan, now);
@@ -204,32 +202,6 @@
     plan.switch_at(&own, &upstreams, version, learnt_at, deadline)
 }
 
-/// Reads all staged chunks and stages corrupt ones again; returns false if that failed.
-async fn repair_stage(agent: &Agent, chunks: &VersionChunks) -> bool {
-    for chunk_index in 0..chunks.count() {
-        let read = agent
-            .engine
-            .read_staged_chunk(&chunks.model, chunk_index)
-            .await;
-        if let Ok(Some(bytes)) = &read
-            && chunks.matches(chunk_index, bytes)
-        {
-            continue;
-        }
-        log::warn!(
-            event = "stage.spoilt",
-            piece = chunk_index,
-            weights = chunks.version.0;
-            "a staged chunk is missing or corrupt; staging it again"
-        );
-        if !stage_one_chunk(agent, chunks, chunk_index).await {
-            agent.staged_version.set(None);
-            return false;
-        }
-    }
-    true
-}
-
 /// Orders the engine to load the staged version; returns false unless the engine
 /// confirms the order.
 async fn send_load_order(
@@ -237,6 +209,7 @@
     target: &ModelTarget,
     version: VersionNumber,
     mode: OrderMode,
+    read_at: MonoMs,
 ) -> bool {
     let Some(orders) = agent
         .engine_report
@@ -251,15 +224,23 @@
         .load_staged(&target.model, version, orders, mode)
         .await;
     let accepted = match &answer {
-        Ok(answer) => matches!(answer, OrderAnswer::Accepted | OrderAnswer::InEffect),
+        Ok(OrderAnswer::Accepted) => {
+            agent.record_accepted_order(orders, Some(read_at));
+            true
+        }
+        Ok(answer) => *answer == OrderAnswer::InEffect,
         // The order may have been accepted; the next report of the engine shows it.
-        Err(_) => false,
+        Err(_) => {
+            agent.loaded_weights.borrow_mut().record_unanswered();
+            false
+        }
     };
     log::info!(
         event = "order.sent",
         weights = version.0,
         orders = orders,
         mode:? = mode,
+        read_age_ms = clock::now().since_ms(read_at),
         answer:? = answer;
         "ordered the engine to load the staged version"
     );
