Repeat reports of engines that take no requests

Cause: an agent sends a report when it changes.

Change: while the engine takes no requests, its report is sent every 0.5 s.

Before, agents_keep_reporting_that_an_engine_takes_no_requests failed with "the report lapses"; it passes now.

--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -23,6 +23,10 @@
 /// Interval after which free places are divided again although the load did not change.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval at which an unchanged report is sent again while the engine takes no requests.
+/// Entries that missed it, or whose last report is stale, would rely on the engine's row.
+const UNUSABLE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Delay before a changed crash is sent, in which suspects of several entries arrive.
 const CRASH_SEND_DELAY: Duration = Duration::from_millis(30);
 
@@ -53,6 +57,7 @@
     let mut rotation = PlaceRotation::default();
     let mut divide_at: Option<Instant> = None;
     let mut load_due_at = Instant::now();
+    let mut repeat_at: Option<Instant> = None;
     let mut announcer = Announcer::new();
     let mut send_crashes_at: Option<Instant> = None;
     let mut bytes = [0; DATAGRAM_BYTES_MAX];
@@ -63,6 +68,7 @@
             () = tokio::time::sleep_until(load_due_at), if load_due_at > Instant::now() => None,
             () = announcer.wait_until_due() => None,
             () = wait_until(divide_at) => None,
+            () = wait_until(repeat_at) => None,
             () = agent.crashes_changed.notified() => {
                 send_crashes_at.get_or_insert_with(|| Instant::now() + CRASH_SEND_DELAY);
                 None
@@ -107,7 +113,8 @@
                 || last_sent.reachable != report.reachable
         });
         let due = last_sent != Some(report) && Instant::now() >= load_due_at
-            || divide_at.is_some_and(|at| Instant::now() >= at);
+            || divide_at.is_some_and(|at| Instant::now() >= at)
+            || repeat_at.is_some_and(|at| Instant::now() >= at);
         if !urgent && !due {
             continue;
         }
@@ -124,6 +131,8 @@
         // Places that nobody uses go to other entries after a while.
         let is_short = places.is_some_and(|places| places.contains(&0) && places.contains(&1));
         divide_at = is_short.then(|| Instant::now() + DIVIDE_INTERVAL);
+        let is_unusable = report.switching || !report.reachable;
+        repeat_at = is_unusable.then(|| Instant::now() + UNUSABLE_REPORT_INTERVAL);
         last_sent = Some(report);
         load_due_at = Instant::now() + LOAD_REPORT_INTERVAL;
     }
