Reject requests whose body arrives late in a graceful shutdown

Cause: an entry takes no requests from 3 s after SIGTERM, but decides that by the head. A request whose head arrived before and whose body arrived after that was passed on, also when it may run once, and cut when the process ended.

Change: the entry checks again once it has read the body, and answers 503.

Before, a_request_whose_body_arrives_late_in_a_shutdown_is_rejected got a closed connection and its upstream the request; it passes now. Requests whose head comes later were rejected before, too.

--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -118,6 +118,15 @@
         }
         Err((status, reason)) => return reject(&request_id, status, reason, None, in_use),
     };
+    // The shutdown may have begun while the body arrived.
+    if !entry.accepts_requests() {
+        let HeadRejection {
+            status,
+            reason,
+            retry_after_ms,
+        } = HeadRejection::not_ready();
+        return reject(&request_id, status, reason, retry_after_ms, in_use);
+    }
     let service = route.choose_service(rand::random()).clone();
     let returning = entry.is_returning(&route.name, deadline_ms);
     let priority = workspace
--- a/crates/masticdock-node/src/entry/route.rs
+++ b/crates/masticdock-node/src/entry/route.rs
@@ -31,6 +31,17 @@
     pub(super) retry_after_ms: Option<u64>,
 }
 
+impl HeadRejection {
+    /// Returns the rejection of an entry that takes no requests.
+    pub(super) const fn not_ready() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "not_ready",
+            retry_after_ms: Some(NOT_READY_RETRY_AFTER_MS),
+        }
+    }
+}
+
 /// Finds the route of a request.
 ///
 /// # Errors
@@ -42,14 +53,13 @@
     parts: &Parts,
     head: &CallerHead,
 ) -> Result<RoutedRequest, HeadRejection> {
-    let reject = |status, reason, retry_after_ms| HeadRejection {
+    let reject = |status, reason| HeadRejection {
         status,
         reason,
-        retry_after_ms,
+        retry_after_ms: None,
     };
     let Some(configuration) = entry.configuration().filter(|_| entry.accepts_requests()) else {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(reject(status, "not_ready", Some(NOT_READY_RETRY_AFTER_MS)));
+        return Err(HeadRejection::not_ready());
     };
     let host = match parts.uri.authority() {
         Some(authority) => Some(authority.as_str()),
@@ -62,9 +72,9 @@
     );
     let (route, workspace) = match matched {
         RouteMatch::Route { route, workspace } => (route.clone(), workspace.cloned()),
-        RouteMatch::NoRoute => return Err(reject(StatusCode::NOT_FOUND, "no_route", None)),
+        RouteMatch::NoRoute => return Err(reject(StatusCode::NOT_FOUND, "no_route")),
         RouteMatch::UnknownKey => {
-            return Err(reject(StatusCode::UNAUTHORIZED, "unknown_key", None));
+            return Err(reject(StatusCode::UNAUTHORIZED, "unknown_key"));
         }
     };
     Ok(RoutedRequest {
@@ -76,7 +86,7 @@
 
 impl Entry {
     /// Returns true while new requests are accepted.
-    fn accepts_requests(&self) -> bool {
+    pub(super) fn accepts_requests(&self) -> bool {
         let upstreams_loaded = self.catalog.borrow().upstreams_loaded;
         let stopping_ms = self
             .stopping_since()
