Bound what the product's own path reads of a faulty engine

Operators' report: bytes that are no answer, without end, were kept by the machine that had called the replica, until it ran out of memory.

Cause: on the product's own path the agent read the text of an error of any length for an excerpt of 300 characters, an event of up to 96 MiB a line with any number of lines, and the status of an engine of any length; the entry read a rejection of any length. Comments without end held a thread past the deadline.

Change: an event is bounded as a whole, to 256 KiB from an engine; of an error's text 16 KiB are read, of a rejection and a status 64 KiB.

Calls to the table, the object store and the origin still read replies of any length within their timeouts; these belong to the platform, not to a replica.

--- a/crates/masticdock-daemon/src/agent/proxy/body.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/body.rs
@@ -12,6 +12,18 @@
 /// Maximum size of a response body.
 const RESPONSE_BYTES_MAX: u64 = 16 << 20;
 
+/// Maximum size of the text of an error that is read.
+const ERROR_BYTES_MAX: u64 = 16 << 10;
+
+/// Reads the beginning of an error's text; a connection that breaks ends it.
+pub(super) fn read_error_text(response: Response) -> String {
+    let mut bytes = Vec::new();
+    let body = response.split().2;
+    // What arrived before an error is enough for an excerpt.
+    let _ = body.take(ERROR_BYTES_MAX).read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Reads a response with its whole body.
 ///
 /// # Errors
--- a/crates/masticdock-daemon/src/agent/proxy/engine.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/engine.rs
@@ -9,9 +9,11 @@
 use masticdock_core::problem::{Problem, ProblemKind};
 use serde_json::{Value, json};
 
-use super::body::read_response;
+use super::body::{read_error_text, read_response};
 use super::run_request::RunRequest;
-use crate::request_http::{EventReader, PlainResponse, StreamEvent, header_name};
+use crate::request_http::{
+    ENGINE_EVENT_BYTES_MAX, EventReader, PlainResponse, StreamEvent, header_name,
+};
 
 /// Timeout for connecting to the upstream, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -120,7 +122,8 @@
         return handle_error_status(status, response, sink);
     }
     let (_, _, body) = response.split();
-    forward_events(EventReader::new(body), request, version, sink)
+    let reader = EventReader::new(body, ENGINE_EVENT_BYTES_MAX);
+    forward_events(reader, request, version, sink)
 }
 
 /// Handles an engine's response with a status other than 200.
@@ -138,7 +141,7 @@
             Err(outcome) => outcome,
         };
     }
-    let text = response.text_utf8().unwrap_or_default();
+    let text = read_error_text(response);
     let excerpt: String = text.chars().take(ERROR_EXCERPT_CHARS_MAX).collect();
     let detail = format_compact!("the engine answered {status}: {excerpt}");
     // An engine rejects a request with these statuses before it runs any of it.
--- a/crates/masticdock-daemon/src/entry/callers/attempt.rs
+++ b/crates/masticdock-daemon/src/entry/callers/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request on one agent.
 
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read as _};
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
@@ -12,11 +12,14 @@
 use super::upstreams::Target;
 use super::{Shared, now_unix_ms};
 use crate::agent::proxy::LoadReport;
-use crate::request_http::{EventReader, MacInput, StreamEvent, header_name};
+use crate::request_http::{AGENT_EVENT_BYTES_MAX, EventReader, MacInput, StreamEvent, header_name};
 
 /// Timeout for connecting to an agent; a live one accepts within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of the problem with which an agent rejects a request.
+const PROBLEM_BYTES_MAX: u64 = 64 << 10;
+
 /// Parameters of one attempt.
 pub(super) struct AttemptParams<'a> {
     pub(super) call: &'a Call,
@@ -96,7 +99,8 @@
         return AttemptOutcome::Failed(read_rejection(status.as_u16(), body));
     }
     let version = header(header_name::VERSION).and_then(|text| text.parse().ok());
-    forward_events(shared, target, EventReader::new(body), |event| {
+    let reader = EventReader::new(body, AGENT_EVENT_BYTES_MAX);
+    forward_events(shared, target, reader, |event| {
         on_event(event, version.as_ref())
     })
 }
@@ -169,8 +173,6 @@
             format_compact!("the agent answered status {status} without a problem"),
         )
     };
-    let Ok(text) = body.text_utf8() else {
-        return no_problem();
-    };
-    serde_json::from_str(&text).unwrap_or_else(|_| no_problem())
+    let body = body.take(PROBLEM_BYTES_MAX);
+    serde_json::from_reader(body).unwrap_or_else(|_| no_problem())
 }
--- a/crates/masticdock-daemon/src/request_http/event_stream.rs
+++ b/crates/masticdock-daemon/src/request_http/event_stream.rs
@@ -7,8 +7,10 @@
 use masticdock_core::problem::Problem;
 use serde::{Deserialize, Serialize};
 
-/// Maximum length of one line of an event stream, in bytes.
-const LINE_BYTES_MAX: u64 = 96 << 20;
+/// Maximum size of one event of an agent, in bytes: that of a whole response, escaped as JSON.
+pub(crate) const AGENT_EVENT_BYTES_MAX: u64 = 96 << 20;
+/// Maximum size of one event of an engine, in bytes: it holds one token.
+pub(crate) const ENGINE_EVENT_BYTES_MAX: u64 = 256 << 10;
 
 /// One token of a completion.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,13 +92,15 @@
 /// Decodes events from a response body.
 pub(crate) struct EventReader<R: Read> {
     lines: BufReader<R>,
+    event_bytes_max: u64,
 }
 
 impl<R: Read> EventReader<R> {
-    /// Creates a reader of `body`.
-    pub(crate) fn new(body: R) -> Self {
+    /// Creates a reader of `body` whose events have at most `event_bytes_max` bytes each.
+    pub(crate) fn new(body: R, event_bytes_max: u64) -> Self {
         Self {
             lines: BufReader::new(body),
+            event_bytes_max,
         }
     }
 
@@ -104,19 +108,23 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the stream ends before [`StreamEvent::Done`] or is malformed.
+    /// Returns an error when the stream ends before [`StreamEvent::Done`] or is malformed, or
+    /// when an event is too long.
     pub(crate) fn next_event(&mut self) -> io::Result<StreamEvent> {
         let mut event_name = String::new();
         let mut data = String::new();
         let mut comment = false;
+        let mut bytes_left = self.event_bytes_max;
         loop {
             let mut line = String::new();
-            self.lines
-                .by_ref()
-                .take(LINE_BYTES_MAX)
-                .read_line(&mut line)?;
+            let read = self.lines.by_ref().take(bytes_left).read_line(&mut line)?;
+            bytes_left = bytes_left.saturating_sub(read as u64);
             if !line.ends_with('\n') {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+                return Err(if bytes_left == 0 {
+                    malformed("an event is too long")
+                } else {
+                    io::ErrorKind::UnexpectedEof.into()
+                });
             }
             let line = line.trim_end_matches(['\n', '\r']);
             if line.is_empty() {
--- a/crates/masticdock-daemon/src/request_http/mod.rs
+++ b/crates/masticdock-daemon/src/request_http/mod.rs
@@ -8,7 +8,10 @@
 mod respond;
 
 pub(crate) use auth::{MacInput, RequestAuthKey};
-pub(crate) use event_stream::{EventReader, PlainResponse, StreamEvent, TokenEvent};
+pub(crate) use event_stream::{
+    AGENT_EVENT_BYTES_MAX, ENGINE_EVENT_BYTES_MAX, EventReader, PlainResponse, StreamEvent,
+    TokenEvent,
+};
 pub(crate) use headers::{header_name, header_value, parse_header};
 pub(crate) use heartbeat::{HeartbeatStream, Heartbeats};
 pub(crate) use listener::{HandlerLimits, Listener, ReadError, read_body};
--- a/crates/masticdock-daemon/src/tests/request_path/cluster.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/cluster.rs
@@ -16,7 +16,9 @@
 use crate::control::{ControlHandle, ControlMsg, Snapshot};
 use crate::entry::callers;
 use crate::metrics::Metrics;
-use crate::request_http::{EventReader, RequestAuthKey, StreamEvent, header_name};
+use crate::request_http::{
+    AGENT_EVENT_BYTES_MAX, EventReader, RequestAuthKey, StreamEvent, header_name,
+};
 use crate::settings::{AgentSettings, EntrySettings};
 
 /// Maximum time to wait for a condition or a response.
@@ -280,7 +282,10 @@
     let response = request(entry.addr(), "assistant")
         .text(body.to_string())
         .send();
-    let mut reader = EventReader::new(response.expect("an answer").split().2);
+    let mut reader = EventReader::new(
+        response.expect("an answer").split().2,
+        AGENT_EVENT_BYTES_MAX,
+    );
     let mut result = StreamResult::default();
     loop {
         match reader.next_event().expect("an event") {
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -294,6 +294,46 @@
     })
 }
 
+/// Starts an engine that answers completions with `head` and then with `repeated` until its
+/// reader disconnects, or up to a bound. Counts the bytes of the latest answer.
+pub(super) fn spawn_endless_engine(
+    head: &'static str,
+    repeated: String,
+) -> (SocketAddr, Arc<AtomicU64>) {
+    /// Ends an answer that would fill the memory of the test.
+    const BYTES_MAX: u64 = 192 << 20;
+    let sent_bytes = Arc::new(AtomicU64::new(0));
+    let sent = Arc::clone(&sent_bytes);
+    let addr = serve(move |mut request| {
+        if request.url() == "/status" {
+            return respond(request, 404, "text/plain", &[], Vec::new());
+        }
+        let _ = read_json(&mut request);
+        let mut writer = request.into_writer();
+        sent.store(0, Ordering::SeqCst);
+        let mut written = writer.write_all(head.as_bytes());
+        while written.is_ok() && sent.load(Ordering::SeqCst) < BYTES_MAX {
+            written = writer.write_all(repeated.as_bytes());
+            sent.fetch_add(repeated.len() as u64, Ordering::SeqCst);
+        }
+    });
+    (addr, sent_bytes)
+}
+
+/// Starts an engine that answers completions with the first part of a head.
+pub(super) fn spawn_cut_head(head: &'static str) -> SocketAddr {
+    let cut_at = AtomicU64::new(0);
+    serve(move |mut request| {
+        if request.url() == "/status" {
+            return respond(request, 404, "text/plain", &[], Vec::new());
+        }
+        let _ = read_json(&mut request);
+        let cut_at = usize::try_from(cut_at.fetch_add(1, Ordering::SeqCst)).unwrap_or(0);
+        let mut writer = request.into_writer();
+        let _ = writer.write_all(&head.as_bytes()[..cut_at % head.len()]);
+    })
+}
+
 /// Starts a plain service that crashes on its first request: its port closes, then the
 /// connection. Counts the request in `runs`.
 pub(super) fn spawn_crashing_service(runs: &Arc<AtomicU64>) -> SocketAddr {
--- a/crates/masticdock-daemon/src/tests/request_path/streams.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/streams.rs
@@ -7,7 +7,10 @@
 use serde_json::json;
 
 use super::cluster::{TestCluster, eventually, post_prompt, request, stream_completion};
-use super::fakes::{EngineBehavior, FakeEngine, spawn_cut_rejection, spawn_silent_agent};
+use super::fakes::{
+    EngineBehavior, FakeEngine, spawn_cut_head, spawn_cut_rejection, spawn_endless_engine,
+    spawn_silent_agent,
+};
 use crate::agent::GateState;
 
 /// Guards against lost, reordered or unversioned tokens, both streamed and in one response.
@@ -258,3 +261,52 @@
     }
     assert!(engines[0].runs().is_empty());
 }
+
+/// Guards against an engine's bytes without end that fill the memory of its agent, wherever
+/// they come: in a status line or header, an error text, an event, or between events.
+#[test]
+fn bytes_of_an_engine_without_end_are_read_up_to_a_limit() {
+    /// Limit of a response, and what the buffers of the sockets may hold besides.
+    const SENT_BYTES_MAX: u64 = 40 << 20;
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    let block = "x".repeat(16_384);
+    let answers = [
+        ("", block.clone()),
+        ("HTTP/1.1 200 OK\r\n", "X-Line: x\r\n".repeat(100)),
+        (
+            "HTTP/1.1 500 Error\r\nConnection: close\r\n\r\n",
+            block.clone(),
+        ),
+        (EVENTS, block.clone()),
+        (EVENTS, format!("data: {block}\n")),
+        (EVENTS, ": comment\n".repeat(1_000)),
+    ];
+    for (head, repeated) in answers {
+        let start: String = repeated.chars().take(12).collect();
+        let cluster = TestCluster::new();
+        let (addr, sent_bytes) = spawn_endless_engine(head, repeated);
+        let _agent = cluster.engine_agent_at("vm-1", addr);
+        let entry = cluster.entry("entry-1");
+        let response = post_prompt(&entry, "p");
+        let sent_bytes = sent_bytes.load(Ordering::SeqCst);
+        assert!(response.status >= 500, "{head:?} {start:?}");
+        assert!(sent_bytes > 0, "{head:?} {start:?} was not sent");
+        assert!(
+            sent_bytes < SENT_BYTES_MAX,
+            "{head:?} {start:?}: {sent_bytes} bytes"
+        );
+    }
+}
+
+/// A response whose connection ends within its head is none, wherever the head is cut.
+#[test]
+fn a_response_of_an_engine_that_ends_within_its_head_is_no_success() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let cluster = TestCluster::new();
+    let _agent = cluster.engine_agent_at("vm-1", spawn_cut_head(head));
+    let entry = cluster.entry("entry-1");
+    for _ in 0..head.len() {
+        let response = post_prompt(&entry, "p");
+        assert_ne!(response.status, 200);
+    }
+}
--- a/crates/masticdock-platform/src/engine/mod.rs
+++ b/crates/masticdock-platform/src/engine/mod.rs
@@ -1,5 +1,8 @@
 //! Client of a model engine, which is called over loopback HTTP.
 
+use std::io::{self, Read as _};
+
+use attohttpc::Response;
 use compact_str::CompactString;
 use masticdock_core::ids::{AdapterId, Digest, Fence, VersionId};
 use masticdock_core::units::ByteCount;
@@ -7,6 +10,9 @@
 
 use crate::http::{HttpSettings, PlatformError, PlatformErrorKind, prepare};
 
+/// Maximum size of a response of an engine, in bytes.
+const TEXT_BYTES_MAX: u64 = 64 << 10;
+
 /// Current state of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -113,7 +119,9 @@
             .send()
             .map_err(from_http)?;
         let status = response.status().as_u16();
-        let text = response.text_utf8().map_err(from_http)?;
+        let text = read_text(response).map_err(|error| {
+            PlatformError::new(PlatformErrorKind::OutcomeUnknown, CALL, error.to_string())
+        })?;
         if status != 200 {
             return Err(PlatformError::from_status(CALL, status, &text));
         }
@@ -144,7 +152,18 @@
         if status == 202 {
             return Ok(());
         }
-        let text = response.text_utf8().unwrap_or_default();
+        let text = read_text(response).unwrap_or_default();
         Err(PlatformError::from_status(CALL, status, &text))
     }
 }
+
+/// Reads the text of a response; fails if it is longer than the limit.
+fn read_text(response: Response) -> io::Result<String> {
+    let mut text = String::new();
+    let body = response.split().2;
+    let read = body.take(TEXT_BYTES_MAX + 1).read_to_string(&mut text)?;
+    if read as u64 > TEXT_BYTES_MAX {
+        return Err(io::Error::other("the response is too long"));
+    }
+    Ok(text)
+}
