Skip checks of weights that an accepted order has replaced

Cause: after an order was accepted, a report from before it could still be the latest. The load it shows is not known to be intact any more, so its check began, on a stage that holds the next version, and ended with an order to drop it. The engine rejected that order each time, since it names the number of orders before; no weights were dropped.

Change: no check begins while the latest report is older than an accepted order.

A test on sockets did not show it: the check takes longer there than the next report.

--- a/crates/masticdock-node/src/agent/load_check.rs
+++ b/crates/masticdock-node/src/agent/load_check.rs
@@ -53,6 +53,10 @@
     let version = agent.loaded_version(&target)?;
     let (load, state) = agent.load_state()?;
     let busy = agent.engine_report.borrow().as_ref()?.busy;
+    // An accepted order has replaced what the report shows.
+    if agent.loaded_weights.borrow().is_outdated(load) {
+        return None;
+    }
     let is_due = match state {
         LoadState::Intact => false,
         // The newest version replaces an older one anyway.
