Count retries without a response until they cannot arrive any more

Cause (the users' record does not show it; this is the one that our test reproduces): the budget counted a retry for one window from when it was sent, but the limit holds for arrivals. While upstreams are silent, retries of silent attempts are sent and not read; when they go on, the retries of two windows arrive in one.

Change: a retry counts for a window from its response on. Without a response, or after an attempt without one, it counts for a window and the 10 s in which it may still arrive. By construction the arrivals of each window stay within the budget as long as nothing arrives later than that.

Ruled out by reading: a smaller number of entries that an entry believes in (the slack is divided by a constant), the first send after failed connections (nothing was sent), resends by the HTTP client (it has none).

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -85,6 +85,8 @@
     pub not_sent: u32,
     /// True once any attempt may have run the request.
     pub may_have_run: bool,
+    /// True once an attempt got no response, so that its request may still arrive.
+    pub may_arrive_late: bool,
     /// True once response bytes were sent to the caller.
     pub response_started: bool,
 }
@@ -98,6 +100,7 @@
             self.sent += 1;
         }
         self.may_have_run |= outcome.may_have_run();
+        self.may_arrive_late |= outcome == AttemptOutcome::Silent;
     }
 }
 
@@ -228,6 +231,9 @@
     pub window_ms: u64,
     /// Retries allowed beyond the ratio in a window; this entry's share.
     pub slack: u32,
+    /// Longest time until a request arrives at an upstream that does not respond, in
+    /// milliseconds: it may be paused, or the path to it cut.
+    pub arrival_delay_max_ms: u64,
 }
 
 impl Default for WindowedRetryBudgetSettings {
@@ -236,6 +242,7 @@
             ratio: 0.15,
             window_ms: 10_000,
             slack: 10,
+            arrival_delay_max_ms: 10_000,
         }
     }
 }
@@ -251,10 +258,17 @@
 }
 
 /// Retry budget of one service over a sliding window.
+///
+/// The limit holds for the arrivals at upstreams. A retry counts for a window from its
+/// response on, since it has arrived by then. Without a response it counts for longer, so that
+/// late arrivals of one window do not add up with the retries of the next.
 #[derive(Debug, Clone)]
 pub struct WindowedRetryBudget {
     settings: WindowedRetryBudgetSettings,
+    /// Requests, and retries that have arrived.
     buckets: VecDeque<Bucket>,
+    /// Times at which the retries without a response were sent.
+    unanswered: VecDeque<MonoMs>,
 }
 
 impl WindowedRetryBudget {
@@ -264,6 +278,7 @@
         Self {
             settings,
             buckets: VecDeque::new(),
+            unanswered: VecDeque::new(),
         }
     }
 
@@ -300,10 +315,20 @@
     /// Returns whether the window has a retry left.
     pub fn has_left(&mut self, now: MonoMs) -> bool {
         self.bucket(now);
+        let counted_ms =
+            (self.settings.window_ms).saturating_add(self.settings.arrival_delay_max_ms);
+        while self
+            .unanswered
+            .front()
+            .is_some_and(|sent_at| now.since_ms(*sent_at) > counted_ms)
+        {
+            self.unanswered.pop_front();
+        }
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let arrived: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let unanswered = u32::try_from(self.unanswered.len()).unwrap_or(u32::MAX);
         let allowed = self.settings.ratio * f64::from(requests) + f64::from(self.settings.slack);
-        f64::from(retries) + 1.0 <= allowed
+        f64::from(arrived) + f64::from(unanswered) + 1.0 <= allowed
     }
 
     /// Spends one retry; returns false when the window has none left.
@@ -311,7 +336,15 @@
         if !self.has_left(now) {
             return false;
         }
-        self.bucket(now).retries += 1;
+        self.unanswered.push_back(now);
         true
     }
+
+    /// Records the response to a retry, all earlier attempts of which have arrived. Counts it
+    /// in place of the oldest unanswered retry, which only lets the budget be spent later.
+    pub fn record_response(&mut self, now: MonoMs) {
+        if self.unanswered.pop_front().is_some() {
+            self.bucket(now).retries += 1;
+        }
+    }
 }
--- a/crates/masticdock-core/tests/serving_attempts.rs
+++ b/crates/masticdock-core/tests/serving_attempts.rs
@@ -83,7 +83,12 @@
     fn retries_of_every_window_stay_within_the_budget(
         steps in prop::collection::vec((0..400_u64, any::<bool>()), 1..300),
     ) {
-        let settings = WindowedRetryBudgetSettings { ratio: 0.2, window_ms: 10_000, slack: 5 };
+        let settings = WindowedRetryBudgetSettings {
+            ratio: 0.2,
+            window_ms: 10_000,
+            slack: 5,
+            ..WindowedRetryBudgetSettings::default()
+        };
         let mut budget = WindowedRetryBudget::new(settings);
         let mut now = MonoMs(60_000);
         let mut requests = Vec::new();
@@ -106,6 +111,55 @@
     }
 }
 
+proptest! {
+    /// Guards against retries that are sent within the budget, but arrive together with those
+    /// of the next window, because upstreams did not read them for a while.
+    #[test]
+    fn retries_that_arrive_late_stay_within_the_budget(
+        steps in prop::collection::vec((0..400_u64, any::<bool>(), 0..10_000_u64, any::<bool>()), 1..300),
+    ) {
+        let settings = WindowedRetryBudgetSettings {
+            ratio: 0.2,
+            window_ms: 10_000,
+            slack: 5,
+            ..WindowedRetryBudgetSettings::default()
+        };
+        let mut budget = WindowedRetryBudget::new(settings);
+        let mut now = MonoMs(60_000);
+        let mut requests = Vec::new();
+        // Times at which each retry was sent and arrives.
+        let mut retries: Vec<(MonoMs, MonoMs)> = Vec::new();
+        let mut responses: Vec<MonoMs> = Vec::new();
+        for (gap_ms, request, delay_ms, is_answered) in steps {
+            now = now.plus_ms(gap_ms);
+            responses.sort_unstable_by_key(|at| at.0);
+            while responses.first().is_some_and(|at| *at <= now) {
+                budget.record_response(responses.remove(0));
+            }
+            if request {
+                budget.record_request(now);
+                requests.push(now);
+            } else if budget.try_spend(now) {
+                let arrives_at = now.plus_ms(delay_ms);
+                retries.push((now, arrives_at));
+                if is_answered {
+                    responses.push(arrives_at);
+                }
+            }
+        }
+        for (_, end) in &retries {
+            let within = |at: MonoMs| at <= *end && end.since_ms(at) < 10_000;
+            let arrived: Vec<_> = retries.iter().filter(|(_, at)| within(*at)).collect();
+            let last_sent = arrived.iter().map(|(sent, _)| sent.0).max().unwrap_or(0);
+            let counted = requests
+                .iter()
+                .filter(|at| at.0 <= last_sent && last_sent - at.0 <= 10_500)
+                .count();
+            prop_assert!(arrived.len() * 5 <= counted + 25);
+        }
+    }
+}
+
 /// Guards against a request that waits for a retry that is not permitted.
 #[test]
 fn a_final_error_of_the_upstream_is_forwarded() {
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -180,6 +180,7 @@
         let reason = "the response may belong to another request";
         return broken_attempt(call, target, reason);
     }
+    limits.record_response(entry, call);
     record_head(entry, target, &head);
     rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
     if head.not_executed {
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -143,6 +143,7 @@
                 ratio: bounds.retry_ratio * RETRY_RATIO_SHARE,
                 window_ms: bounds.retry_window_ms,
                 slack,
+                ..WindowedRetryBudgetSettings::default()
             })
         });
         change(budget)
--- a/crates/masticdock-node/src/entry/wait.rs
+++ b/crates/masticdock-node/src/entry/wait.rs
@@ -60,6 +60,17 @@
 }
 
 impl WaitLimits<'_> {
+    /// Records a response in the retry budget if the attempt is a retry of attempts that have
+    /// arrived.
+    pub(super) fn record_response(&self, entry: &Entry, call: &Call) {
+        let history = &self.retry.failures.history;
+        if history.sent > 0 && !history.may_arrive_late {
+            entry.with_retry_budget(&call.service, |budget| {
+                budget.record_response(clock::now());
+            });
+        }
+    }
+
     /// Returns the time since the attempt was sent, in milliseconds.
     pub(super) fn waited_ms(&self) -> f64 {
         self.started_at.elapsed().as_secs_f64() * 1_000.0
