Build the budget of both property tests in one place

The two tests of the windowed retry budget set up the same settings. The settings and the assertions stay as they are; all six tests of the file pass.

--- a/crates/masticdock-core/tests/serving_attempts.rs
+++ b/crates/masticdock-core/tests/serving_attempts.rs
@@ -35,6 +35,16 @@
     }
 }
 
+/// Returns a budget of a fifth of the requests and 5 more in 10 s.
+fn new_budget() -> WindowedRetryBudget {
+    WindowedRetryBudget::new(WindowedRetryBudgetSettings {
+        ratio: 0.2,
+        window_ms: 10_000,
+        slack: 5,
+        ..WindowedRetryBudgetSettings::default()
+    })
+}
+
 proptest! {
     #![proptest_config(config())]
 
@@ -83,13 +93,7 @@
     fn retries_of_every_window_stay_within_the_budget(
         steps in prop::collection::vec((0..400_u64, any::<bool>()), 1..300),
     ) {
-        let settings = WindowedRetryBudgetSettings {
-            ratio: 0.2,
-            window_ms: 10_000,
-            slack: 5,
-            ..WindowedRetryBudgetSettings::default()
-        };
-        let mut budget = WindowedRetryBudget::new(settings);
+        let mut budget = new_budget();
         let mut now = MonoMs(60_000);
         let mut requests = Vec::new();
         let mut retries = Vec::new();
@@ -118,13 +122,7 @@
     fn retries_that_arrive_late_stay_within_the_budget(
         steps in prop::collection::vec((0..400_u64, any::<bool>(), 0..10_000_u64, any::<bool>()), 1..300),
     ) {
-        let settings = WindowedRetryBudgetSettings {
-            ratio: 0.2,
-            window_ms: 10_000,
-            slack: 5,
-            ..WindowedRetryBudgetSettings::default()
-        };
-        let mut budget = WindowedRetryBudget::new(settings);
+        let mut budget = new_budget();
         let mut now = MonoMs(60_000);
         let mut requests = Vec::new();
         // Times at which each retry was sent and arrives.
