Resume streams whose upstream crashed where only the connection marks the end

Change: before such a stream counts as complete, the entry connects to its upstream; if that refuses, or its row or agent names a later process, the stream is broken and resumed. Ruled out: to treat each such end as broken, which would run every such request twice.

--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -134,7 +134,7 @@
 
 /// Returns whether an upstream refuses connections. An unreachable one does not answer, and
 /// one that lost a response or reset a connection accepts others.
-async fn is_gone(entry: &Entry, upstream: &Upstream) -> bool {
+pub(super) async fn is_gone(entry: &Entry, upstream: &Upstream) -> bool {
     for pause in PROBE_PAUSES {
         sleep(pause).await;
         match entry.pools.open(upstream.address, PROBE_TIMEOUT).await {
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{AttemptResult, OpenStream, run_attempt};
 use super::candidates::ChosenUpstream;
-use super::crashes::{record_success, report_suspects};
+use super::crashes::{is_gone, record_success, report_suspects};
 use super::pool::AttemptConnection;
 use super::request::{Call, FailedAttempts};
 use super::retry::PreparedAttempt;
@@ -55,6 +55,8 @@
     opened_at: MonoMs,
     /// True once the upstream wrote for so long that the request cannot crash it.
     is_sound: bool,
+    /// True once the upstream was found alive after a stream that ended with its connection.
+    is_end_confirmed: bool,
     /// Last logged decision on the present silence.
     pub(super) silence_decision: Option<&'static str>,
     /// True once the attempt counts as failed because the stream was silent.
@@ -71,6 +73,7 @@
             progress: StreamProgress::new(StreamProgressSettings::default(), now),
             opened_at: now,
             is_sound: false,
+            is_end_confirmed: false,
             silence_decision: None,
             is_recorded: false,
         }
@@ -89,6 +92,9 @@
                 if self.stream.splitter.has_partial_event() {
                     return StreamStep::Broken("the stream ended within an event".to_owned());
                 }
+                if self.has_crashed_at_end().await {
+                    return StreamStep::Broken("the upstream ended".to_owned());
+                }
                 return StreamStep::Complete;
             }
             let frame = tokio::select! {
@@ -128,6 +134,17 @@
         }
     }
 
+    /// Returns whether the end of the stream may be that of the upstream's process: nothing
+    /// else marks the end of a body that ends with its connection.
+    async fn has_crashed_at_end(&mut self) -> bool {
+        if self.stream.body_end == BodyEnd::Marked || self.is_end_confirmed {
+            return false;
+        }
+        let is_gone = is_gone(&self.entry, &self.chosen.upstream).await || self.is_process_gone();
+        self.is_end_confirmed = !is_gone;
+        is_gone
+    }
+
     /// Returns whether a part of an event has arrived after the events read so far.
     pub(super) fn has_partial_event(&self) -> bool {
         self.stream.splitter.has_partial_event()
