Decide in the core in which regions and zones a request may be served

Cause: nothing read the regions to which a route or workspace is restricted, nor the rows that evacuate a zone, so requests left their regions and went on to evacuated zones.

Change: serving::eligibility has both decisions.

The request path does not call it yet.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -7,6 +7,8 @@
 
 use crate::ids::{ModelId, ServiceId, WorkspaceId, ZoneId};
 
+use super::eligibility::AllowedRegions;
+
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -67,6 +69,8 @@
     pub priority: u8,
     /// True when requests need no API key.
     pub anonymous: bool,
+    /// Regions in which the requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Cost model of a service's engines, taken from the parameters of the service.
@@ -204,6 +208,8 @@
     pub id: WorkspaceId,
     /// Priority that overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Regions in which the requests of the workspace may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// One version of the operators' configuration.
@@ -212,11 +218,11 @@
     /// Version; increases, not always by one.
     pub version: u64,
     /// Routes by host, longest prefix first.
-    routes: HashMap<CompactString, Vec<Route>>,
+    pub(super) routes: HashMap<CompactString, Vec<Route>>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, Service>,
     /// Workspaces by API key.
-    workspaces: HashMap<CompactString, Workspace>,
+    pub(super) workspaces: HashMap<CompactString, Workspace>,
     /// True when requests carry API keys.
     pub keys_required: bool,
     /// Limits for the requests of callers.
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod deadline_estimate;
 mod directory;
+mod eligibility;
 mod load;
 mod loaded_weights;
 mod observation;
@@ -50,6 +51,7 @@
 };
 pub use deadline_estimate::DeadlineEstimate;
 pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
+pub use eligibility::{AllowedRegions, Eligibility, EvacuatedZones, EvacuationChange, Ineligible};
 pub use load::{AgentReport, UpstreamLoad};
 pub use loaded_weights::{LoadId, LoadState, LoadedWeights, LoadedWeightsSettings, StageRead};
 pub use observation::{PollReply, TableObservation};
--- a/crates/masticdock-core/tests/serving_configuration.rs
+++ b/crates/masticdock-core/tests/serving_configuration.rs
@@ -1,7 +1,8 @@
 //! Tests of matching requests against the configuration.
 
 use masticdock_core::serving::{
-    Backend, Configuration, RequestKind, RequestLimits, Route, RouteMatch, Workspace,
+    AllowedRegions, Backend, Configuration, RequestKind, RequestLimits, Route, RouteMatch,
+    Workspace,
 };
 
 fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Route {
@@ -19,6 +20,7 @@
         attempts_max: 2,
         priority: 1,
         anonymous,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
@@ -31,6 +33,7 @@
     let workspace = Workspace {
         id: "alpenruh".parse().unwrap(),
         priority: Some(0),
+        allowed_regions: AllowedRegions::Any,
     };
     let keys = vec![("key-1".into(), workspace)];
     Configuration::new(7, routes, Vec::new(), Some(keys), RequestLimits::default())
--- a/crates/masticdock-core/tests/serving_numbers.rs
+++ b/crates/masticdock-core/tests/serving_numbers.rs
@@ -1,6 +1,8 @@
 //! Numbers from outside that are as large as their types allow.
 
-use masticdock_core::serving::{Backend, EngineRoom, PlaceRules, RequestKind, Route, UpstreamLoad};
+use masticdock_core::serving::{
+    AllowedRegions, Backend, EngineRoom, PlaceRules, RequestKind, Route, UpstreamLoad,
+};
 use masticdock_core::units::MonoMs;
 
 /// Guards against weights whose sum overflows: all requests went to one service.
@@ -21,6 +23,7 @@
         attempts_max: 2,
         priority: 1,
         anonymous: true,
+        allowed_regions: AllowedRegions::Any,
     };
     assert_eq!(route.choose_service(0.49).as_str(), "first");
     assert_eq!(route.choose_service(0.51).as_str(), "second");
