Keep requests in their regions and out of evacuated zones

Change: the adapter decodes both. Entries filter upstreams by them when they choose one for a first attempt, a retry, a resumed stream or a second attempt beside a silent one, and check again once the connection is open. A request that outlasts a change keeps to the restrictions of both configurations. If none is left it is rejected at once with a Retry-After of 2 to 5 s. What of a restriction cannot be read allows no region. Evacuated zones are logged and shown by masticdock_evacuated_zones.

--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -213,6 +213,7 @@
                     rows: snapshot.rows,
                     age_ms: 0,
                     era: snapshot.position.era,
+                    is_followed: false,
                 });
                 self.catalog.borrow_mut().apply_upstream_event(event);
                 true
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -67,6 +67,7 @@
         // An agent only plans its switch by the age; entries keep the limits.
         age_ms: 0,
         era: snapshot.position.era,
+        is_followed: false,
     });
     let mut catalog = agent.catalog.borrow_mut();
     catalog.apply_operator_event(event);
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -22,6 +22,7 @@
 use super::body::{collect_body, reuse_after_body};
 use super::candidates::ChosenUpstream;
 use super::crashes;
+use super::eligibility;
 use super::load_guard::LoadGuard;
 use super::pool::{AttemptConnection, acquire_connection};
 use super::rate_limits;
@@ -88,6 +89,9 @@
     {
         return late_attempt(call, id);
     }
+    if !eligibility::may_send(entry, call, &chosen.upstream) {
+        return AttemptResult::Failed(AttemptOutcome::NotSent, None);
+    }
     let remaining_ms = call.time_left_ms();
     let target = UpstreamTarget {
         id: id.clone(),
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -4,11 +4,13 @@
 
 use masticdock_core::ids::{RegionId, ServiceId, UpstreamId, ZoneId};
 use masticdock_core::serving::{
-    AgentReport, BeginMargins, BeginWindow, Candidate, EngineProfile, PathDelays, Placement,
-    PlacementRules, RequestSize, SwitchPlan, Upstream, VersionNumber, VersionTimeline, place,
+    AgentReport, AllowedRegions, BeginMargins, BeginWindow, Candidate, EngineProfile, Ineligible,
+    PathDelays, Placement, PlacementRules, RequestSize, SwitchPlan, Upstream, VersionNumber,
+    VersionTimeline, place,
 };
 use masticdock_core::units::MonoMs;
 
+use super::eligibility::eligibility;
 use super::state::Entry;
 use crate::clock;
 use crate::tables::Catalog;
@@ -48,6 +50,8 @@
     pub(crate) best_ms: Option<f64>,
     /// Earliest time at which the limit of an upstream allows a request.
     pub(crate) limited_until: Option<MonoMs>,
+    /// Why upstreams of the service are not candidates; the least lasting reason.
+    pub(crate) ineligible: Option<Ineligible>,
     pub(crate) candidates: usize,
 }
 
@@ -61,6 +65,8 @@
     /// a returning request or a retry.
     pub(crate) objective_left_ms: f64,
     pub(crate) returning: bool,
+    /// Regions in which the request may be served.
+    pub(crate) allowed_regions: &'a AllowedRegions,
     /// Upstreams at which an attempt of this request failed.
     pub(crate) excluded: &'a [UpstreamId],
 }
@@ -84,10 +90,16 @@
     let mut upstreams = Vec::new();
     let mut candidates = Vec::new();
     let mut limited_until: Option<MonoMs> = None;
+    let eligibility = eligibility(entry, &catalog, query.allowed_regions);
+    let mut ineligible = None;
     for upstream in catalog.directory.serving(query.service) {
         if query.excluded.contains(&upstream.id) {
             continue;
         }
+        if let Err(reason) = eligibility.check(&upstream.zone) {
+            ineligible = ineligible.max(Some(reason));
+            continue;
+        }
         if let Some(until) = rate_limited_until(entry, &upstream.id, now) {
             limited_until = Some(limited_until.map_or(until, |earliest| earliest.min(until)));
             continue;
@@ -142,11 +154,13 @@
         Placement::Full { best_ms } => Err(NoUpstream {
             best_ms: Some(best_ms),
             limited_until,
+            ineligible,
             candidates: count,
         }),
         Placement::NoCandidate => Err(NoUpstream {
             best_ms: None,
             limited_until,
+            ineligible,
             candidates: 0,
         }),
     }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod connections;
 mod crashes;
+mod eligibility;
 mod entry_count;
 mod live_stream;
 mod load_guard;
@@ -116,9 +117,11 @@
     };
     spawn_with_state(entry, "operators_table", move |entry| {
         watcher.run(move |event| {
-            if entry.catalog.borrow_mut().apply_operator_event(event) {
+            let has_new_version = entry.catalog.borrow_mut().apply_operator_event(event);
+            if has_new_version {
                 entry.version_declared.notify_one();
             }
+            eligibility::check_restrictions(&entry);
             OPERATORS_POLL_PAUSE
         })
     });
@@ -155,6 +158,8 @@
     loop {
         sleep(CLEANUP_INTERVAL).await;
         entry.catalog.borrow_mut().adopt_held_configuration();
+        entry.catalog.borrow_mut().expire_evacuations();
+        eligibility::check_restrictions(&entry);
         let changes = entry.catalog.borrow_mut().expire();
         discard_stale_state(&entry, &changes);
         entry.connections.apply_limits(&entry.limits());
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -16,6 +16,10 @@
 /// milliseconds; a crashed process is back after a few seconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: (u64, u64) = (900, 1_900);
 
+/// Range of the `Retry-After` delay while operators exclude all upstreams of a service, by
+/// regions or by an evacuation, in milliseconds; only they can end this.
+const EXCLUDED_RETRY_AFTER_MS: (u64, u64) = (2_000, 5_000);
+
 /// `Retry-After` delay of requests that crash engines, in milliseconds; they are not sent
 /// in the foreseeable future.
 const BLOCKED_RETRY_AFTER_MS: u64 = 30_000;
@@ -79,7 +83,10 @@
         let status = StatusCode::BAD_GATEWAY;
         return respond_with_error(call, "failed", None, status, None, history, in_use);
     }
-    entry.record_admission(&call.service, true);
+    // Requests elsewhere are not affected by those that no region can take.
+    if no_upstream.best_ms.is_some() || no_upstream.ineligible.is_none() {
+        entry.record_admission(&call.service, true);
+    }
     let (reason, (delay_ms, rejected_share)) = match no_upstream {
         NoUpstream {
             best_ms: Some(_), ..
@@ -92,6 +99,14 @@
             let delay_ms = delay_ms.max(until.since_ms(clock::now()));
             ("rate_limited", (delay_ms, rejected_share))
         }
+        NoUpstream {
+            ineligible: Some(ineligible),
+            ..
+        } => {
+            let (min_ms, max_ms) = EXCLUDED_RETRY_AFTER_MS;
+            let delay_ms = rand::random_range(min_ms..=max_ms);
+            (ineligible.as_str(), (delay_ms, 1.0))
+        }
         _ => {
             let (min_ms, max_ms) = NO_UPSTREAM_RETRY_AFTER_MS;
             ("no_upstream", (rand::random_range(min_ms..=max_ms), 1.0))
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -11,7 +12,8 @@
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, next_step,
+    AllowedRegions, AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures,
+    Route, next_step,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout_at};
@@ -21,6 +23,7 @@
 use super::candidates::{ChosenUpstream, NoUpstream, PlacementQuery, choose_upstream};
 use super::connections::InUseGuard;
 use super::crashes::request_features;
+use super::eligibility;
 use super::outcome::{
     forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
 };
@@ -41,12 +44,16 @@
 pub(crate) struct Call {
     pub(crate) head: CallerHead,
     pub(crate) method: Method,
+    /// Host that the caller named, as the route was matched with it.
+    pub(crate) host: CompactString,
     pub(crate) path: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<WorkspaceId>,
+    /// Regions in which the request may be served by the configuration at its arrival.
+    pub(crate) allowed_regions: AllowedRegions,
     pub(crate) priority: u8,
     pub(crate) arrived_at: MonoMs,
     /// When the response is due: the earlier of the caller's deadline and the route's
@@ -104,6 +111,7 @@
     };
     let RoutedRequest {
         configuration,
+        host,
         route,
         workspace,
     } = routed;
@@ -133,6 +141,13 @@
         .as_ref()
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
+    let of_workspace = workspace
+        .as_ref()
+        .map(|workspace| &workspace.allowed_regions);
+    let allowed_regions = of_workspace.map_or_else(
+        || route.allowed_regions.clone(),
+        |of_workspace| route.allowed_regions.intersection(of_workspace),
+    );
     let workspace = workspace.map(|workspace| workspace.id);
     let path = relative_uri(&parts.uri);
     let features = request_features(
@@ -146,11 +161,13 @@
     let call = Call {
         head,
         method: parts.method,
+        host,
         path,
         headers: parts.headers,
         body,
         service,
         workspace,
+        allowed_regions,
         priority,
         arrived_at,
         due_at: arrived_at.plus_ms(time_ms),
@@ -334,6 +351,7 @@
     } else {
         call.route.objective_ms.saturating_sub(call.age_ms()) as f64
     };
+    let allowed_regions = eligibility::allowed_regions(entry, call);
     choose_upstream(
         entry,
         &PlacementQuery {
@@ -343,6 +361,7 @@
             objective_left_ms,
             // A retry has waited already, like a request that returns after a rejection.
             returning: call.returning || !excluded.is_empty(),
+            allowed_regions: &allowed_regions,
             excluded,
         },
     )
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -3,6 +3,7 @@
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
 use super::candidates::ChosenUpstream;
+use super::eligibility;
 use super::pool::{AttemptConnection, acquire_connection};
 use super::request::{Call, FailedAttempts, attempts_max, choose_for_call};
 use super::state::Entry;
@@ -58,6 +59,9 @@
     if window.is_some_and(|window| !window.may_send(clock::now())) {
         return Err("no_place");
     }
+    if !eligibility::may_send(entry, call, &chosen.upstream) {
+        return Err("ineligible");
+    }
     if !spend_budget(entry, call, history) {
         return Err("no_budget");
     }
@@ -76,9 +80,7 @@
         return RetryPlan::Never(denial.as_str());
     }
     let Ok(chosen) = choose_for_call(entry, call, excluded) else {
-        let catalog = entry.catalog.borrow();
-        let mut serving = catalog.directory.serving(&call.service);
-        if serving.any(|upstream| !excluded.contains(&upstream.id)) {
+        if eligibility::has_upstream(entry, call, excluded) {
             return RetryPlan::Later("no_place");
         }
         return RetryPlan::Never("no_other_upstream");
--- a/crates/masticdock-node/src/entry/route.rs
+++ b/crates/masticdock-node/src/entry/route.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use compact_str::CompactString;
 use http::StatusCode;
 use http::header::HOST;
 use http::request::Parts;
@@ -20,6 +21,7 @@
 /// Route of a request and workspace of its caller, in the configuration in force.
 pub(super) struct RoutedRequest {
     pub(super) configuration: Rc<Configuration>,
+    pub(super) host: CompactString,
     pub(super) route: Route,
     pub(super) workspace: Option<Workspace>,
 }
@@ -65,11 +67,8 @@
         Some(authority) => Some(authority.as_str()),
         None => parts.headers.get(HOST).and_then(|host| host.to_str().ok()),
     };
-    let matched = configuration.find(
-        host.unwrap_or_default(),
-        parts.uri.path(),
-        head.api_key.as_deref(),
-    );
+    let host = CompactString::new(host.unwrap_or_default());
+    let matched = configuration.find(&host, parts.uri.path(), head.api_key.as_deref());
     let (route, workspace) = match matched {
         RouteMatch::Route { route, workspace } => (route.clone(), workspace.cloned()),
         RouteMatch::NoRoute => return Err(reject(StatusCode::NOT_FOUND, "no_route")),
@@ -79,6 +78,7 @@
     };
     Ok(RoutedRequest {
         configuration,
+        host,
         route,
         workspace,
     })
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -52,6 +52,8 @@
     pub(crate) agent_socket: AgentSocket,
     pub(crate) crashes: SharedCrashes,
     pub(crate) entry_count: EntryCount,
+    /// Version of the configuration whose restrictions to regions were checked.
+    pub(crate) restrictions_checked: Cell<u64>,
     /// Notified when the operators' table may declare a new version.
     pub(crate) version_declared: Notify,
     stopping_since: Cell<Option<MonoMs>>,
@@ -74,6 +76,7 @@
             agent_socket: AgentSocket::default(),
             crashes: SharedCrashes::default(),
             entry_count: EntryCount::default(),
+            restrictions_checked: Cell::new(0),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::StatusCode;
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::http_server::{respond, serve};
@@ -32,6 +33,8 @@
     pub(crate) request_seconds: HistogramVec,
     /// Time in which the process did not run, in seconds.
     pub(crate) paused_seconds: Counter,
+    /// Evacuated zones: 1 while evacuated, 0 afterwards.
+    pub(crate) evacuated_zones: IntGaugeVec,
     /// Number of panics of tasks.
     pub(crate) panics: IntCounter,
 }
@@ -92,6 +95,13 @@
             "masticdock_panics_total",
             "Panics of tasks, which are faults of the program.",
         )?;
+        let evacuated_zones = IntGaugeVec::new(
+            Opts::new(
+                "masticdock_evacuated_zones",
+                "1 for zones that are evacuated, 0 for those that were.",
+            ),
+            &["zone"],
+        )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
@@ -100,6 +110,7 @@
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(paused_seconds.clone()))?;
         registry.register(Box::new(panics.clone()))?;
+        registry.register(Box::new(evacuated_zones.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -110,6 +121,7 @@
             request_seconds,
             paused_seconds,
             panics,
+            evacuated_zones,
         })
     }
 }
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -10,11 +10,12 @@
 use masticdock_core::serving::{
     Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
     ConfigurationOrderSettings, ConfigurationSource, ConfigurationStamp, Directory,
-    DirectoryChange, StoreEra, Upstream, VersionTimeline,
+    DirectoryChange, EvacuatedZones, StoreEra, Upstream, VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
 use super::TableEvent;
+use super::evacuations::EvacuationRow;
 use crate::clock;
 
 /// Time after the recovery of the store in which missing rows may reappear, in
@@ -35,6 +36,8 @@
     pub(crate) directory: Directory,
     /// True once the table of upstreams has been read.
     pub(crate) upstreams_loaded: bool,
+    /// Zones whose upstreams get nothing new; always empty in agents.
+    pub(crate) evacuated: EvacuatedZones,
     /// Time of the last successful poll of the operators' table.
     pub(crate) operators_polled_at: Option<MonoMs>,
     /// Time of the last successful poll of the table of upstreams.
@@ -53,6 +56,14 @@
     version_deadline_ms: u64,
 }
 
+/// What rows of the operators' table tell beside the configuration.
+#[derive(Debug, Default)]
+struct AppliedRows {
+    /// True if a row declares a new version.
+    has_new_version: bool,
+    evacuations: Vec<EvacuationRow>,
+}
+
 impl Catalog {
     /// Returns an empty catalog.
     pub(crate) fn new(bounds: &NodeBounds) -> Self {
@@ -64,6 +75,7 @@
             configuration: None,
             directory: Directory::new(LAPSED_ROW_GRACE_MS),
             upstreams_loaded: false,
+            evacuated: EvacuatedZones::default(),
             operators_polled_at: None,
             upstreams_polled_at: None,
             versions: BTreeMap::new(),
@@ -91,7 +103,9 @@
             TableEvent::Snapshot(snapshot) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
-                if self.operators_era.is_some() && snapshot.era != self.operators_era {
+                let is_restored =
+                    self.operators_era.is_some() && snapshot.era != self.operators_era;
+                if is_restored {
                     self.configuration_order.store_restored(clock::now());
                 }
                 self.operators_era = snapshot.era;
@@ -100,25 +114,31 @@
                 } else {
                     snapshot.age_ms
                 };
-                self.apply_operator_rows(&snapshot.rows, ConfigurationSource::Snapshot, age_ms)
+                let source = ConfigurationSource::Snapshot;
+                let applied = self.apply_operator_rows(&snapshot.rows, source, age_ms);
+                if snapshot.is_followed {
+                    self.replace_evacuations(applied.evacuations, is_restored);
+                }
+                applied.has_new_version
             }
             TableEvent::Changes(rows, age_ms) => {
-                self.apply_operator_rows(&rows, ConfigurationSource::Change, age_ms)
+                let applied = self.apply_operator_rows(&rows, ConfigurationSource::Change, age_ms);
+                self.apply_evacuations(applied.evacuations);
+                applied.has_new_version
             }
         }
     }
 
-    /// Applies rows whose changes are at most `age_ms` old; returns true if one declares a
-    /// new version.
+    /// Applies rows whose changes are at most `age_ms` old, and returns those on zones.
     fn apply_operator_rows(
         &mut self,
         rows: &[Row],
         source: ConfigurationSource,
         age_ms: u64,
-    ) -> bool {
+    ) -> AppliedRows {
         let now = clock::now();
         let declared_at = MonoMs(now.0.saturating_sub(age_ms.min(UNKNOWN_VERSION_AGE_MS)));
-        let mut any_new = false;
+        let mut applied = AppliedRows::default();
         for row in rows {
             match decode_operator_row(row) {
                 Ok(OperatorRow::Configuration(configuration)) => {
@@ -127,7 +147,10 @@
                     self.apply_configuration(*configuration, offered, source);
                 }
                 Ok(OperatorRow::Version(declared)) => {
-                    any_new |= self.record_version(&declared, declared_at, "store");
+                    applied.has_new_version |= self.record_version(&declared, declared_at, "store");
+                }
+                Ok(OperatorRow::Evacuation { zone, evacuated }) => {
+                    applied.evacuations.push((zone, evacuated));
                 }
                 Ok(OperatorRow::Other) => {}
                 Err(error) => log::warn!(
@@ -138,7 +161,7 @@
                 ),
             }
         }
-        any_new
+        applied
     }
 
     /// Records a declared version and the time at which this process learnt of it;
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -1,6 +1,7 @@
 //! Watches the tables of the platform's store.
 
 mod catalog;
+mod evacuations;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,6 +59,8 @@
     pub(crate) age_ms: u64,
     /// Era of the store in which the table was read.
     pub(crate) era: Option<StoreEra>,
+    /// True if its later changes follow; a single read does not tell when an evacuation ends.
+    pub(crate) is_followed: bool,
 }
 
 /// Event that a [`TableWatcher`] delivers.
@@ -186,6 +189,7 @@
                 rows: snapshot.rows,
                 age_ms: observe(snapshot.body_duration),
                 era: snapshot.position.era,
+                is_followed: true,
             });
             return Ok((
                 Some((event, snapshot.body_duration)),
