Limit the requests of each entry to cold upstreams

Cause: an upstream that returns empty is the best choice of every entry at once. Nothing read how many requests a cold upstream tolerates, so the sum over the entries was bounded only by places and queues.

An upstream is cold from any join, restart, return or first response after a failed connection, and for as long as its row says. Entries that nobody counted divide by twice the number that they know. The prediction uses the slowdown of former cold upstreams of the service. Services without a tolerated rate are served as before.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -7,6 +7,8 @@
 
 use crate::ids::{ModelId, ServiceId, WorkspaceId, ZoneId};
 
+use super::cold_start::ColdStartProfile;
+
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -170,6 +172,8 @@
     pub engine: Option<EngineProfile>,
     /// Origin of weights; `None` unless the service is one.
     pub origin: Option<Origin>,
+    /// Behaviour of its upstreams after a start; `None` if they tolerate any rate.
+    pub cold_start: Option<ColdStartProfile>,
 }
 
 /// Size and time limits for the requests of callers.
--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -70,6 +70,8 @@
     /// Start time of the process, in milliseconds since the Unix epoch; a change
     /// shows a restart under the same id.
     pub started_at_ms: Option<u64>,
+    /// Time for which it stays cold after a start, in milliseconds, as its row says.
+    pub cold_left_ms: Option<u64>,
 }
 
 impl Upstream {
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -50,6 +50,15 @@
             _ => self,
         }
     }
+
+    /// Returns whether the engine started or became reachable since an earlier report.
+    #[must_use]
+    pub fn follows_start(&self, earlier: &Self) -> bool {
+        let is_later_process = self.started_at_ms.is_some()
+            && earlier.started_at_ms.is_some()
+            && self.started_at_ms != earlier.started_at_ms;
+        self.reachable && (is_later_process || !earlier.reachable)
+    }
 }
 
 /// Backoff after the first failure, in milliseconds: a crashed process needs a few
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod chunk_sources;
+mod cold_start;
 mod configuration;
 mod configuration_order;
 mod connection_timer;
@@ -34,6 +35,9 @@
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
 };
+pub use cold_start::{
+    ColdSlowdown, ColdStartBounds, ColdStartPace, ColdStartProfile, ColdStartShare, sharing_entries,
+};
 pub use configuration::{
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -18,6 +18,7 @@
         leaving,
         models: Vec::new(),
         started_at_ms: Some(started_at_ms),
+        cold_left_ms: None,
     }
 }
 
--- a/crates/masticdock-core/tests/serving_poll_pace.rs
+++ b/crates/masticdock-core/tests/serving_poll_pace.rs
@@ -113,6 +113,7 @@
         leaving: false,
         models: Vec::new(),
         started_at_ms: None,
+        cold_left_ms: None,
     };
     let updated = DirectoryChange::Updated(upstream.clone());
     let leaving = DirectoryChange::Leaving(upstream.id.clone());
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -18,6 +18,7 @@
         leaving: false,
         models: Vec::new(),
         started_at_ms: None,
+        cold_left_ms: None,
     }
 }
 
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -21,6 +21,7 @@
 
 use super::body::{collect_body, reuse_after_body};
 use super::candidates::ChosenUpstream;
+use super::cold_start;
 use super::crashes;
 use super::load_guard::LoadGuard;
 use super::pool::{AttemptConnection, acquire_connection};
@@ -74,6 +75,10 @@
 ) -> AttemptResult {
     let id = &chosen.upstream.id;
     let load = LoadGuard::begin(entry, id, call.head.size.prompt_tokens);
+    let claimed_at = clock::now();
+    if !cold_start::try_claim(entry, &chosen.upstream) {
+        return unclaimed_attempt(call, id);
+    }
     let connection = match connection {
         Some(connection) => Some(connection),
         None => acquire_connection(entry, call, chosen, &failures.history).await,
@@ -88,6 +93,9 @@
     {
         return late_attempt(call, id);
     }
+    if !cold_start::may_send(entry, &chosen.upstream, claimed_at) {
+        return unclaimed_attempt(call, id);
+    }
     let remaining_ms = call.time_left_ms();
     let target = UpstreamTarget {
         id: id.clone(),
@@ -182,6 +190,7 @@
     }
     limits.record_response(entry, call);
     record_head(entry, target, &head);
+    cold_start::record_response(entry, upstream);
     rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
     if head.not_executed {
         log::warn!(
@@ -222,7 +231,7 @@
             sent_at: limits.started_mono,
             load,
         };
-        return read_first_events(entry, call, target, limits, stream).await;
+        return read_first_events(entry, call, upstream, target, limits, stream).await;
     }
     let collected = collect_body(entry, body);
     let body = match await_upstream(entry, call, target, limits, collected).await {
@@ -258,6 +267,7 @@
 async fn read_first_events(
     entry: &Entry,
     call: &Call,
+    upstream: &Upstream,
     target: &UpstreamTarget,
     limits: &WaitLimits<'_>,
     mut stream: OpenStream,
@@ -304,6 +314,7 @@
         load.record_activity(now);
         load.record_latency(limits.waited_ms(), limits.predicted_ms, now);
     });
+    cold_start::record_latency(entry, upstream, limits.waited_ms(), limits.predicted_ms);
     stream.load.mark_first_event();
     AttemptResult::Stream(Box::new(stream))
 }
@@ -341,6 +352,18 @@
     AttemptResult::Failed(AttemptOutcome::NotSent, None)
 }
 
+/// Ends an attempt before it is sent, since its connection took so long that others used the
+/// share of this entry in the requests to a cold upstream.
+fn unclaimed_attempt(call: &Call, upstream: &UpstreamId) -> AttemptResult {
+    log::info!(
+        event = "attempt.cold",
+        request_id = call.head.request_id.as_str(),
+        upstream = upstream.as_str();
+        "a request waited too long for a connection to a cold upstream"
+    );
+    AttemptResult::Failed(AttemptOutcome::NotSent, None)
+}
+
 fn broken_attempt(call: &Call, target: &UpstreamTarget, reason: &str) -> AttemptResult {
     log::warn!(
         event = "attempt.broken",
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -9,6 +9,7 @@
 };
 use masticdock_core::units::MonoMs;
 
+use super::cold_start;
 use super::state::Entry;
 use crate::clock;
 use crate::tables::Catalog;
@@ -88,7 +89,8 @@
         if query.excluded.contains(&upstream.id) {
             continue;
         }
-        if let Some(until) = rate_limited_until(entry, &upstream.id, now) {
+        let limited = rate_limited_until(entry, &upstream.id, now);
+        if let Some(until) = limited.max(cold_start::blocked_until(entry, upstream, now)) {
             limited_until = Some(limited_until.map_or(until, |earliest| earliest.min(until)));
             continue;
         }
@@ -228,7 +230,9 @@
         total: load.total(now),
         pending_prefill_tokens: load.pending_prefill_tokens,
         others_pending_prefills: load.others_pending_prefills(prompt_ms, now),
-        slowdown: load.slowdown(now),
+        slowdown: load
+            .slowdown(now)
+            .max(cold_start::slowdown(entry, upstream, now)),
         link_delay_ms: fresh_report(entry, &upstream.id, now)
             .map_or(0.0, |(report, _)| f64::from(report.link_delay_ms)),
         switch_in_ms: None,
--- a/crates/masticdock-node/src/entry/entry_count.rs
+++ b/crates/masticdock-node/src/entry/entry_count.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns whether an agent has reported the number.
+    pub(crate) fn is_reported(&self) -> bool {
+        self.reported.get().is_some()
+    }
+
     /// Returns the number of entries.
     pub(crate) fn get(&self) -> u32 {
         let entries = self.reported.get().map(|(entries, _)| entries);
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod buffers;
 mod caller_stream;
 mod candidates;
+mod cold_start;
 mod connections;
 mod crashes;
 mod entry_count;
@@ -141,6 +142,7 @@
 
 /// Discards state and idle connections of upstreams that left or restarted.
 fn discard_stale_state(entry: &Entry, changes: &[DirectoryChange]) {
+    cold_start::record_changes(entry, changes);
     for change in changes {
         match change {
             DirectoryChange::Gone(id) => entry.remove_upstream(id),
@@ -159,5 +161,6 @@
         discard_stale_state(&entry, &changes);
         entry.connections.apply_limits(&entry.limits());
         entry.pools.close_expired();
+        cold_start::update_gauge(&entry);
     }
 }
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout_at;
 
 use super::candidates::ChosenUpstream;
+use super::cold_start;
 use super::request::Call;
 use super::state::Entry;
 use crate::clock;
@@ -70,6 +71,7 @@
         Err(_) => "the deadline passed while connecting".to_owned(),
     };
     entry.with_load(id, |load| load.record_error(clock::now()));
+    cold_start::record_unreachable(entry, &chosen.upstream);
     log::warn!(
         event = "upstream.unreachable",
         request_id = call.head.request_id.as_str(),
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -6,11 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticdock_core::ids::{ServiceId, UpstreamId};
-use masticdock_core::serving::AgentReport;
+use masticdock_core::ids::ServiceId;
+use masticdock_core::serving::{AgentReport, Upstream};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::cold_start;
 use super::crashes;
 use super::rate_limits;
 use super::state::Entry;
@@ -130,22 +131,27 @@
 /// after a restart of the engine also its former incarnation.
 fn apply_report(entry: &Entry, ip: IpAddr, report: AgentReport) {
     entry.entry_count.record(report.entries, clock::now());
-    let listed: Vec<(UpstreamId, Option<u64>)> = {
+    let listed: Vec<Upstream> = {
         let catalog = entry.catalog.borrow();
         let on_vm = catalog.directory.iter();
         on_vm
             .filter(|upstream| upstream.address.ip() == ip)
-            .map(|upstream| (upstream.id.clone(), upstream.started_at_ms))
+            .cloned()
             .collect()
     };
-    for (id, started_at_ms) in listed {
-        apply_to_incarnation(entry, &id, report.for_incarnation(started_at_ms));
+    for upstream in listed {
+        let report = report.for_incarnation(upstream.started_at_ms);
+        apply_to_incarnation(entry, &upstream, report);
     }
 }
 
-fn apply_to_incarnation(entry: &Entry, id: &UpstreamId, report: AgentReport) {
+fn apply_to_incarnation(entry: &Entry, upstream: &Upstream, report: AgentReport) {
     let now = clock::now();
+    let id = &upstream.id;
     let previous = entry.reports.borrow_mut().insert(id.clone(), (report, now));
+    if previous.is_some_and(|(previous, _)| report.follows_start(&previous)) {
+        cold_start::record_start(entry, upstream, "agent");
+    }
     entry.with_load(id, |load| {
         load.set_entry_count(report.entries);
         load.set_places(report.places, now);
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -3,6 +3,7 @@
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
 use super::candidates::ChosenUpstream;
+use super::cold_start;
 use super::pool::{AttemptConnection, acquire_connection};
 use super::request::{Call, FailedAttempts, attempts_max, choose_for_call};
 use super::state::Entry;
@@ -58,6 +59,9 @@
     if window.is_some_and(|window| !window.may_send(clock::now())) {
         return Err("no_place");
     }
+    if cold_start::blocked_until(entry, &chosen.upstream, clock::now()).is_some() {
+        return Err("no_place");
+    }
     if !spend_budget(entry, call, history) {
         return Err("no_budget");
     }
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -17,6 +17,7 @@
 
 use super::agents::AgentSocket;
 use super::buffers::ResponseBuffers;
+use super::cold_start::ColdStarts;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
 use super::entry_count::EntryCount;
@@ -52,6 +53,7 @@
     pub(crate) agent_socket: AgentSocket,
     pub(crate) crashes: SharedCrashes,
     pub(crate) entry_count: EntryCount,
+    pub(crate) cold_starts: ColdStarts,
     /// Notified when the operators' table may declare a new version.
     pub(crate) version_declared: Notify,
     stopping_since: Cell<Option<MonoMs>>,
@@ -74,6 +76,7 @@
             agent_socket: AgentSocket::default(),
             crashes: SharedCrashes::default(),
             entry_count: EntryCount::default(),
+            cold_starts: ColdStarts::default(),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::StatusCode;
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::http_server::{respond, serve};
@@ -32,6 +33,10 @@
     pub(crate) request_seconds: HistogramVec,
     /// Time in which the process did not run, in seconds.
     pub(crate) paused_seconds: Counter,
+    /// Number of upstreams that count as cold.
+    pub(crate) cold_upstreams: IntGauge,
+    /// Number of times that a cold upstream was no candidate for a request.
+    pub(crate) cold_start_skips: IntCounter,
     /// Number of panics of tasks.
     pub(crate) panics: IntCounter,
 }
@@ -88,6 +93,14 @@
             "masticdock_paused_seconds_total",
             "Time in which the process did not run.",
         )?;
+        let cold_upstreams = IntGauge::new(
+            "masticdock_cold_upstreams",
+            "Upstreams that count as cold and get few requests.",
+        )?;
+        let cold_start_skips = IntCounter::new(
+            "masticdock_cold_start_skips_total",
+            "Times that a cold upstream was no candidate for a request.",
+        )?;
         let panics = IntCounter::new(
             "masticdock_panics_total",
             "Panics of tasks, which are faults of the program.",
@@ -99,6 +112,8 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(paused_seconds.clone()))?;
+        registry.register(Box::new(cold_upstreams.clone()))?;
+        registry.register(Box::new(cold_start_skips.clone()))?;
         registry.register(Box::new(panics.clone()))?;
         Ok(Self {
             registry,
@@ -109,6 +124,8 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
+            cold_upstreams,
+            cold_start_skips,
             panics,
         })
     }
--- a/crates/masticdock-node/src/upstream_list/mod.rs
+++ b/crates/masticdock-node/src/upstream_list/mod.rs
@@ -98,6 +98,7 @@
             leaving: false,
             models,
             started_at_ms: upstream.started_at_ms,
+            cold_left_ms: None,
         });
     }
     Ok(upstreams)
