--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::{ModelId, ServiceId, WorkspaceId, ZoneId};
 
+use super::cold_start::ColdStartProfile;
 use super::eligibility::AllowedRegions;
 
 /// Whether a request may run more than once.
@@ -174,6 +175,8 @@
     pub engine: Option<EngineProfile>,
     /// Origin of weights; `None` unless the service is one.
     pub origin: Option<Origin>,
+    /// Behaviour of its upstreams after a start; `None` if they tolerate any rate.
+    pub cold_start: Option<ColdStartProfile>,
 }
 
 /// Size and time limits for the requests of callers.
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -3,6 +3,7 @@
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
 use super::candidates::ChosenUpstream;
+use super::cold_start;
 use super::eligibility;
 use super::pool::{AttemptConnection, acquire_connection};
 use super::request::{Call, FailedAttempts, attempts_max, choose_for_call};
@@ -62,6 +63,9 @@
     if !eligibility::may_send(entry, call, &chosen.upstream) {
         return Err("ineligible");
     }
+    if cold_start::blocked_until(entry, &chosen.upstream, clock::now()).is_some() {
+        return Err("no_place");
+    }
     if !spend_budget(entry, call, history) {
         return Err("no_budget");
     }
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -17,6 +17,7 @@
 
 use super::agents::AgentSocket;
 use super::buffers::ResponseBuffers;
+use super::cold_start::ColdStarts;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
 use super::entry_count::EntryCount;
@@ -54,6 +55,7 @@
     pub(crate) entry_count: EntryCount,
     /// Version of the configuration whose restrictions to regions were checked.
     pub(crate) restrictions_checked: Cell<u64>,
+    pub(crate) cold_starts: ColdStarts,
     /// Notified when the operators' table may declare a new version.
     pub(crate) version_declared: Notify,
     stopping_since: Cell<Option<MonoMs>>,
@@ -77,6 +79,7 @@
             crashes: SharedCrashes::default(),
             entry_count: EntryCount::default(),
             restrictions_checked: Cell::new(0),
+            cold_starts: ColdStarts::default(),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http::StatusCode;
 use prometheus::{
-    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::http_server::{respond, serve};
@@ -35,6 +35,10 @@
     pub(crate) paused_seconds: Counter,
     /// Evacuated zones: 1 while evacuated, 0 afterwards.
     pub(crate) evacuated_zones: IntGaugeVec,
+    /// Number of upstreams that count as cold.
+    pub(crate) cold_upstreams: IntGauge,
+    /// Number of times that a cold upstream was no candidate for a request.
+    pub(crate) cold_start_skips: IntCounter,
     /// Number of panics of tasks.
     pub(crate) panics: IntCounter,
 }
@@ -91,6 +95,14 @@
             "masticdock_paused_seconds_total",
             "Time in which the process did not run.",
         )?;
+        let cold_upstreams = IntGauge::new(
+            "masticdock_cold_upstreams",
+            "Upstreams that count as cold and get few requests.",
+        )?;
+        let cold_start_skips = IntCounter::new(
+            "masticdock_cold_start_skips_total",
+            "Times that a cold upstream was no candidate for a request.",
+        )?;
         let panics = IntCounter::new(
             "masticdock_panics_total",
             "Panics of tasks, which are faults of the program.",
@@ -109,6 +121,8 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(paused_seconds.clone()))?;
+        registry.register(Box::new(cold_upstreams.clone()))?;
+        registry.register(Box::new(cold_start_skips.clone()))?;
         registry.register(Box::new(panics.clone()))?;
         registry.register(Box::new(evacuated_zones.clone()))?;
         Ok(Self {
@@ -120,8 +134,10 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
-            panics,
             evacuated_zones,
+            cold_upstreams,
+            cold_start_skips,
+            panics,
         })
     }
 }
