Foresee the pause that prompts bring to running streams

An engine reads all unread prompts between two passes of its streams. On a shared machine it is 2.5 times slower for some tenths of a second, which entries saw only afterwards. Agents counted a prompt as unread for one poll, so an engine that came back got new prompts with each report.

Change: routes name a pause objective (`gap-target-ms`). Placement puts engines whose streams would pause for longer behind all others; the agent divides places by the objective. The slowness that an engine tells in its report or answers joins the prediction, with its age. Unread prompts are estimated from arrivals and reading time. Where an agent reports, answers' load figures no longer hide its number of unread prompts. Agents poll their engine every 50 ms.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -61,6 +61,9 @@
     pub timeout_ms: u64,
     /// Latency objective, in milliseconds; for streams, the time to the first event.
     pub objective_ms: u64,
+    /// Longest pause between events of a stream that counts as in time, in milliseconds;
+    /// `None` if the route names none.
+    pub pause_objective_ms: Option<u64>,
     /// Maximum number of upstreams that one request is sent to.
     pub attempts_max: u32,
     /// Priority of the requests; 0 is the highest.
@@ -157,6 +160,10 @@
     pub chunk_count: usize,
     /// Prefill time of a prompt of mean length, in milliseconds.
     pub mean_prefill_ms: u64,
+    /// Duration of a pass of a full batch, in milliseconds.
+    pub full_pass_ms: u64,
+    /// Smallest pause objective of the routes to the engine; `None` if no route names one.
+    pub pause_objective_ms: Option<u64>,
     /// Origin of the weights.
     pub origin: Origin,
 }
@@ -217,6 +224,8 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Workspaces by API key.
     workspaces: HashMap<CompactString, Workspace>,
+    /// Smallest pause objective of the routes to each service, in milliseconds.
+    pause_objectives_ms: HashMap<ServiceId, u64>,
     /// True when requests carry API keys.
     pub keys_required: bool,
     /// Limits for the requests of callers.
@@ -250,6 +259,7 @@
         limits: RequestLimits,
     ) -> Self {
         let mut by_host: HashMap<CompactString, Vec<Route>> = HashMap::new();
+        let pause_objectives_ms = smallest_pause_objectives(&routes);
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(route);
         }
@@ -265,6 +275,7 @@
                 .collect(),
             keys_required: keys.is_some(),
             workspaces: keys.unwrap_or_default().into_iter().collect(),
+            pause_objectives_ms,
             limits,
         }
     }
@@ -323,6 +334,12 @@
             })
     }
 
+    /// Returns the smallest pause objective of the routes to `service`, in milliseconds.
+    #[must_use]
+    pub fn pause_objective_ms(&self, service: &ServiceId) -> Option<u64> {
+        self.pause_objectives_ms.get(service).copied()
+    }
+
     /// Returns the first origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<&Origin> {
@@ -343,6 +360,8 @@
             layers: engine.layers,
             chunk_count: engine.chunk_count,
             mean_prefill_ms: engine.mean_prefill_ms() as u64,
+            full_pass_ms: engine.pass_ms(engine.slots) as u64,
+            pause_objective_ms: self.pause_objective_ms(service),
             origin: self.origin()?.clone(),
         })
     }
@@ -374,6 +393,23 @@
     }
 }
 
+/// Returns the smallest pause objective of the routes to each service.
+fn smallest_pause_objectives(routes: &[Route]) -> HashMap<ServiceId, u64> {
+    let mut smallest_ms: HashMap<ServiceId, u64> = HashMap::new();
+    for route in routes {
+        let Some(pause_ms) = route.pause_objective_ms else {
+            continue;
+        };
+        for backend in &route.backends {
+            let known_ms = smallest_ms
+                .entry(backend.service.clone())
+                .or_insert(pause_ms);
+            *known_ms = (*known_ms).min(pause_ms);
+        }
+    }
+    smallest_ms
+}
+
 /// Returns the host of a `Host` header in lower case, without the port.
 fn host_name(host: &str) -> CompactString {
     let name = match host.rsplit_once(':') {
--- a/crates/masticdock-core/src/serving/load.rs
+++ b/crates/masticdock-core/src/serving/load.rs
@@ -4,6 +4,7 @@
 
 use super::placement::ASSUMED_SERVICE_MS;
 use super::rate_limit::RateLimitShare;
+use super::slowness::{Slowness, ToldSlowness};
 use super::versions::VersionNumber;
 use super::waits::RecentMaximum;
 
@@ -32,6 +33,8 @@
     /// Number of requests that the receiving entry may send until the next report;
     /// `None` while the agent does not know the engine's slots.
     pub places: Option<u32>,
+    /// By how much work takes longer than usual on the engine's machine, if it tells that.
+    pub slowness: Option<Slowness>,
 }
 
 impl AgentReport {
@@ -69,6 +72,10 @@
 /// Age from which a load report is stale, in milliseconds.
 const REPORT_AGE_MAX_MS: u64 = 3_000;
 
+/// Age up to which an agent's report counts instead of what answers tell, in milliseconds.
+/// Under load an agent reports every 100 ms.
+const AGENT_REPORT_PRECEDENCE_MS: u64 = 300;
+
 /// Own sends since a report that are not extrapolated to the other entries: one may
 /// be chance, more show that the upstream is the best choice for every entry.
 const IGNORED_SENDS: u32 = 1;
@@ -116,6 +123,8 @@
     places: Option<(u32, MonoMs)>,
     /// Limit that the upstream names in its answers.
     pub rate_limit: RateLimitShare,
+    /// Slowness that the upstream or its agent told.
+    pub told_slowness: ToldSlowness,
     /// Smoothed ratio of observed to predicted times to the first event, and when it
     /// was last updated.
     slowdown: Option<(f64, MonoMs)>,
@@ -179,6 +188,18 @@
         });
     }
 
+    /// Records the load that an answer tells. It does not show which prompts are unread, so
+    /// a recent report of an agent counts instead.
+    pub fn record_answer_load(&mut self, running: u32, waiting: u32, now: MonoMs) {
+        let is_reported = self.report.is_some_and(|report| {
+            self.has_place(now).is_some()
+                && now.since_ms(report.received_at) < AGENT_REPORT_PRECEDENCE_MS
+        });
+        if !is_reported {
+            self.record_report(running.saturating_add(waiting), waiting, now);
+        }
+    }
+
     /// Sets the number of entries, including this one, that send requests to the
     /// upstream.
     pub fn set_entry_count(&mut self, entries: u32) {
@@ -211,15 +232,24 @@
     pub fn record_latency(&mut self, first_event_ms: f64, predicted_ms: f64, now: MonoMs) {
         let (low, high) = SLOWDOWN_SAMPLE_RANGE;
         let sample = (first_event_ms / predicted_ms.max(1.0)).clamp(low, high);
-        let slowdown = self.slowdown(now);
+        let slowdown = self.observed_slowdown(now);
         let slowdown = slowdown + SLOWDOWN_SAMPLE_WEIGHT * (sample - slowdown);
         self.slowdown = Some((slowdown, now));
     }
 
-    /// Returns the factor by which the upstream is slower than predicted; decays to 1.
+    /// Returns the factor by which the upstream is slower than predicted: the greater of
+    /// what it tells and what was observed.
     #[must_use]
-    #[allow(clippy::cast_precision_loss)]
     pub fn slowdown(&self, now: MonoMs) -> f64 {
+        let observed = self.observed_slowdown(now);
+        self.told_slowness
+            .factor(now)
+            .map_or(observed, |told| told.max(observed))
+    }
+
+    /// Returns the observed slowdown; decays to 1.
+    #[allow(clippy::cast_precision_loss)]
+    fn observed_slowdown(&self, now: MonoMs) -> f64 {
         let Some((slowdown, at)) = self.slowdown else {
             return 1.0;
         };
--- a/crates/masticdock-core/src/serving/placement.rs
+++ b/crates/masticdock-core/src/serving/placement.rs
@@ -11,6 +11,10 @@
 //! other entries hold are not all used. An upstream that is silent comes last: it may be
 //! sound and go on, or never answer.
 //!
+//! An engine reads all pending prompts between two passes, in which no stream gets an
+//! event. Several prompts at once, or one at an engine that is slow at the moment, make all
+//! its streams late. Such an engine is chosen only if no other one has room.
+//!
 //! A returning request, which its caller sends after an earlier rejection, is late
 //! already. It is admitted slightly more readily than a new one, because a second
 //! rejection helps nobody, but gets no longer queue: behind a longer queue every new
@@ -74,6 +78,9 @@
     pub spread_ms: f64,
     /// True if a request may be sent without a place when no candidate grants one.
     pub use_free_slots: bool,
+    /// Smallest pause objective of the streams that run at the candidates, in milliseconds;
+    /// `None` if they have none.
+    pub pause_objective_ms: Option<f64>,
 }
 
 impl Default for PlacementRules {
@@ -87,6 +94,7 @@
             overrun_share: 0.25,
             spread_ms: 20.0,
             use_free_slots: true,
+            pause_objective_ms: None,
         }
     }
 }
@@ -131,6 +139,7 @@
 ) -> Placement {
     let mut best: Option<Choice> = None;
     let mut best_without_place: Option<Choice> = None;
+    let mut best_pausing: Option<Choice> = None;
     let mut best_silent: Option<Choice> = None;
     let mut best_rejected_ms = f64::INFINITY;
     let objective_share = if returning {
@@ -159,6 +168,8 @@
         };
         let slot = if candidate.silent {
             &mut best_silent
+        } else if exceeds_pause_objective(candidate, engine, size, rules) {
+            &mut best_pausing
         } else {
             slot
         };
@@ -170,7 +181,8 @@
             });
         }
     }
-    match best.or(best_without_place).or(best_silent) {
+    let chosen = best.or(best_without_place).or(best_pausing).or(best_silent);
+    match chosen {
         Some(choice) => Placement::Send {
             index: choice.index,
             predicted_ms: choice.predicted_ms,
@@ -203,17 +215,42 @@
     };
     let running = candidate.total.min(slots);
     let slot_wait_ms = f64::from(queued_ahead) * engine.service_ms() / f64::from(slots);
-    let own_tokens = candidate
-        .pending_prefill_tokens
-        .saturating_add(size.prompt_tokens) as f64;
-    let others_tokens = candidate.others_pending_prefills * engine.prompt_tokens_mean;
-    let total_prefill_ms = engine.prefill_ms(own_tokens + others_tokens);
+    let total_prefill_ms = pending_prefill_ms(candidate, engine, size);
     // A request joins the batch at the end of the current pass, half a pass away on
     // average, and its first event comes at the end of the pass after its prefill.
     let first_event_ms = slot_wait_ms + total_prefill_ms + 1.5 * engine.pass_ms(running);
     candidate.slowdown * first_event_ms + candidate.link_delay_ms + f64::from(running)
 }
 
+/// Returns the prefill time of all pending prompts and that of the request, in milliseconds.
+#[allow(clippy::cast_precision_loss)]
+fn pending_prefill_ms(candidate: &Candidate, engine: &EngineProfile, size: RequestSize) -> f64 {
+    let own_tokens = candidate
+        .pending_prefill_tokens
+        .saturating_add(size.prompt_tokens) as f64;
+    let others_tokens = candidate.others_pending_prefills * engine.prompt_tokens_mean;
+    engine.prefill_ms(own_tokens + others_tokens)
+}
+
+/// Returns whether the request would make the streams that run at a candidate pause for
+/// longer than their objective.
+fn exceeds_pause_objective(
+    candidate: &Candidate,
+    engine: Option<&EngineProfile>,
+    size: RequestSize,
+    rules: &PlacementRules,
+) -> bool {
+    let (Some(engine), Some(objective_ms)) = (engine, rules.pause_objective_ms) else {
+        return false;
+    };
+    if candidate.total == 0 {
+        return false;
+    }
+    let running = candidate.total.min(candidate.slots);
+    let pass_ms = pending_prefill_ms(candidate, engine, size) + engine.pass_ms(running);
+    candidate.slowdown * pass_ms > objective_ms * rules.objective_share
+}
+
 /// Returns by how long a request would delay the switch of the weights, in milliseconds.
 #[allow(clippy::cast_precision_loss)]
 fn overrun_ms(
--- a/crates/masticdock-core/tests/serving_configuration.rs
+++ b/crates/masticdock-core/tests/serving_configuration.rs
@@ -16,6 +16,7 @@
         }],
         timeout_ms: 800,
         objective_ms: 300,
+        pause_objective_ms: None,
         attempts_max: 2,
         priority: 1,
         anonymous,
--- a/crates/masticdock-core/tests/serving_numbers.rs
+++ b/crates/masticdock-core/tests/serving_numbers.rs
@@ -18,6 +18,7 @@
         backends: vec![backend("first"), backend("second")],
         timeout_ms: 800,
         objective_ms: 300,
+        pause_objective_ms: None,
         attempts_max: 2,
         priority: 1,
         anonymous: true,
@@ -42,6 +43,9 @@
         total: 0,
         pending_prefills: 0,
         mean_prefill_ms: 0,
+        full_pass_ms: 0,
+        pause_objective_ms: None,
+        slowness: None,
     };
     assert!(room.free_places(&PlaceRules::default()) > 0);
 }
--- a/crates/masticdock-core/tests/serving_placement.rs
+++ b/crates/masticdock-core/tests/serving_placement.rs
@@ -107,6 +107,7 @@
             total: u32::try_from(self.jobs.len()).unwrap(),
             pending_prefills: u32::try_from(pending.count()).unwrap(),
             mean_prefill_ms,
+            ..EngineRoom::default()
         }
     }
 }
--- a/crates/masticdock-core/tests/serving_places.rs
+++ b/crates/masticdock-core/tests/serving_places.rs
@@ -1,7 +1,7 @@
 //! Division of an engine's free places among entries. It replaces the start times that
 //! agents used to give to each entry when an engine came back empty.
 
-use masticdock_core::serving::{EngineRoom, PlaceRotation, PlaceRules};
+use masticdock_core::serving::{EngineRoom, PlaceRotation, PlaceRules, Slowness};
 
 const PREFILL_MS: u64 = 47;
 
@@ -11,6 +11,9 @@
         total,
         pending_prefills,
         mean_prefill_ms: PREFILL_MS,
+        full_pass_ms: 52,
+        pause_objective_ms: None,
+        slowness: None,
     }
 }
 
@@ -47,6 +50,24 @@
     assert_eq!(room.free_places(&PlaceRules::default()), 1);
 }
 
+/// Guards against an engine that is slow at the moment and gets as many prompts as usual, so
+/// that the streams there pause for longer than their objective.
+#[test]
+fn a_slow_engine_gets_fewer_places() {
+    let places = |percent, pause_objective_ms| {
+        let room = EngineRoom {
+            pause_objective_ms,
+            slowness: Some(Slowness::from_percent(percent).unwrap()),
+            ..room(4, 0)
+        };
+        room.free_places(&PlaceRules::default())
+    };
+    assert_eq!(places(100.0, None), free(4, 0));
+    assert!(places(250.0, None) < places(100.0, None));
+    assert!(places(250.0, Some(300)) < places(250.0, None));
+    assert_eq!(places(50.0, None), free(4, 0));
+}
+
 /// Guards against places that are granted twice or get lost.
 #[test]
 fn a_division_grants_each_place_once() {
--- a/crates/masticdock-node/src/agent/engine_poll.rs
+++ b/crates/masticdock-node/src/agent/engine_poll.rs
@@ -9,9 +9,10 @@
 
 use super::crashes;
 use super::state::{Agent, load_id};
+use crate::clock;
 
 /// Interval between polls. It bounds the delay with which entries learn of a change.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Polls the engine; never returns.
 pub(crate) async fn run(agent: Rc<Agent>) {
@@ -33,6 +34,7 @@
             }
         };
         crashes::record_engine(&agent, report.as_ref());
+        log_invalid_slowness(previous.as_ref(), report.as_ref());
         if let Some(report) = &report {
             let mut weights = agent.loaded_weights.borrow_mut();
             weights.record_report(load_id(report), report.busy);
@@ -57,13 +59,38 @@
             agent.staged_version.set(None);
             agent.ordered_version.set(None);
         }
-        let running_requests =
-            |report: &Option<EngineReport>| report.as_ref().map_or(0, |r| r.running);
-        let new_requests = running_requests(&report).saturating_sub(running_requests(&previous));
-        if agent.new_requests.replace(new_requests) != new_requests || previous != report {
+        if record_backlog(&agent, report.as_ref()) || previous != report {
             *agent.engine_report.borrow_mut() = report;
             agent.changed.notify_waiters();
         }
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Records the requests at the engine; returns whether the number of unread prompts changed.
+fn record_backlog(agent: &Agent, report: Option<&EngineReport>) -> bool {
+    let mut backlog = agent.prefill_backlog.get();
+    let mean_prefill_ms = agent.mean_prefill_ms();
+    let previous = backlog.prompts(mean_prefill_ms);
+    let requests = report.map_or(0, |report| report.running.saturating_add(report.queued));
+    let slowness = report.and_then(|report| report.slowness?.ok());
+    backlog.record(requests, mean_prefill_ms, slowness, clock::now());
+    agent.prefill_backlog.set(backlog);
+    backlog.prompts(mean_prefill_ms) != previous
+}
+
+/// Logs a slowness that is invalid, unless the previous report had one as well.
+fn log_invalid_slowness(previous: Option<&EngineReport>, report: Option<&EngineReport>) {
+    let invalid = |report: Option<&EngineReport>| report?.slowness?.err();
+    let Some(error) = invalid(report) else {
+        return;
+    };
+    if invalid(previous).is_none() {
+        log::warn!(
+            event = "slowness.invalid",
+            upstream = "engine",
+            error:% = error;
+            "ignored the slowness that the engine tells; check its report"
+        );
+    }
+}
--- a/crates/masticdock-node/src/agent/reporter.rs
+++ b/crates/masticdock-node/src/agent/reporter.rs
@@ -245,6 +245,9 @@
         total: report.running.saturating_add(report.queued),
         pending_prefills: report.pending_prefills,
         mean_prefill_ms: target.mean_prefill_ms,
+        full_pass_ms: target.full_pass_ms,
+        pause_objective_ms: target.pause_objective_ms,
+        slowness: report.slowness,
     };
     Some(room.free_places(&PlaceRules::default()))
 }
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -10,8 +10,8 @@
 use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
     AgentReport, ChunkPeer, ChunkSourceSelector, CrashRecords, CrashRecordsSettings, EngineCrashes,
-    EngineCrashesSettings, LoadId, LoadState, LoadedWeights, ModelTarget, StoreReadSchedule,
-    StoreReadSettings, VersionNumber, VersionTimeline,
+    EngineCrashesSettings, LoadId, LoadState, LoadedWeights, ModelTarget, PrefillBacklog,
+    StoreReadSchedule, StoreReadSettings, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -87,8 +87,8 @@
     pub(crate) kept_crashes: RefCell<CrashRecords>,
     /// Notified when a crash is confirmed or has further suspects.
     pub(crate) crashes_changed: Notify,
-    /// Requests that the engine started between the last two polls.
-    pub(crate) new_requests: Cell<u32>,
+    /// Prompts that the engine has not read yet.
+    pub(crate) prefill_backlog: Cell<PrefillBacklog>,
     /// Limits the concurrent reads from the same region.
     pub(crate) read_window: RefCell<ReadWindow>,
     /// Chunks for agents of the same region that wait to be sent.
@@ -155,7 +155,7 @@
                 ..CrashRecordsSettings::default()
             })),
             crashes_changed: Notify::new(),
-            new_requests: Cell::new(0),
+            prefill_backlog: Cell::default(),
             read_window: RefCell::default(),
             same_region_waiting: Cell::new(0),
             upstreams_read_at: Cell::new(None),
@@ -509,6 +509,19 @@
         delay_ms as u32 / LINK_DELAY_STEP_MS * LINK_DELAY_STEP_MS
     }
 
+    /// Returns the prefill time of a prompt of mean length, in milliseconds; 0 while unknown.
+    pub(crate) fn mean_prefill_ms(&self) -> u64 {
+        self.target_model()
+            .map_or(0, |target| target.mean_prefill_ms)
+    }
+
+    /// Returns the number of prompts that the engine has probably not read; a request that
+    /// waits for a slot is one of them.
+    fn unread_prompts(&self, report: &EngineReport) -> u32 {
+        let prompts = self.prefill_backlog.get().prompts(self.mean_prefill_ms());
+        prompts.max(report.queued)
+    }
+
     /// Returns the report of the engine for entries.
     pub(crate) fn report_for_entries(&self) -> AgentReport {
         let loaded = self
@@ -527,11 +540,12 @@
         AgentReport {
             running: report.running,
             queued: report.queued,
-            pending_prefills: report.queued.saturating_add(self.new_requests.get()),
+            pending_prefills: self.unread_prompts(report),
             version: loaded,
             switching: report.busy || self.switching.get() || !may_serve,
             reachable: true,
             started_at_ms: report.started_at_ms,
+            slowness: report.slowness.and_then(Result::ok),
             ..common
         }
     }
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -12,7 +12,7 @@
 use super::DATAGRAM_BYTES_MAX;
 
 /// Prefix of a hello; its last byte is the format version.
-const HELLO_MAGIC: [u8; 4] = *b"mdh3";
+const HELLO_MAGIC: [u8; 4] = *b"mdh4";
 const RESUMABLE_FLAG: u8 = 1;
 const TARGET_FLAG: u8 = 2;
 const STARTING_FLAG: u8 = 4;
@@ -134,6 +134,10 @@
     bytes.extend_from_slice(&target.layers.to_le_bytes());
     bytes.extend_from_slice(&(target.chunk_count as u64).to_le_bytes());
     bytes.extend_from_slice(&target.mean_prefill_ms.to_le_bytes());
+    bytes.extend_from_slice(&target.full_pass_ms.to_le_bytes());
+    // 0 encodes the absence of an objective.
+    let pause_objective_ms = target.pause_objective_ms.unwrap_or(0);
+    bytes.extend_from_slice(&pause_objective_ms.to_le_bytes());
     put_text(bytes, &target.origin.address.to_string());
     // An empty name encodes the absence of a zone.
     let zone = target.origin.zone.as_ref().map_or("", ZoneId::as_str);
@@ -152,6 +156,8 @@
     let layers = u32::from_le_bytes(reader.take()?);
     let chunk_count = usize::try_from(reader.u64()?).ok()?;
     let mean_prefill_ms = reader.u64()?;
+    let full_pass_ms = reader.u64()?;
+    let pause_objective_ms = Some(reader.u64()?).filter(|pause_ms| *pause_ms > 0);
     let address: SocketAddr = reader.text()?.parse().ok()?;
     let zone = match reader.text()? {
         "" => None,
@@ -165,6 +171,8 @@
             layers,
             chunk_count,
             mean_prefill_ms,
+            full_pass_ms,
+            pause_objective_ms,
             origin: Origin { address, zone },
         },
     })
--- a/crates/masticdock-node/src/datagram/mod.rs
+++ b/crates/masticdock-node/src/datagram/mod.rs
@@ -8,7 +8,7 @@
 mod crashes;
 mod hello;
 
-use masticdock_core::serving::{AgentReport, VersionNumber};
+use masticdock_core::serving::{AgentReport, Slowness, VersionNumber};
 use masticdock_core::transfer::ChunkSet;
 
 pub(crate) use crashes::{Crash, Limited, Refuted, Suspects};
@@ -17,9 +17,9 @@
 /// Prefix of an announcement of held chunks.
 const HELD_CHUNKS_MAGIC: [u8; 4] = *b"mdp1";
 /// Prefix of a report.
-const REPORT_MAGIC: [u8; 4] = *b"mdr3";
+const REPORT_MAGIC: [u8; 4] = *b"mdr4";
 /// Length of a report without its prefix, in bytes.
-const REPORT_BODY_BYTES: usize = 28;
+const REPORT_BODY_BYTES: usize = 30;
 /// Encodes that the number of places is unknown.
 const UNKNOWN_PLACES: u8 = u8::MAX;
 const SWITCHING_FLAG: u8 = 1;
@@ -106,6 +106,9 @@
             .min(UNKNOWN_PLACES - 1)
     });
     bytes.push(places);
+    // 0 encodes an unknown slowness.
+    let slowness = report.slowness.map_or(0, Slowness::percent);
+    bytes.extend_from_slice(&slowness.to_le_bytes());
     bytes
 }
 
@@ -134,6 +137,7 @@
         pending_prefills: u16::from_le_bytes([rest[17], rest[18]]).into(),
         started_at_ms: (started_at_ms > 0).then_some(started_at_ms),
         places: (rest[27] != UNKNOWN_PLACES).then_some(rest[27].into()),
+        slowness: Slowness::from_percent(u16::from_le_bytes([rest[28], rest[29]]).into()).ok(),
     }))
 }
 
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -310,14 +310,37 @@
 
 fn record_head(entry: &Entry, target: &UpstreamTarget, head: &UpstreamHead) {
     let now = clock::now();
+    record_slowness(entry, target, head, now);
     entry.with_load(&target.id, |load| {
         load.record_activity(now);
         if let Some((running, waiting)) = head.load {
-            load.record_report(running.saturating_add(waiting), waiting, now);
+            load.record_answer_load(running, waiting, now);
         }
     });
 }
 
+/// Records the slowness that an answer tells; an invalid figure is logged and ignored.
+fn record_slowness(entry: &Entry, target: &UpstreamTarget, head: &UpstreamHead, now: MonoMs) {
+    let Some(slowness) = head.slowness else {
+        return;
+    };
+    let is_logged = entry.with_load(&target.id, |load| match slowness {
+        Ok(slowness) => {
+            load.told_slowness.record_answer(slowness, now);
+            false
+        }
+        Err(_) => load.told_slowness.record_invalid(now),
+    });
+    if let (true, Err(error)) = (is_logged, slowness) {
+        log::warn!(
+            event = "slowness.invalid",
+            upstream = target.id.as_str(),
+            error:% = error;
+            "ignored the slowness that an upstream tells; check the upstream's load figures"
+        );
+    }
+}
+
 /// Returns the response head without hop-by-hop and internal headers.
 fn forwarded_head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
     let mut head = Response::new(());
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -61,6 +61,8 @@
     /// a returning request or a retry.
     pub(crate) objective_left_ms: f64,
     pub(crate) returning: bool,
+    /// Smallest pause objective of the streams of the service, in milliseconds.
+    pub(crate) pause_objective_ms: Option<f64>,
     /// Upstreams at which an attempt of this request failed.
     pub(crate) excluded: &'a [UpstreamId],
 }
@@ -116,6 +118,7 @@
         query.returning,
         &PlacementRules {
             use_free_slots: !entry.rejected_recently(query.service),
+            pause_objective_ms: query.pause_objective_ms,
             ..PlacementRules::default()
         },
     );
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -149,6 +149,7 @@
     entry.with_load(id, |load| {
         load.set_entry_count(report.entries);
         load.set_places(report.places, now);
+        load.told_slowness.record_report(report.slowness, now);
         let total = report.running.saturating_add(report.queued);
         load.record_report(total, report.pending_prefills, now);
         let was_unreachable = previous.is_some_and(|(previous, _)| !previous.reachable);
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -334,9 +334,13 @@
     } else {
         call.route.objective_ms.saturating_sub(call.age_ms()) as f64
     };
+    #[allow(clippy::cast_precision_loss)]
+    let pause_objective_ms =
+        (call.configuration.pause_objective_ms(&call.service)).map(|pause_ms| pause_ms as f64);
     choose_upstream(
         entry,
         &PlacementQuery {
+            pause_objective_ms,
             service: &call.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             size: call.head.size,
