--- a/crates/masticdock-core/tests/serving_eligibility.rs
+++ b/crates/masticdock-core/tests/serving_eligibility.rs
@@ -115,6 +115,7 @@
         }],
         timeout_ms: 800,
         objective_ms: 300,
+        pause_objective_ms: None,
         attempts_max: 2,
         priority: 1,
         anonymous: name == "open",
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -68,6 +68,8 @@
     pub(crate) returning: bool,
     /// Regions in which the request may be served.
     pub(crate) allowed_regions: &'a AllowedRegions,
+    /// Smallest pause objective of the streams of the service, in milliseconds.
+    pub(crate) pause_objective_ms: Option<f64>,
     /// Upstreams at which an attempt of this request failed.
     pub(crate) excluded: &'a [UpstreamId],
 }
@@ -130,6 +132,7 @@
         query.returning,
         &PlacementRules {
             use_free_slots: !entry.rejected_recently(query.service),
+            pause_objective_ms: query.pause_objective_ms,
             ..PlacementRules::default()
         },
     );
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -352,9 +352,13 @@
         call.route.objective_ms.saturating_sub(call.age_ms()) as f64
     };
     let allowed_regions = eligibility::allowed_regions(entry, call);
+    #[allow(clippy::cast_precision_loss)]
+    let pause_objective_ms =
+        (call.configuration.pause_objective_ms(&call.service)).map(|pause_ms| pause_ms as f64);
     choose_upstream(
         entry,
         &PlacementQuery {
+            pause_objective_ms,
             service: &call.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             size: call.head.size,
