--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -120,8 +120,8 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
-            panics,
             evacuated_zones,
+            panics,
         })
     }
 }
