--- a/crates/masticdock-core/src/serving/connection_timer.rs
+++ b/crates/masticdock-core/src/serving/connection_timer.rs
@@ -23,6 +23,8 @@
     Idle,
     /// The rest of a request head has not been received in time.
     Head,
+    /// The caller has read nothing of a response for too long.
+    Unread,
 }
 
 /// Phase of a connection and the timeout that applies to it.
@@ -55,7 +57,13 @@
         self.phase
     }
 
-    /// Records that the connection enters a phase.
+    /// Returns whether the caller has read nothing of a response for some time.
+    #[must_use]
+    pub fn is_unread_for(&self, duration_ms: u64, now: MonoMs) -> bool {
+        self.phase == ConnectionPhase::Sending && now.since_ms(self.since) >= duration_ms
+    }
+
+    /// Records that the connection enters a phase, or that the caller reads on.
     pub const fn enter(&mut self, phase: ConnectionPhase, now: MonoMs) {
         self.phase = phase;
         self.since = now;
@@ -88,6 +96,9 @@
             ConnectionPhase::Head if age_ms >= limits.head_timeout_ms => {
                 Some(ConnectionTimeout::Head)
             }
+            ConnectionPhase::Sending if age_ms >= idle_timeout_ms => {
+                Some(ConnectionTimeout::Unread)
+            }
             _ => None,
         }
     }
