Bound what an entry and an agent hold for others

Cause: bodies of requests were collected without a bound on their sum, each chunk kept a whole input buffer, a response was charged only until it was complete and not until its caller had read it, and servers for other processes accepted any number of connections.

Change: bodies, responses and long events are charged before they grow and until their last copy is dropped. A body that does not fit evicts those without progress (408) or is rejected unrun (503 with Retry-After); its rest is discarded. Callers that do not read their responses are closed, at once while memory is short, else after the idle timeout. Connections from callers are also bounded by memory, those of peers by 512 for each server.

--- a/crates/masticdock-node/src/entry/caller_stream.rs
+++ b/crates/masticdock-node/src/entry/caller_stream.rs
@@ -84,7 +84,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if result.is_ready() {
+            self.connection.record_sent();
+        }
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -109,6 +113,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        if result.is_ready() {
+            self.connection.record_sent();
+        }
+        result
     }
 }
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -11,7 +11,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use masticdock_core::serving::{ConnectionPhase, ConnectionTimer, RequestLimits};
+use masticdock_core::serving::{
+    ConnectionPhase, ConnectionTimeout, ConnectionTimer, RequestLimits,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -20,10 +22,16 @@
 use super::caller_stream::CallerStream;
 use super::request::handle_request;
 use super::state::Entry;
+use crate::metrics::metrics;
 use crate::{clock, http_server};
 
 /// File descriptors reserved for upstreams, the store and files.
 const RESERVED_DESCRIPTORS: usize = 1_000;
+/// Memory that a connection from a caller uses, in bytes.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// Time without progress after which a response counts as unread while memory is short, in
+/// milliseconds.
+const UNREAD_MS: u64 = 2_000;
 /// Minimum buffer size of a connection; hyper accepts no smaller one.
 const BUFFER_BYTES_MIN: usize = 8_192;
 
@@ -35,6 +43,8 @@
     unread_body: Cell<bool>,
     /// True once the connection is to be closed after the request in progress, if any.
     closing: Cell<bool>,
+    /// True once the connection is to be closed in the middle of a response that is not read.
+    abandoned: Cell<bool>,
     /// Requests a check whether to close the connection or to change its limits.
     check: Notify,
 }
@@ -74,10 +84,24 @@
     /// Returns whether the connection is between two requests and to be closed.
     fn is_due(&self, limits: &RequestLimits) -> bool {
         let is_idle = self.phase() == ConnectionPhase::Idle;
-        let is_expired = self.timer.get().exceeded(limits, clock::now()).is_some();
+        let exceeded = self.timer.get().exceeded(limits, clock::now());
+        let is_expired = exceeded.is_some_and(|timeout| timeout != ConnectionTimeout::Unread);
         is_expired || is_idle && self.closing.get()
     }
 
+    /// Returns whether the caller leaves its response unread for too long.
+    fn is_unread(&self, limits: &RequestLimits) -> bool {
+        let exceeded = self.timer.get().exceeded(limits, clock::now());
+        self.abandoned.get() || exceeded == Some(ConnectionTimeout::Unread)
+    }
+
+    /// Records that a part of a response has been sent.
+    pub(super) fn record_sent(&self) {
+        if self.phase() == ConnectionPhase::Sending {
+            self.enter(ConnectionPhase::Sending);
+        }
+    }
+
     /// Returns whether the HTTP server has to give the connection back.
     fn needs_check(&self, limits: &RequestLimits) -> bool {
         let needs_check = self.is_due(limits) || self.timer.get().is_outdated(limits);
@@ -103,6 +127,7 @@
             timer: Cell::new(ConnectionTimer::new(limits, clock::now())),
             unread_body: Cell::new(false),
             closing: Cell::new(false),
+            abandoned: Cell::new(false),
             check: Notify::new(),
         });
         self.open.borrow_mut().push(Rc::downgrade(&connection));
@@ -136,7 +161,18 @@
     /// applies the limit on request heads to the others.
     pub(crate) fn apply_limits(&self, limits: &RequestLimits) {
         for connection in self.live() {
-            if connection.needs_check(limits) {
+            if connection.needs_check(limits) || connection.is_unread(limits) {
+                connection.check.notify_one();
+            }
+        }
+    }
+
+    /// Closes connections whose callers do not read their responses, to make room for others.
+    pub(crate) fn close_unread(&self) {
+        let now = clock::now();
+        for connection in self.live() {
+            if connection.timer.get().is_unread_for(UNREAD_MS, now) {
+                connection.abandoned.set(true);
                 connection.check.notify_one();
             }
         }
@@ -156,14 +192,25 @@
 
 /// Accepts connections until the task is aborted.
 pub(crate) async fn accept(entry: Rc<Entry>, listener: Rc<TcpListener>) {
+    let by_descriptors = entry
+        .settings
+        .file_descriptors_max
+        .saturating_sub(RESERVED_DESCRIPTORS);
+    let by_memory = entry.memory_shares.connections_bytes / CONNECTION_BYTES;
+    let open_max = by_descriptors.min(by_memory);
+    let mut logged_at = None;
     loop {
         let stream = http_server::accept(&listener).await;
-        let open_max = entry
-            .settings
-            .file_descriptors_max
-            .saturating_sub(RESERVED_DESCRIPTORS);
         if entry.connections.count() >= open_max && entry.connections.live().len() >= open_max {
-            log::warn!(event = "connection.refused", open = open_max; "connection limit reached; a caller's connection is closed");
+            metrics()
+                .connections_closed
+                .with_label_values(&["limit"])
+                .inc();
+            let now = clock::now();
+            if logged_at.is_none_or(|logged_at| now.since_ms(logged_at) >= 1_000) {
+                logged_at = Some(now);
+                log::warn!(event = "connection.refused", open = open_max; "connection limit reached; a caller's connection is closed");
+            }
             continue;
         }
         spawn_local(serve(Rc::clone(&entry), stream));
@@ -226,6 +273,10 @@
                 return None;
             }
             () = connection.check.notified() => {
+                if connection.is_unread(&entry.limits()) {
+                    metrics().connections_closed.with_label_values(&["unread"]).inc();
+                    return None;
+                }
                 if connection.needs_check(&entry.limits()) {
                     return Some(CallerStream::take_back(server.into_parts()));
                 }
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
@@ -18,9 +18,11 @@
 
 use super::answer::CallerResponseBody;
 use super::attempt::{AttemptResult, run_attempt};
+use super::body::discard_rest;
 use super::candidates::{ChosenUpstream, NoUpstream, PlacementQuery, choose_upstream};
 use super::connections::InUseGuard;
 use super::crashes::request_features;
+use super::memory::AppendError;
 use super::outcome::{
     forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
 };
@@ -31,8 +33,9 @@
 use crate::clock;
 use crate::metrics::metrics;
 
-/// Maximum time for reading the body of a request that is rejected because of its head.
-const UNUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Range of the `Retry-After` delay while bodies use up their share of the memory, in
+/// milliseconds.
+const NO_ROOM_RETRY_AFTER_MS: (u64, u64) = (900, 1_900);
 /// Deadline of requests that state none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -111,12 +114,19 @@
     let time_ms = deadline_ms.min(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(time_ms);
     let body_bytes_max = configuration.limits.body_bytes_max;
-    let body = match read_body(&parts.headers, body, body_bytes_max, deadline).await {
+    let body = match read_body(&entry, &parts.headers, body, body_bytes_max, deadline).await {
         Ok(body) => {
             in_use.end_body();
             body
         }
-        Err((status, reason)) => return reject(&request_id, status, reason, None, in_use),
+        Err(rejection) => {
+            let BodyRejection {
+                status,
+                reason,
+                retry_after_ms,
+            } = rejection;
+            return reject(&request_id, status, reason, retry_after_ms, in_use);
+        }
     };
     // The shutdown may have begun while the body arrived.
     if !entry.accepts_requests() {
@@ -170,39 +180,105 @@
         .unwrap_or_else(|| uri.clone())
 }
 
+/// Rejection of a request whose body is not held.
+#[derive(Debug)]
+struct BodyRejection {
+    status: StatusCode,
+    reason: &'static str,
+    retry_after_ms: Option<u64>,
+}
+
+impl BodyRejection {
+    const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Reads the body of a request within the limits of one body and of all that are held.
 async fn read_body(
+    entry: &Entry,
     headers: &HeaderMap,
-    body: Incoming,
+    mut body: Incoming,
     bytes_max: usize,
     deadline: Instant,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    let declared: Option<usize> = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok()?.parse().ok());
+) -> Result<Bytes, BodyRejection> {
+    let too_large = BodyRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    let declared = declared_length(headers);
     if declared.is_some_and(|length| length > bytes_max) {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+        return Err(too_large);
     }
-    let collected = timeout_at(deadline, Limited::new(body, bytes_max).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let received = entry.request_buffers.begin(declared.unwrap_or(bytes_max));
+    let mut length = 0;
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let unreadable = BodyRejection::new(StatusCode::BAD_REQUEST, "body_unreadable");
+            let Ok(bytes) = frame.map_err(|_| unreadable)?.into_data() else {
+                continue;
+            };
+            length += bytes.len();
+            if length > bytes_max {
+                return Err(too_large);
+            }
+            // The received bytes are copied, since each chunk keeps a whole input buffer.
+            received.append(&bytes).map_err(|error| match error {
+                AppendError::Evicted => body_too_slow(),
+                AppendError::Full => BodyRejection {
+                    status: StatusCode::SERVICE_UNAVAILABLE,
+                    reason: "body_without_room",
+                    retry_after_ms: Some(no_room_retry_after_ms()),
+                },
+            })?;
+        }
+        Ok(())
+    };
+    let result = tokio::select! {
+        biased;
+        () = received.evicted() => Err(body_too_slow()),
+        result = timeout_at(deadline, read) => result.unwrap_or_else(|_| Err(body_too_slow())),
+    };
+    match result {
+        Ok(()) => received.finish().ok_or_else(body_too_slow),
+        Err(rejection) => {
+            drop(received);
+            if rejection.status == StatusCode::SERVICE_UNAVAILABLE {
+                discard_rest(body, bytes_max).await;
+            }
+            Err(rejection)
         }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body_unreadable")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     }
 }
 
+fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+const fn body_too_slow() -> BodyRejection {
+    BodyRejection::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow")
+}
+
+fn no_room_retry_after_ms() -> u64 {
+    let (min_ms, max_ms) = NO_ROOM_RETRY_AFTER_MS;
+    rand::random_range(min_ms..=max_ms)
+}
+
 /// Reads the body of a request that is rejected, so that the caller, which may not read the
 /// response before, can send it and use the connection again.
 async fn discard_body(entry: &Entry, headers: &HeaderMap, body: Incoming, in_use: &InUseGuard) {
-    // Such a caller sends the body only when asked to.
-    if headers.contains_key(EXPECT) {
+    let bytes_max = entry.limits().body_bytes_max;
+    // A caller that expects a response sends the body only when asked to.
+    if headers.contains_key(EXPECT)
+        || declared_length(headers).is_some_and(|length| length > bytes_max)
+    {
         return;
     }
-    let bytes_max = entry.limits().body_bytes_max;
-    let deadline = Instant::now() + UNUSED_BODY_TIMEOUT;
-    if read_body(headers, body, bytes_max, deadline).await.is_ok() {
+    if discard_rest(body, bytes_max).await {
         in_use.end_body();
     }
 }
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -8,18 +8,18 @@
 use masticdock_adapter::NodeSettings;
 use masticdock_core::ids::{ServiceId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, Configuration, DeadlineEstimate, RequestLimits, RetryAfter, RetryAfterSettings,
-    UpstreamLoad, WindowedRetryBudget, WindowedRetryBudgetSettings,
+    AgentReport, Configuration, DeadlineEstimate, MemoryShares, RequestLimits, RetryAfter,
+    RetryAfterSettings, UpstreamLoad, WindowedRetryBudget, WindowedRetryBudgetSettings,
 };
 use masticdock_core::units::MonoMs;
 
 use tokio::sync::Notify;
 
 use super::agents::AgentSocket;
-use super::buffers::ResponseBuffers;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
 use super::entry_count::EntryCount;
+use super::memory::Buffers;
 use super::pool::ConnectionPools;
 use crate::clock;
 use crate::tables::Catalog;
@@ -47,7 +47,11 @@
     /// Usual deadline by route; a returning caller has a shorter one.
     deadlines: RefCell<HashMap<CompactString, DeadlineEstimate>>,
     pub(crate) pools: ConnectionPools,
-    pub(crate) buffers: ResponseBuffers,
+    pub(crate) memory_shares: MemoryShares,
+    /// Bodies of requests.
+    pub(crate) request_buffers: Buffers,
+    /// Responses that are buffered, or not read by their callers yet.
+    pub(crate) response_buffers: Buffers,
     pub(crate) connections: Connections,
     pub(crate) agent_socket: AgentSocket,
     pub(crate) crashes: SharedCrashes,
@@ -60,8 +64,11 @@
 impl Entry {
     pub(crate) fn new(settings: Rc<NodeSettings>) -> Self {
         let catalog = RefCell::new(Catalog::new(&settings.bounds));
+        let memory_shares = MemoryShares::new(settings.memory_bytes);
         Self {
-            buffers: ResponseBuffers::new(settings.memory_bytes),
+            memory_shares,
+            request_buffers: Buffers::of_requests(&memory_shares),
+            response_buffers: Buffers::of_responses(&memory_shares),
             settings,
             catalog,
             loads: RefCell::default(),
--- a/crates/masticdock-node/src/http_server/mod.rs
+++ b/crates/masticdock-node/src/http_server/mod.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,13 +18,19 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 pub use body::ResponseBody;
 
+use crate::metrics::metrics;
+
 /// Delay after a failed accept, in which file descriptors may become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections that a server for other processes keeps open.
+const CONNECTIONS_MAX: usize = 512;
+
 /// Binds `address` and serves requests with `handler` indefinitely, in the current
 /// `LocalSet`.
 ///
@@ -51,8 +58,16 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let handler = Rc::new(handler);
+    let open = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
         let stream = accept(&listener).await;
+        let Ok(permit) = Arc::clone(&open).try_acquire_owned() else {
+            metrics()
+                .connections_closed
+                .with_label_values(&["limit"])
+                .inc();
+            continue;
+        };
         let handler = Rc::clone(&handler);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
@@ -65,6 +80,7 @@
             if let Err(error) = connection.await {
                 log::debug!("connection failed: {error}");
             }
+            drop(permit);
         });
     }
 }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -32,6 +32,8 @@
     pub(crate) request_seconds: HistogramVec,
     /// Time in which the process did not run, in seconds.
     pub(crate) paused_seconds: Counter,
+    /// Number of connections from callers that were closed to save memory or descriptors.
+    pub(crate) connections_closed: IntCounterVec,
     /// Number of panics of tasks.
     pub(crate) panics: IntCounter,
 }
@@ -92,7 +94,15 @@
             "masticdock_panics_total",
             "Panics of tasks, which are faults of the program.",
         )?;
+        let connections_closed = IntCounterVec::new(
+            Opts::new(
+                "masticdock_connections_closed_total",
+                "Connections closed to save memory or descriptors.",
+            ),
+            &["reason"],
+        )?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(connections_closed.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
         registry.register(Box::new(blocked_features.clone()))?;
@@ -109,6 +119,7 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
+            connections_closed,
             panics,
         })
     }
