--- a/crates/masticdock-core/src/serving/connection_timer.rs
+++ b/crates/masticdock-core/src/serving/connection_timer.rs
@@ -3,6 +3,9 @@
 use super::RequestLimits;
 use crate::units::MonoMs;
 
+/// Minimum time without progress after which a response counts as unread, in milliseconds.
+const UNREAD_TIMEOUT_MS_MIN: u64 = 10_000;
+
 /// What a connection from a caller is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionPhase {
@@ -96,7 +99,7 @@
             ConnectionPhase::Head if age_ms >= limits.head_timeout_ms => {
                 Some(ConnectionTimeout::Head)
             }
-            ConnectionPhase::Sending if age_ms >= idle_timeout_ms => {
+            ConnectionPhase::Sending if age_ms >= idle_timeout_ms.max(UNREAD_TIMEOUT_MS_MIN) => {
                 Some(ConnectionTimeout::Unread)
             }
             _ => None,
--- a/crates/masticdock-core/tests/serving_connections.rs
+++ b/crates/masticdock-core/tests/serving_connections.rs
@@ -39,3 +39,18 @@
     timer.enter(ConnectionPhase::Active, MonoMs(0));
     assert_eq!(timer.exceeded(&limits(500), MonoMs(9_000)), None);
 }
+
+/// A response that the caller reads on has no timeout, one that it leaves unread has.
+#[test]
+fn an_unread_response_has_a_timeout() {
+    let unread = Some(ConnectionTimeout::Unread);
+    let mut timer = ConnectionTimer::new(&limits(500), MonoMs(0));
+    timer.enter(ConnectionPhase::Sending, MonoMs(0));
+    assert!(!timer.is_unread_for(2_000, MonoMs(1_999)));
+    assert!(timer.is_unread_for(2_000, MonoMs(2_000)));
+    assert_eq!(timer.exceeded(&limits(500), MonoMs(9_999)), None);
+    assert_eq!(timer.exceeded(&limits(20_000), MonoMs(10_000)), None);
+    assert_eq!(timer.exceeded(&limits(500), MonoMs(10_000)), unread);
+    timer.enter(ConnectionPhase::Sending, MonoMs(9_000));
+    assert_eq!(timer.exceeded(&limits(500), MonoMs(10_000)), None);
+}
--- a/crates/masticdock-node/src/entry/connections.rs
+++ b/crates/masticdock-node/src/entry/connections.rs
@@ -78,6 +78,7 @@
     }
 
     pub(super) fn enter(&self, phase: ConnectionPhase) {
+        self.abandoned.set(false);
         self.update_timer(|timer| timer.enter(phase, clock::now()));
     }
 
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -22,6 +22,7 @@
 use super::attempt::OpenStream;
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
+use super::event_queue::{EVENT_QUEUE_LENGTH, queue_event};
 use super::live_stream::{ENDED_EARLY, LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
 use super::pool::AttemptConnection;
@@ -30,12 +31,6 @@
 use super::state::Entry;
 use crate::clock;
 
-/// Maximum number of events queued for a caller that reads slowly.
-const EVENT_QUEUE_LENGTH: usize = 8;
-/// Length up to which an event is queued behind others, in bytes.
-const SHORT_EVENT_BYTES: usize = 4 << 10;
-/// Pause before a long event that does not fit into the memory is tried again.
-const MEMORY_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a broken stream that no upstream can take at the moment is tried again.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
 
@@ -176,30 +171,6 @@
         }
     }
 
-    /// Queues an event for the caller, a long one only once no other is queued and its memory
-    /// is free; returns false if the caller has left.
-    async fn queue_event(&self, mut bytes: Vec<u8>) -> bool {
-        if bytes.len() <= SHORT_EVENT_BYTES {
-            return self.events.send(Ok(bytes.into())).await.is_ok();
-        }
-        let Ok(mut permits) = self.events.reserve_many(EVENT_QUEUE_LENGTH).await else {
-            return false;
-        };
-        loop {
-            bytes = match self.entry.response_buffers.hold(bytes) {
-                Ok(held) => {
-                    if let Some(permit) = permits.next() {
-                        permit.send(Ok(held));
-                    }
-                    return true;
-                }
-                Err(bytes) => bytes,
-            };
-            self.entry.connections.close_unread();
-            sleep(MEMORY_WAIT).await;
-        }
-    }
-
     /// Sends events of the current stream to the caller, without those that it already has.
     async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
         let now = clock::now();
@@ -211,7 +182,7 @@
             }
             self.discard_standby();
             let sent = tokio::select! {
-                sent = self.queue_event(event.bytes) => sent,
+                sent = queue_event(&self.entry, &self.events, event.bytes) => sent,
                 () = sleep_until(self.call.deadline) => return Some(RelayEnd::DeadlinePassed),
             };
             if !sent {
