Give responses a quarter of the memory again

Cause: a_shutdown_waits_until_responses_are_sent failed (0 bytes instead of 14 MiB): with 6/32 of 64 MB, 12 MB, a response of 14 MiB no longer fits.

Change: 8/32 for responses, as before the account, and 5/32 for bodies of requests.

--- a/crates/masticdock-core/src/serving/memory.rs
+++ b/crates/masticdock-core/src/serving/memory.rs
@@ -27,8 +27,8 @@
     pub fn new(memory_bytes: u64) -> Self {
         let unit = usize::try_from(memory_bytes / 32).unwrap_or(usize::MAX / 32);
         Self {
-            request_bodies_bytes: 6 * unit,
-            responses_bytes: 6 * unit,
+            request_bodies_bytes: 5 * unit,
+            responses_bytes: 8 * unit,
             short_buffers_bytes: unit,
             connections_bytes: 12 * unit,
         }
