--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -14,6 +14,7 @@
 mod eligibility;
 mod load;
 mod loaded_weights;
+mod memory;
 mod observation;
 mod pauses;
 mod placement;
@@ -60,6 +61,7 @@
 pub use eligibility::{AllowedRegions, Eligibility, EvacuatedZones, EvacuationChange, Ineligible};
 pub use load::{AgentReport, UpstreamLoad};
 pub use loaded_weights::{LoadId, LoadState, LoadedWeights, LoadedWeightsSettings, StageRead};
+pub use memory::{BufferAccount, BufferAccountSettings, BufferId, MemoryShares};
 pub use observation::{PollReply, TableObservation};
 pub use pauses::{Pause, PauseDetector, PauseSettings};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -22,6 +22,7 @@
 use super::attempt::OpenStream;
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
+use super::event_queue::{EVENT_QUEUE_LENGTH, queue_event};
 use super::live_stream::{ENDED_EARLY, LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
 use super::pool::AttemptConnection;
@@ -30,8 +31,6 @@
 use super::state::Entry;
 use crate::clock;
 
-/// Maximum number of events queued for a caller that reads slowly.
-const EVENT_QUEUE_LENGTH: usize = 8;
 /// Pause before a broken stream that no upstream can take at the moment is tried again.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
 
@@ -183,10 +182,10 @@
             }
             self.discard_standby();
             let sent = tokio::select! {
-                sent = self.events.send(Ok(event.bytes.into())) => sent,
+                sent = queue_event(&self.entry, &self.events, event.bytes) => sent,
                 () = sleep_until(self.call.deadline) => return Some(RelayEnd::DeadlinePassed),
             };
-            if sent.is_err() {
+            if !sent {
                 return Some(RelayEnd::CallerLeft);
             }
         }
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::header::{CONTENT_LENGTH, EXPECT};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
@@ -16,7 +14,7 @@
     Route, next_step,
 };
 use masticdock_core::units::MonoMs;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::answer::CallerResponseBody;
 use super::attempt::{AttemptResult, run_attempt};
@@ -28,14 +26,13 @@
     forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
 };
 use super::relay;
+use super::request_body::{BodyRejection, discard_body, read_body};
 use super::retry::PreparedAttempt;
 use super::route::{HeadRejection, RoutedRequest, route_request};
 use super::state::Entry;
 use crate::clock;
 use crate::metrics::metrics;
 
-/// Maximum time for reading the body of a request that is rejected because of its head.
-const UNUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of requests that state none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -119,12 +116,19 @@
     let time_ms = deadline_ms.min(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(time_ms);
     let body_bytes_max = configuration.limits.body_bytes_max;
-    let body = match read_body(&parts.headers, body, body_bytes_max, deadline).await {
+    let body = match read_body(&entry, &parts.headers, body, body_bytes_max, deadline).await {
         Ok(body) => {
             in_use.end_body();
             body
         }
-        Err((status, reason)) => return reject(&request_id, status, reason, None, in_use),
+        Err(rejection) => {
+            let BodyRejection {
+                status,
+                reason,
+                retry_after_ms,
+            } = rejection;
+            return reject(&request_id, status, reason, retry_after_ms, in_use);
+        }
     };
     // The shutdown may have begun while the body arrived.
     if !entry.accepts_requests() {
@@ -187,43 +191,6 @@
         .unwrap_or_else(|| uri.clone())
 }
 
-async fn read_body(
-    headers: &HeaderMap,
-    body: Incoming,
-    bytes_max: usize,
-    deadline: Instant,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    let declared: Option<usize> = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok()?.parse().ok());
-    if declared.is_some_and(|length| length > bytes_max) {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-    }
-    let collected = timeout_at(deadline, Limited::new(body, bytes_max).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body_unreadable")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
-/// Reads the body of a request that is rejected, so that the caller, which may not read the
-/// response before, can send it and use the connection again.
-async fn discard_body(entry: &Entry, headers: &HeaderMap, body: Incoming, in_use: &InUseGuard) {
-    // Such a caller sends the body only when asked to.
-    if headers.contains_key(EXPECT) {
-        return;
-    }
-    let bytes_max = entry.limits().body_bytes_max;
-    let deadline = Instant::now() + UNUSED_BODY_TIMEOUT;
-    if read_body(headers, body, bytes_max, deadline).await.is_ok() {
-        in_use.end_body();
-    }
-}
-
 /// Failed attempts of one request.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FailedAttempts {
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -39,6 +39,8 @@
     pub(crate) cold_upstreams: IntGauge,
     /// Number of times that a cold upstream was no candidate for a request.
     pub(crate) cold_start_skips: IntCounter,
+    /// Number of connections from callers that were closed to save memory or descriptors.
+    pub(crate) connections_closed: IntCounterVec,
     /// Number of panics of tasks.
     pub(crate) panics: IntCounter,
 }
@@ -114,7 +116,15 @@
             ),
             &["zone"],
         )?;
+        let connections_closed = IntCounterVec::new(
+            Opts::new(
+                "masticdock_connections_closed_total",
+                "Connections closed to save memory or descriptors.",
+            ),
+            &["reason"],
+        )?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(connections_closed.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
         registry.register(Box::new(blocked_features.clone()))?;
@@ -137,6 +147,7 @@
             evacuated_zones,
             cold_upstreams,
             cold_start_skips,
+            connections_closed,
             panics,
         })
     }
