Admit requests by urgency where the routes of a service differ in priority

Cause: with too little room, a place goes to whoever asks next.

Change: `serving::admission` orders requests that find no room by the priority of the workspace, that of the route, and the time by which they have to start; each kind keeps half of what it asks for. A new request waits as long as it can meet its objective, a returning one up to 1 s. The queue belongs to the entry and is bounded. Services whose routes have one priority are admitted as before. Rejections of a kind decide its Retry-After.

--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -1,12 +1,14 @@
 //! Configuration declared by operators, in the form used to route requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 
 use crate::ids::{ModelId, ServiceId, WorkspaceId, ZoneId};
 
+use super::priorities::prioritized_services;
+
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -219,6 +221,8 @@
     workspaces: HashMap<CompactString, Workspace>,
     /// True when requests carry API keys.
     pub keys_required: bool,
+    /// Services whose routes have different priorities.
+    prioritized: BTreeSet<ServiceId>,
     /// Limits for the requests of callers.
     pub limits: RequestLimits,
 }
@@ -249,6 +253,7 @@
         keys: Option<Vec<(CompactString, Workspace)>>,
         limits: RequestLimits,
     ) -> Self {
+        let prioritized = prioritized_services(&routes);
         let mut by_host: HashMap<CompactString, Vec<Route>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(route);
@@ -264,6 +269,7 @@
                 .map(|service| (service.id.clone(), service))
                 .collect(),
             keys_required: keys.is_some(),
+            prioritized,
             workspaces: keys.unwrap_or_default().into_iter().collect(),
             limits,
         }
@@ -323,6 +329,12 @@
             })
     }
 
+    /// Returns whether the routes of a service have different priorities.
+    #[must_use]
+    pub fn is_prioritized(&self, service: &ServiceId) -> bool {
+        self.prioritized.contains(service)
+    }
+
     /// Returns the first origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<&Origin> {
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -2,6 +2,7 @@
 //! routing, upstream membership, placement, admission, retries, recognition of
 //! requests that crash engines, chunk sources and the switch to new versions of the weights.
 
+mod admission;
 mod attempts;
 mod chunk_sources;
 mod configuration;
@@ -17,6 +18,7 @@
 mod placement;
 mod places;
 mod poll_pace;
+mod priorities;
 mod rate_limit;
 mod retry_after;
 mod sse;
@@ -27,6 +29,9 @@
 mod versions;
 mod waits;
 
+pub use admission::{
+    AdmissionQueue, AdmissionRequest, AdmissionSettings, AdmissionTicket, RequestTimes, Urgency,
+};
 pub use attempts::{
     AttemptHistory, AttemptOutcome, FinalResponse, NextStep, ResponseIdentity, RetryDenial,
     WindowedRetryBudget, WindowedRetryBudgetSettings, check_retry, connect_timeout_ms, next_step,
--- a/crates/masticdock-core/tests/serving_configuration.rs
+++ b/crates/masticdock-core/tests/serving_configuration.rs
@@ -114,3 +114,25 @@
     assert!(!RequestKind::Stream { resumable: false }.is_safe_to_retry());
     assert!(!RequestKind::NonIdempotent.is_safe_to_retry());
 }
+
+/// Guards against admission by priority where all routes of a service have the same, whatever
+/// the priorities of the workspaces.
+#[test]
+fn a_service_is_prioritized_only_if_its_routes_differ_in_priority() {
+    let is_prioritized = |priorities: [u8; 2]| {
+        let routes = priorities.map(|priority| Route {
+            priority,
+            ..route("drafts", "a.example", "/", false)
+        });
+        let urgent = Workspace {
+            id: "alpenruh".parse().unwrap(),
+            priority: Some(0),
+        };
+        let keys = Some(vec![("key-1".into(), urgent)]);
+        let configuration =
+            Configuration::new(7, routes.into(), Vec::new(), keys, RequestLimits::default());
+        configuration.is_prioritized(&"orders".parse().unwrap())
+    };
+    assert!(!is_prioritized([1, 1]));
+    assert!(is_prioritized([0, 1]));
+}
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -51,6 +51,17 @@
     pub(crate) candidates: usize,
 }
 
+impl NoUpstream {
+    /// Returns the result for a request that had no turn to look for an upstream.
+    pub(super) const fn no_turn() -> Self {
+        Self {
+            best_ms: Some(f64::INFINITY),
+            limited_until: None,
+            candidates: 0,
+        }
+    }
+}
+
 /// Properties of a request that decide which upstream it is sent to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlacementQuery<'a> {
@@ -115,7 +126,8 @@
         query.objective_left_ms,
         query.returning,
         &PlacementRules {
-            use_free_slots: !entry.rejected_recently(query.service),
+            use_free_slots: !entry.rejected_recently(query.service)
+                && !entry.admission.is_short(query.service, now),
             ..PlacementRules::default()
         },
     );
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Entry role: accepts requests from callers and routes them to upstreams.
 
+mod admission;
 mod agents;
 mod answer;
 mod attempt;
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -79,16 +79,16 @@
         let status = StatusCode::BAD_GATEWAY;
         return respond_with_error(call, "failed", None, status, None, history, in_use);
     }
-    entry.record_admission(&call.service, true);
+    entry.record_admission(call, true);
     let (reason, (delay_ms, rejected_share)) = match no_upstream {
         NoUpstream {
             best_ms: Some(_), ..
-        } => ("full", entry.retry_after(&call.service)),
+        } => ("full", entry.retry_after(call)),
         NoUpstream {
             limited_until: Some(until),
             ..
         } => {
-            let (delay_ms, rejected_share) = entry.retry_after(&call.service);
+            let (delay_ms, rejected_share) = entry.retry_after(call);
             let delay_ms = delay_ms.max(until.since_ms(clock::now()));
             ("rate_limited", (delay_ms, rejected_share))
         }
@@ -105,8 +105,11 @@
         reason = reason,
         candidates = no_upstream.candidates,
         best_ms = no_upstream.best_ms.filter(|best_ms| best_ms.is_finite()).unwrap_or(-1.0),
+        priority = call.priority,
+        route_priority = call.route.priority,
         returning = call.returning,
         sent = history.sent,
+        waited_ms = call.age_ms(),
         rejected_share = rejected_share * 100.0,
         retry_after_ms = delay_ms,
         configuration = call.configuration.version;
@@ -132,7 +135,7 @@
             forward_response(call, "error_passed_on", chosen, head, body, history, in_use)
         }
         (FinalResponse::NotRun, _) => {
-            let (delay_ms, _) = entry.retry_after(&call.service);
+            let (delay_ms, _) = entry.retry_after(call);
             let status = StatusCode::SERVICE_UNAVAILABLE;
             respond_with_error(
                 call,
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -130,16 +130,22 @@
 /// after a restart of the engine also its former incarnation.
 fn apply_report(entry: &Entry, ip: IpAddr, report: AgentReport) {
     entry.entry_count.record(report.entries, clock::now());
-    let listed: Vec<(UpstreamId, Option<u64>)> = {
+    let listed: Vec<(UpstreamId, ServiceId, Option<u64>)> = {
         let catalog = entry.catalog.borrow();
         let on_vm = catalog.directory.iter();
         on_vm
             .filter(|upstream| upstream.address.ip() == ip)
-            .map(|upstream| (upstream.id.clone(), upstream.started_at_ms))
+            .map(|upstream| {
+                let service = upstream.service.clone();
+                (upstream.id.clone(), service, upstream.started_at_ms)
+            })
             .collect()
     };
-    for (id, started_at_ms) in listed {
+    for (id, service, started_at_ms) in listed {
         apply_to_incarnation(entry, &id, report.for_incarnation(started_at_ms));
+        if report.places != Some(0) {
+            entry.admission.wake(&service);
+        }
     }
 }
 
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -11,11 +11,13 @@
 use masticdock_adapter::{CallerHead, parse_caller_head};
 use masticdock_core::ids::{ServiceId, UpstreamId, WorkspaceId};
 use masticdock_core::serving::{
-    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, next_step,
+    AttemptHistory, AttemptOutcome, Configuration, NextStep, RequestFeatures, Route, Urgency,
+    next_step,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, timeout_at};
 
+use super::admission::admit;
 use super::answer::CallerResponseBody;
 use super::attempt::{AttemptResult, run_attempt};
 use super::candidates::{ChosenUpstream, NoUpstream, PlacementQuery, choose_upstream};
@@ -73,6 +75,14 @@
         service.is_some_and(|service| service.engine.is_some())
     }
 
+    /// Returns how urgent the request is among those for its service.
+    pub(crate) fn urgency(&self) -> Urgency {
+        Urgency {
+            priority: self.priority,
+            route_priority: self.route.priority,
+        }
+    }
+
     /// Returns the time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         clock::now().since_ms(self.arrived_at)
@@ -252,6 +262,10 @@
     loop {
         let next = match prepared.take() {
             Some(PreparedAttempt { chosen, connection }) => Ok((chosen, Some(connection))),
+            None if failures.upstreams.is_empty() => {
+                let admitted = admit(&entry, &call).await;
+                admitted.map(|chosen| (chosen, None))
+            }
             None => {
                 choose_for_call(&entry, &call, &failures.upstreams).map(|chosen| (chosen, None))
             }
@@ -271,7 +285,7 @@
             }
         };
         if failures.history == AttemptHistory::default() {
-            entry.record_admission(&call.service, false);
+            entry.record_admission(&call, false);
         }
         let (failure, error) =
             match run_attempt(&entry, &call, &chosen, connection, &failures, None).await {
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -9,18 +9,20 @@
 use masticdock_core::ids::{ServiceId, UpstreamId};
 use masticdock_core::serving::{
     AgentReport, Configuration, DeadlineEstimate, RequestLimits, RetryAfter, RetryAfterSettings,
-    UpstreamLoad, WindowedRetryBudget, WindowedRetryBudgetSettings,
+    UpstreamLoad, Urgency, WindowedRetryBudget, WindowedRetryBudgetSettings,
 };
 use masticdock_core::units::MonoMs;
 
 use tokio::sync::Notify;
 
+use super::admission::{Admission, has_queue};
 use super::agents::AgentSocket;
 use super::buffers::ResponseBuffers;
 use super::connections::Connections;
 use super::crashes::SharedCrashes;
 use super::entry_count::EntryCount;
 use super::pool::ConnectionPools;
+use super::request::Call;
 use crate::clock;
 use crate::tables::Catalog;
 
@@ -43,7 +45,9 @@
     /// Latest report of each upstream's agent and its arrival time.
     pub(crate) reports: RefCell<HashMap<UpstreamId, (AgentReport, MonoMs)>>,
     retry_budgets: RefCell<HashMap<ServiceId, WindowedRetryBudget>>,
-    retry_delays: RefCell<HashMap<ServiceId, RetryAfter>>,
+    /// Retry delays by service, and by urgency where its routes differ in priority.
+    retry_delays: RefCell<HashMap<(ServiceId, Option<Urgency>), RetryAfter>>,
+    pub(crate) admission: Admission,
     /// Usual deadline by route; a returning caller has a shorter one.
     deadlines: RefCell<HashMap<CompactString, DeadlineEstimate>>,
     pub(crate) pools: ConnectionPools,
@@ -68,6 +72,7 @@
             reports: RefCell::default(),
             retry_budgets: RefCell::default(),
             retry_delays: RefCell::default(),
+            admission: Admission::default(),
             deadlines: RefCell::default(),
             pools: ConnectionPools::default(),
             connections: Connections::default(),
@@ -150,27 +155,34 @@
     }
 
     /// Records whether a request was rejected because no upstream had capacity.
-    pub(crate) fn record_admission(&self, service: &ServiceId, rejected: bool) {
+    pub(crate) fn record_admission(&self, call: &Call, rejected: bool) {
         let mut retry_delays = self.retry_delays.borrow_mut();
-        retry_delays
-            .entry(service.clone())
-            .or_insert_with(|| RetryAfter::new(RetryAfterSettings::default()))
-            .record(rejected, clock::now());
+        let mut record = |priority| {
+            retry_delays
+                .entry((call.service.clone(), priority))
+                .or_insert_with(|| RetryAfter::new(RetryAfterSettings::default()))
+                .record(rejected, clock::now());
+        };
+        record(None);
+        if has_queue(call) {
+            record(Some(call.urgency()));
+        }
     }
 
     /// Returns true if requests of a service were rejected recently.
     pub(crate) fn rejected_recently(&self, service: &ServiceId) -> bool {
         let retry_delays = self.retry_delays.borrow();
-        let estimator = retry_delays.get(service);
+        let estimator = retry_delays.get(&(service.clone(), None));
         estimator.is_some_and(|estimator| estimator.rejected_share() >= REJECTED_SHARE_MIN)
     }
 
     /// Returns the delay for a rejected caller, in milliseconds, and the share of rejected
     /// requests that it is based on.
-    pub(crate) fn retry_after(&self, service: &ServiceId) -> (u64, f64) {
+    pub(crate) fn retry_after(&self, call: &Call) -> (u64, f64) {
         let retry_delays = self.retry_delays.borrow();
         let draw = rand::random::<f64>();
-        match retry_delays.get(service) {
+        let urgency = has_queue(call).then(|| call.urgency());
+        match retry_delays.get(&(call.service.clone(), urgency)) {
             Some(estimator) => (estimator.delay_ms(draw), estimator.rejected_share()),
             None => (RetryAfterSettings::default().delay_min_ms, 0.0),
         }
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -20,6 +20,9 @@
     registry: Registry,
     /// Number of requests by outcome.
     pub(crate) requests: IntCounterVec,
+    /// Number of requests by urgency and decision, for services whose routes have
+    /// different priorities.
+    pub(crate) admissions: IntCounterVec,
     /// Number of failed attempts at upstreams by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Number of confirmed crashes of upstreams.
@@ -60,6 +63,13 @@
             ),
             &["outcome"],
         )?;
+        let admissions = IntCounterVec::new(
+            Opts::new(
+                "masticdock_admissions_total",
+                "Requests that competed with others of another priority, by decision.",
+            ),
+            &["priority", "route_priority", "decision"],
+        )?;
         let attempts = IntCounterVec::new(
             Opts::new("masticdock_attempts_total", "Attempts at upstreams by end."),
             &["end"],
@@ -93,6 +103,7 @@
             "Panics of tasks, which are faults of the program.",
         )?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(admissions.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
         registry.register(Box::new(blocked_features.clone()))?;
@@ -103,6 +114,7 @@
         Ok(Self {
             registry,
             requests,
+            admissions,
             attempts,
             crashes,
             blocked_features,
