--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -1,6 +1,6 @@
 //! Configuration declared by operators, in the form used to route requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -9,6 +9,7 @@
 
 use super::cold_start::ColdStartProfile;
 use super::eligibility::AllowedRegions;
+use super::priorities::prioritized_services;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -237,6 +238,8 @@
     pause_objectives_ms: HashMap<ServiceId, u64>,
     /// True when requests carry API keys.
     pub keys_required: bool,
+    /// Services whose routes have different priorities.
+    prioritized: BTreeSet<ServiceId>,
     /// Limits for the requests of callers.
     pub limits: RequestLimits,
 }
@@ -267,6 +270,7 @@
         keys: Option<Vec<(CompactString, Workspace)>>,
         limits: RequestLimits,
     ) -> Self {
+        let prioritized = prioritized_services(&routes);
         let mut by_host: HashMap<CompactString, Vec<Route>> = HashMap::new();
         let pause_objectives_ms = smallest_pause_objectives(&routes);
         for route in routes {
@@ -283,6 +287,7 @@
                 .map(|service| (service.id.clone(), service))
                 .collect(),
             keys_required: keys.is_some(),
+            prioritized,
             workspaces: keys.unwrap_or_default().into_iter().collect(),
             pause_objectives_ms,
             limits,
@@ -349,6 +354,12 @@
         self.pause_objectives_ms.get(service).copied()
     }
 
+    /// Returns whether the routes of a service have different priorities.
+    #[must_use]
+    pub fn is_prioritized(&self, service: &ServiceId) -> bool {
+        self.prioritized.contains(service)
+    }
+
     /// Returns the first origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<&Origin> {
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -2,6 +2,7 @@
 //! routing, upstream membership, placement, admission, retries, recognition of
 //! requests that crash engines, chunk sources and the switch to new versions of the weights.
 
+mod admission;
 mod attempts;
 mod chunk_sources;
 mod cold_start;
@@ -21,6 +22,7 @@
 mod places;
 mod poll_pace;
 mod prefill_backlog;
+mod priorities;
 mod rate_limit;
 mod retry_after;
 mod slowness;
@@ -32,6 +34,9 @@
 mod versions;
 mod waits;
 
+pub use admission::{
+    AdmissionQueue, AdmissionRequest, AdmissionSettings, AdmissionTicket, RequestTimes, Urgency,
+};
 pub use attempts::{
     AttemptHistory, AttemptOutcome, FinalResponse, NextStep, ResponseIdentity, RetryDenial,
     WindowedRetryBudget, WindowedRetryBudgetSettings, check_retry, connect_timeout_ms, next_step,
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -56,6 +56,18 @@
     pub(crate) candidates: usize,
 }
 
+impl NoUpstream {
+    /// Returns the result for a request that had no turn to look for an upstream.
+    pub(super) const fn no_turn() -> Self {
+        Self {
+            best_ms: Some(f64::INFINITY),
+            limited_until: None,
+            ineligible: None,
+            candidates: 0,
+        }
+    }
+}
+
 /// Properties of a request that decide which upstream it is sent to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlacementQuery<'a> {
@@ -131,7 +143,8 @@
         query.objective_left_ms,
         query.returning,
         &PlacementRules {
-            use_free_slots: !entry.rejected_recently(query.service),
+            use_free_slots: !entry.rejected_recently(query.service)
+                && !entry.admission.is_short(query.service, now),
             pause_objective_ms: query.pause_objective_ms,
             ..PlacementRules::default()
         },
--- a/crates/masticdock-node/src/entry/reports.rs
+++ b/crates/masticdock-node/src/entry/reports.rs
@@ -142,6 +142,9 @@
     for upstream in listed {
         let report = report.for_incarnation(upstream.started_at_ms);
         apply_to_incarnation(entry, &upstream, report);
+        if report.places != Some(0) {
+            entry.admission.wake(&upstream.service);
+        }
     }
 }
 
