Keep to what upstreams ask for in their answers

Cause: that an upstream leaves was known from its row alone, and the pause that a rejection asks for was not read, so entries went on sending there.

An entry sends nothing more to a process that said in an answer that it leaves, until its row names another start time or id, and nothing to a rejecting one for the time that it names, at most 30 s. Both are checked where candidates are gathered and once the connection is open. Returns are spread over 0.5 s.

--- a/crates/masticdock-core/src/serving/eligibility.rs
+++ b/crates/masticdock-core/src/serving/eligibility.rs
@@ -1,4 +1,5 @@
-//! Upstreams that a request may be sent to, by their availability zone.
+//! Upstreams that a request may be sent to, by their availability zone and by what they asked
+//! for in their answers.
 //!
 //! Load pattern: a route or workspace has to be served in some regions only, and its upstreams
 //! there are full while others elsewhere are idle. Placement sees the allowed upstreams only, so
@@ -14,7 +15,9 @@
 use crate::ids::{RegionId, ZoneId};
 use crate::units::MonoMs;
 
+use super::closed_processes::ClosedProcesses;
 use super::configuration::{Configuration, RouteMatch};
+use super::directory::Upstream;
 
 /// Time after the return of the store from a copy for which a zone stays evacuated without a
 /// row, in milliseconds; longer than operators take to write lost rows again.
@@ -105,6 +108,10 @@
     Region,
     /// Its zone is evacuated.
     Evacuated,
+    /// It said in an answer that it leaves.
+    Leaving,
+    /// It asked in an answer for a pause until the given time.
+    Paused(MonoMs),
 }
 
 impl Ineligible {
@@ -114,8 +121,16 @@
         match self {
             Self::Region => "region_not_allowed",
             Self::Evacuated => "zone_evacuated",
+            Self::Leaving => "upstream_leaving",
+            Self::Paused(_) => "upstream_paused",
         }
     }
+
+    /// Returns whether only operators can change it.
+    #[must_use]
+    pub const fn is_by_operators(self) -> bool {
+        matches!(self, Self::Region | Self::Evacuated)
+    }
 }
 
 /// What decides whether upstreams may get a request.
@@ -127,22 +142,25 @@
     pub regions: &'a BTreeMap<ZoneId, RegionId>,
     /// Zones that are evacuated now.
     pub evacuated: &'a EvacuatedZones,
+    /// Processes that want no requests of this entry.
+    pub closed: &'a ClosedProcesses,
 }
 
 impl Eligibility<'_> {
-    /// Checks whether an upstream in `zone` may get the request.
+    /// Checks whether an upstream may get the request.
     ///
     /// # Errors
     ///
     /// Returns the reason if it may not.
-    pub fn check(&self, zone: &ZoneId) -> Result<(), Ineligible> {
+    pub fn check(&self, upstream: &Upstream, now: MonoMs) -> Result<(), Ineligible> {
+        let zone = &upstream.zone;
         if !self.allowed.allows(self.regions.get(zone)) {
             return Err(Ineligible::Region);
         }
         if self.evacuated.contains(zone) {
             return Err(Ineligible::Evacuated);
         }
-        Ok(())
+        self.closed.check(upstream, now)
     }
 }
 
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod chunk_sources;
+mod closed_processes;
 mod configuration;
 mod configuration_order;
 mod connection_timer;
@@ -35,6 +36,7 @@
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
 };
+pub use closed_processes::{ClosedProcesses, PAUSE_MAX_MS};
 pub use configuration::{
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
--- a/crates/masticdock-core/tests/serving_eligibility.rs
+++ b/crates/masticdock-core/tests/serving_eligibility.rs
@@ -4,9 +4,9 @@
 
 use masticdock_core::ids::{RegionId, ZoneId};
 use masticdock_core::serving::{
-    AllowedRegions, Backend, Candidate, Configuration, Eligibility, EvacuatedZones,
-    EvacuationChange, Ineligible, Placement, PlacementRules, RequestKind, RequestLimits,
-    RequestSize, Route, Workspace, place,
+    AllowedRegions, Backend, Candidate, ClosedProcesses, Configuration, Eligibility,
+    EvacuatedZones, EvacuationChange, Ineligible, Placement, PlacementRules, RequestKind,
+    RequestLimits, RequestSize, Route, Upstream, Workspace, place,
 };
 use masticdock_core::units::MonoMs;
 use rand::{Rng, SeedableRng};
@@ -20,6 +20,20 @@
     AllowedRegions::Only(names.iter().map(|name| name.parse().unwrap()).collect())
 }
 
+/// Returns an upstream in a zone.
+fn in_zone(name: &str) -> Upstream {
+    Upstream {
+        id: "i-1".parse().unwrap(),
+        service: "orders".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: zone(name),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        started_at_ms: Some(1),
+    }
+}
+
 fn at(ms: u64) -> MonoMs {
     MonoMs(60_000 + ms)
 }
@@ -55,7 +69,7 @@
 fn choose(upstreams: &[(&str, Candidate)], eligibility: Eligibility<'_>) -> Option<String> {
     let eligible: Vec<&(&str, Candidate)> = upstreams
         .iter()
-        .filter(|(name, _)| eligibility.check(&zone(name)).is_ok())
+        .filter(|(name, _)| eligibility.check(&in_zone(name), at(0)).is_ok())
         .collect();
     let candidates: Vec<Candidate> = eligible.iter().map(|(_, candidate)| *candidate).collect();
     let size = RequestSize::default();
@@ -83,6 +97,7 @@
             allowed,
             regions: &regions,
             evacuated: &evacuated,
+            closed: &ClosedProcesses::default(),
         };
         choose(upstreams, eligibility)
     };
@@ -154,6 +169,7 @@
             allowed: &AllowedRegions::Any,
             regions: &regions,
             evacuated,
+            closed: &ClosedProcesses::default(),
         };
         choose(&upstreams, eligibility)
     };
@@ -207,6 +223,7 @@
         allowed: &AllowedRegions::listed(BTreeSet::new()),
         regions: &regions,
         evacuated: &EvacuatedZones::default(),
+        closed: &ClosedProcesses::default(),
     };
     for _ in 0..1_000 {
         let upstreams: Vec<(&str, Candidate)> = ["a1", "a2", "b1", "c1"]
@@ -219,7 +236,7 @@
             })
             .collect();
         for (name, _) in &upstreams {
-            assert_eq!(eligibility.check(&zone(name)), Ok(()));
+            assert_eq!(eligibility.check(&in_zone(name), at(0)), Ok(()));
         }
         let candidates: Vec<Candidate> = upstreams.iter().map(|(_, drawn)| *drawn).collect();
         let unfiltered = place(
@@ -249,8 +266,15 @@
         allowed: &only(&["a"]),
         regions: &regions,
         evacuated: &evacuated,
+        closed: &ClosedProcesses::default(),
     };
-    assert_eq!(eligibility.check(&zone("a1")), Err(Ineligible::Evacuated));
-    assert_eq!(eligibility.check(&zone("b1")), Err(Ineligible::Region));
-    assert_eq!(eligibility.check(&zone("a2")), Ok(()));
+    assert_eq!(
+        eligibility.check(&in_zone("a1"), at(0)),
+        Err(Ineligible::Evacuated)
+    );
+    assert_eq!(
+        eligibility.check(&in_zone("b1"), at(0)),
+        Err(Ineligible::Region)
+    );
+    assert_eq!(eligibility.check(&in_zone("a2"), at(0)), Ok(()));
 }
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -187,6 +187,7 @@
     limits.record_response(entry, call);
     record_head(entry, target, &head);
     rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
+    eligibility::record_answer(entry, upstream, head.withdrawal);
     if head.not_executed {
         log::warn!(
             event = "attempt.not_executed",
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -48,7 +48,7 @@
 pub(crate) struct NoUpstream {
     /// Predicted time at the fastest candidate, in milliseconds; `None` without a candidate.
     pub(crate) best_ms: Option<f64>,
-    /// Earliest time at which the limit of an upstream allows a request.
+    /// Earliest time at which the limit or the pause of an upstream allows a request.
     pub(crate) limited_until: Option<MonoMs>,
     /// Why upstreams of the service are not candidates; the least lasting reason.
     pub(crate) ineligible: Option<Ineligible>,
@@ -90,17 +90,23 @@
     let mut upstreams = Vec::new();
     let mut candidates = Vec::new();
     let mut limited_until: Option<MonoMs> = None;
-    let eligibility = eligibility(entry, &catalog, query.allowed_regions);
+    let closed = entry.closed.borrow();
+    let eligibility = eligibility(entry, &catalog, &closed, query.allowed_regions);
     let mut ineligible = None;
     for upstream in catalog.directory.serving(query.service) {
         if query.excluded.contains(&upstream.id) {
             continue;
         }
-        if let Err(reason) = eligibility.check(&upstream.zone) {
-            ineligible = ineligible.max(Some(reason));
-            continue;
-        }
-        if let Some(until) = rate_limited_until(entry, &upstream.id, now) {
+        let checked = eligibility.check(upstream, now);
+        let paused_until = match checked {
+            Ok(()) => rate_limited_until(entry, &upstream.id, now),
+            Err(Ineligible::Paused(until)) => Some(until),
+            Err(reason) => {
+                ineligible = ineligible.max(Some(reason));
+                continue;
+            }
+        };
+        if let Some(until) = paused_until {
             limited_until = Some(limited_until.map_or(until, |earliest| earliest.min(until)));
             continue;
         }
--- a/crates/masticdock-node/src/entry/eligibility.rs
+++ b/crates/masticdock-node/src/entry/eligibility.rs
@@ -1,4 +1,5 @@
-//! Regions and zones in which a request may be served at the moment.
+//! Upstreams to which a request may be sent at the moment: by region and zone, and by what they
+//! asked for in their answers.
 //!
 //! They are checked when an upstream is chosen, and again before the request is sent, since a
 //! connection takes time to open. A request that outlasts a change of the configuration keeps to
@@ -7,23 +8,29 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use masticdock_adapter::{RequestedPause, Withdrawal};
 use masticdock_core::ids::UpstreamId;
-use masticdock_core::serving::{AllowedRegions, Eligibility, Upstream};
+use masticdock_core::serving::{
+    AllowedRegions, ClosedProcesses, Eligibility, Ineligible, PAUSE_MAX_MS, Upstream,
+};
 
 use super::request::Call;
 use super::state::Entry;
+use crate::clock;
 use crate::tables::Catalog;
 
 /// Returns what decides which upstreams may get a request.
 pub(super) fn eligibility<'a>(
     entry: &'a Entry,
     catalog: &'a Catalog,
+    closed: &'a ClosedProcesses,
     allowed: &'a AllowedRegions,
 ) -> Eligibility<'a> {
     Eligibility {
         allowed,
         regions: &entry.settings.regions,
         evacuated: &catalog.evacuated,
+        closed,
     }
 }
 
@@ -45,8 +52,9 @@
 /// Checks, before a request is sent, whether its upstream may still get it.
 pub(super) fn may_send(entry: &Entry, call: &Call, upstream: &Upstream) -> bool {
     let allowed = allowed_regions(entry, call);
-    let catalog = entry.catalog.borrow();
-    let Err(reason) = eligibility(entry, &catalog, &allowed).check(&upstream.zone) else {
+    let (catalog, closed) = (entry.catalog.borrow(), entry.closed.borrow());
+    let eligibility = eligibility(entry, &catalog, &closed, &allowed);
+    let Err(reason) = eligibility.check(upstream, clock::now()) else {
         return true;
     };
     log::info!(
@@ -60,18 +68,58 @@
     false
 }
 
-/// Returns whether the service has an upstream that may get a request, apart from the
-/// `excluded` ones.
+/// Returns whether the service has an upstream that may get a request, now or after a pause,
+/// apart from the `excluded` ones.
 pub(super) fn has_upstream(entry: &Entry, call: &Call, excluded: &[UpstreamId]) -> bool {
     let allowed = allowed_regions(entry, call);
-    let catalog = entry.catalog.borrow();
-    let eligibility = eligibility(entry, &catalog, &allowed);
+    let (catalog, closed) = (entry.catalog.borrow(), entry.closed.borrow());
+    let eligibility = eligibility(entry, &catalog, &closed, &allowed);
+    let now = clock::now();
     let mut serving = catalog.directory.serving(&call.service);
     serving.any(|upstream| {
-        !excluded.contains(&upstream.id) && eligibility.check(&upstream.zone).is_ok()
+        let checked = eligibility.check(upstream, now);
+        !excluded.contains(&upstream.id) && matches!(checked, Ok(()) | Err(Ineligible::Paused(_)))
     })
 }
 
+/// Records what an upstream asks for in an answer: that it gets nothing more because it leaves,
+/// or nothing for a while.
+pub(super) fn record_answer(entry: &Entry, upstream: &Upstream, withdrawal: Withdrawal) {
+    let now = clock::now();
+    if withdrawal.leaving && entry.closed.borrow_mut().record_leaving(upstream, now) {
+        entry.pools.close_idle(&upstream.id);
+        log::info!(
+            event = "upstream.announced_leaving",
+            upstream = upstream.id.as_str(),
+            started_at_ms = upstream.started_at_ms.unwrap_or(0);
+            "an upstream said in an answer that it leaves; it gets nothing more"
+        );
+    }
+    let Some(pause) = withdrawal.pause else {
+        return;
+    };
+    let pause_ms = match pause {
+        RequestedPause::Time(pause_ms) => Some(pause_ms),
+        RequestedPause::Unreadable => None,
+    };
+    let mut closed = entry.closed.borrow_mut();
+    let until = closed.record_pause(upstream, pause_ms, now, rand::random());
+    if pause_ms.is_none_or(|pause_ms| pause_ms > PAUSE_MAX_MS) {
+        log::warn!(
+            event = "pause.odd",
+            upstream = upstream.id.as_str(),
+            used_ms = PAUSE_MAX_MS;
+            "the pause that an upstream asks for cannot be read or is too long; the longest one is used"
+        );
+    }
+    log::info!(
+        event = "upstream.paused",
+        upstream = upstream.id.as_str(),
+        pause_ms = until.since_ms(now);
+        "a rejecting upstream asked for a pause"
+    );
+}
+
 /// Logs the regions that a new configuration names and the settings do not.
 pub(super) fn check_restrictions(entry: &Entry) {
     let Some(configuration) = entry.configuration() else {
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -40,6 +40,7 @@
 use tokio::time::sleep;
 
 use crate::StartError;
+use crate::clock;
 use crate::http_server::{respond, serve};
 use crate::metrics;
 use crate::signals::{SignalAction, Signals};
@@ -159,6 +160,7 @@
         sleep(CLEANUP_INTERVAL).await;
         entry.catalog.borrow_mut().adopt_held_configuration();
         entry.catalog.borrow_mut().expire_evacuations();
+        entry.closed.borrow_mut().expire(clock::now());
         eligibility::check_restrictions(&entry);
         let changes = entry.catalog.borrow_mut().expire();
         discard_stale_state(&entry, &changes);
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -84,7 +84,10 @@
         return respond_with_error(call, "failed", None, status, None, history, in_use);
     }
     // Requests elsewhere are not affected by those that no region can take.
-    if no_upstream.best_ms.is_some() || no_upstream.ineligible.is_none() {
+    let excluded = no_upstream
+        .ineligible
+        .filter(|reason| reason.is_by_operators());
+    if no_upstream.best_ms.is_some() || excluded.is_none() {
         entry.record_admission(&call.service, true);
     }
     let (reason, (delay_ms, rejected_share)) = match no_upstream {
@@ -102,7 +105,7 @@
         NoUpstream {
             ineligible: Some(ineligible),
             ..
-        } => {
+        } if ineligible.is_by_operators() => {
             let (min_ms, max_ms) = EXCLUDED_RETRY_AFTER_MS;
             let delay_ms = rand::random_range(min_ms..=max_ms);
             (ineligible.as_str(), (delay_ms, 1.0))
--- a/crates/masticdock-node/src/entry/state.rs
+++ b/crates/masticdock-node/src/entry/state.rs
@@ -8,8 +8,8 @@
 use masticdock_adapter::NodeSettings;
 use masticdock_core::ids::{ServiceId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, Configuration, DeadlineEstimate, RequestLimits, RetryAfter, RetryAfterSettings,
-    UpstreamLoad, WindowedRetryBudget, WindowedRetryBudgetSettings,
+    AgentReport, ClosedProcesses, Configuration, DeadlineEstimate, RequestLimits, RetryAfter,
+    RetryAfterSettings, UpstreamLoad, WindowedRetryBudget, WindowedRetryBudgetSettings,
 };
 use masticdock_core::units::MonoMs;
 
@@ -52,6 +52,8 @@
     pub(crate) agent_socket: AgentSocket,
     pub(crate) crashes: SharedCrashes,
     pub(crate) entry_count: EntryCount,
+    /// Processes of upstreams that want no requests of this entry.
+    pub(crate) closed: RefCell<ClosedProcesses>,
     /// Version of the configuration whose restrictions to regions were checked.
     pub(crate) restrictions_checked: Cell<u64>,
     /// Notified when the operators' table may declare a new version.
@@ -76,6 +78,7 @@
             agent_socket: AgentSocket::default(),
             crashes: SharedCrashes::default(),
             entry_count: EntryCount::default(),
+            closed: RefCell::default(),
             restrictions_checked: Cell::new(0),
             version_declared: Notify::new(),
             stopping_since: Cell::new(None),
