--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod attempts;
 mod chunk_sources;
+mod closed_processes;
 mod cold_start;
 mod configuration;
 mod configuration_order;
@@ -44,6 +45,7 @@
 pub use chunk_sources::{
     ChunkPeer, ChunkSource, ChunkSourceSelector, is_reader_due, is_region_nearly_complete,
 };
+pub use closed_processes::{ClosedProcesses, PAUSE_MAX_MS};
 pub use cold_start::{
     ColdSlowdown, ColdStartBounds, ColdStartPace, ColdStartProfile, ColdStartShare, sharing_entries,
 };
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -196,6 +196,7 @@
     record_head(entry, target, &head);
     cold_start::record_response(entry, upstream);
     rate_limits::record_answer(entry, upstream, &head, limits.started_mono);
+    eligibility::record_answer(entry, upstream, head.withdrawal);
     if head.not_executed {
         log::warn!(
             event = "attempt.not_executed",
