Run the attempts of one request beside each other while upstreams are silent

Cause: an attempt whose upstream was silent for 1 s was given up once a connection to another upstream was open. If that one rejected the request, no attempt was left, and the caller got 502 although the first upstream would have answered. A broken stream was cut when the only other upstream rejected its rest once.

Change: a silent attempt is kept while the request is sent to another upstream (entry/attempt_race.rs), within attempts and the retry budget; the first response is passed on and the others are closed, as all are when the caller leaves or the deadline passes. An error response of an upstream is still passed on at once. The rest of a stream may be sent again to an upstream that rejected it, as often as the route allows attempts; each costs the retry budget. The property of retries excuses just these rejections.

--- a/crates/masticdock-core/src/serving/attempts.rs
+++ b/crates/masticdock-core/src/serving/attempts.rs
@@ -81,6 +81,8 @@
 pub struct AttemptHistory {
     /// Number of upstreams that the request was sent to.
     pub sent: u32,
+    /// Number of upstreams among them that did not run it.
+    pub rejected: u32,
     /// Number of attempts that failed before anything was sent.
     pub not_sent: u32,
     /// True once any attempt may have run the request.
@@ -99,9 +101,22 @@
         } else {
             self.sent += 1;
         }
+        self.rejected += u32::from(outcome == AttemptOutcome::NotExecuted);
         self.may_have_run |= outcome.may_have_run();
         self.may_arrive_late |= outcome == AttemptOutcome::Silent;
     }
+
+    /// Returns whether the request was sent as often as it may be. The rest of a stream may be
+    /// sent once more for each rejection, to an upstream that rejected it, since the caller has
+    /// no other way to it.
+    fn has_used_attempts(&self, attempts_max: u32) -> bool {
+        let excused = if self.response_started {
+            self.rejected.min(attempts_max)
+        } else {
+            0
+        };
+        self.sent.saturating_sub(excused) >= attempts_max
+    }
 }
 
 /// Response to the caller of a request whose last attempt failed.
@@ -185,7 +200,7 @@
     if history.may_have_run && !kind.is_safe_to_retry() {
         return Err(RetryDenial::NotRepeatable);
     }
-    if history.sent >= attempts_max || history.not_sent >= CONNECT_FAILURES_MAX {
+    if history.has_used_attempts(attempts_max) || history.not_sent >= CONNECT_FAILURES_MAX {
         return Err(RetryDenial::AttemptsUsed);
     }
     if remaining_ms < ATTEMPT_TIME_MIN_MS {
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -19,6 +19,7 @@
 use masticdock_core::units::MonoMs;
 use tokio::time::Instant;
 
+use super::attempt_race::RaceMember;
 use super::body::{collect_body, reuse_after_body};
 use super::candidates::ChosenUpstream;
 use super::cold_start;
@@ -26,8 +27,7 @@
 use super::load_guard::LoadGuard;
 use super::pool::{AttemptConnection, acquire_connection};
 use super::rate_limits;
-use super::request::{Call, FailedAttempts};
-use super::retry::PreparedAttempt;
+use super::request::Call;
 use super::state::Entry;
 use super::wait::{RetryWhileSilent, WaitLimits, await_upstream, record_wait};
 use crate::clock;
@@ -42,8 +42,6 @@
     /// A failure, with the upstream's error response if there is one; it is forwarded
     /// if no later attempt succeeds.
     Failed(AttemptOutcome, Option<(Response<()>, Bytes)>),
-    /// The upstream was silent, and the request can be sent to another one.
-    Abandoned(Box<PreparedAttempt>),
 }
 
 /// A stream of an upstream whose first events have been read.
@@ -70,7 +68,7 @@
     call: &Call,
     chosen: &ChosenUpstream,
     connection: Option<AttemptConnection>,
-    failures: &FailedAttempts,
+    member: &RaceMember,
     last_event_id: Option<u64>,
 ) -> AttemptResult {
     let id = &chosen.upstream.id;
@@ -81,7 +79,7 @@
     }
     let connection = match connection {
         Some(connection) => Some(connection),
-        None => acquire_connection(entry, call, chosen, &failures.history).await,
+        None => acquire_connection(entry, call, chosen, &member.history).await,
     };
     let Some(connection) = connection else {
         return AttemptResult::Failed(AttemptOutcome::NotSent, None);
@@ -111,7 +109,7 @@
         begin_window: chosen.begin_window,
         predicted_ms: chosen.nominal_ms,
         engine_ms: chosen.engine_ms,
-        retry: RetryWhileSilent::new(failures),
+        retry: RetryWhileSilent::new(member),
     };
     let result = exchange(
         entry,
@@ -139,10 +137,7 @@
     if matches!(result, AttemptResult::Failed(AttemptOutcome::Silent, _)) {
         limits.record_silence(entry, id);
     }
-    match limits.retry.prepared.take() {
-        Some(prepared) => AttemptResult::Abandoned(prepared),
-        None => result,
-    }
+    result
 }
 
 fn build_request(call: &Call, target: &UpstreamTarget) -> Request<Full<Bytes>> {
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -12,12 +12,11 @@
 use masticdock_core::units::MonoMs;
 use tokio::time::sleep;
 
-use super::attempt::{AttemptResult, OpenStream, run_attempt};
+use super::attempt::{AttemptResult, OpenStream};
+use super::attempt_race::{EndedAttempt, SharedFailures, run_attempts};
 use super::candidates::ChosenUpstream;
 use super::crashes::{record_success, report_suspects};
-use super::pool::AttemptConnection;
-use super::request::{Call, FailedAttempts};
-use super::retry::PreparedAttempt;
+use super::request::Call;
 use super::state::Entry;
 use crate::clock;
 
@@ -40,8 +39,8 @@
 pub(super) enum Resumed {
     /// The stream continues here.
     Stream(Box<LiveStream>),
-    /// The attempt failed; the next one is prepared if it was abandoned for silence.
-    Failed(AttemptOutcome, Option<Box<PreparedAttempt>>),
+    /// All attempts failed.
+    Failed,
     /// The stream broke before the next event, of which it may have sent a part.
     Broken { next_has_begun: bool },
 }
@@ -209,20 +208,19 @@
     entry: Rc<Entry>,
     call: Rc<Call>,
     chosen: ChosenUpstream,
-    connection: Option<AttemptConnection>,
-    failures: FailedAttempts,
+    failures: SharedFailures,
     mut sequence: EventSequence,
 ) -> Resumed {
     let last_id = sequence.last_id();
-    let stream = match run_attempt(&entry, &call, &chosen, connection, &failures, last_id).await {
-        AttemptResult::Stream(stream) => *stream,
-        AttemptResult::Buffered(..) => return Resumed::Failed(AttemptOutcome::Discarded, None),
-        AttemptResult::Failed(failure, _) => return Resumed::Failed(failure, None),
-        AttemptResult::Abandoned(next) => {
-            return Resumed::Failed(AttemptOutcome::Silent, Some(next));
-        }
+    let EndedAttempt {
+        chosen,
+        result,
+        record,
+    } = run_attempts(&entry, &call, chosen, &failures, last_id).await;
+    let AttemptResult::Stream(stream) = result else {
+        return Resumed::Failed;
     };
-    let mut live = LiveStream::new(entry, chosen, stream);
+    let mut live = LiveStream::new(entry, chosen, *stream);
     sequence.begin_upstream();
     let reason = loop {
         match live.next().await {
@@ -230,11 +228,13 @@
                 Ok(false) => {}
                 Ok(true) => {
                     live.stream.first_events = events;
+                    live.is_recorded = record.accept();
                     return Resumed::Stream(Box::new(live));
                 }
                 Err(error) => break error.to_string(),
             },
             StreamStep::Complete if sequence.may_end() => {
+                live.is_recorded = record.accept();
                 return Resumed::Stream(Box::new(live));
             }
             StreamStep::Complete => break ENDED_EARLY.to_owned(),
@@ -243,6 +243,7 @@
         }
     };
     live.record_broken(&call, last_id, &reason);
+    record.fail(AttemptOutcome::Broken);
     Resumed::Broken {
         next_has_begun: live.has_partial_event(),
     }
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod answer;
 mod attempt;
+mod attempt_race;
 mod body;
 mod buffers;
 mod caller_stream;
--- a/crates/masticdock-node/src/entry/relay.rs
+++ b/crates/masticdock-node/src/entry/relay.rs
@@ -20,13 +20,13 @@
 
 use super::answer::{CallerResponseBody, Truncated, event_stream};
 use super::attempt::OpenStream;
+use super::attempt_race::SharedFailures;
 use super::candidates::ChosenUpstream;
 use super::connections::InUseGuard;
 use super::live_stream::{ENDED_EARLY, LiveStream, Resumed, StreamStep, resume_stream};
 use super::outcome::{ResponseTimes, record_end};
-use super::pool::AttemptConnection;
-use super::request::{Call, FailedAttempts};
-use super::retry::{PreparedAttempt, RetryPlan, plan_retry};
+use super::request::Call;
+use super::retry::{RetryPlan, plan_retry};
 use super::state::Entry;
 use crate::clock;
 
@@ -39,7 +39,7 @@
 struct Relay {
     entry: Rc<Entry>,
     call: Rc<Call>,
-    failures: FailedAttempts,
+    failures: SharedFailures,
     events: Sender<Result<Bytes, Truncated>>,
     /// Stream that is relayed; `None` after it broke.
     current: Option<LiveStream>,
@@ -84,23 +84,27 @@
 }
 
 /// Starts to relay a stream whose first events have arrived, and returns its response.
+/// `is_recorded` is true if its attempt counts as failed, because it was silent.
 pub(crate) fn start(
     entry: Rc<Entry>,
     call: Call,
     chosen: ChosenUpstream,
     mut stream: OpenStream,
-    mut failures: FailedAttempts,
+    is_recorded: bool,
+    failures: SharedFailures,
     in_use: InUseGuard,
 ) -> Response<CallerResponseBody> {
     let (sender, receiver) = channel(EVENT_QUEUE_LENGTH);
     let head = std::mem::take(&mut stream.head);
-    failures.history.response_started = true;
+    failures.borrow_mut().history.response_started = true;
+    let mut current = LiveStream::new(Rc::clone(&entry), chosen.clone(), stream);
+    current.is_recorded = is_recorded;
     let relay = Relay {
         first_event_ms: call.age_ms(),
         max_pause_ms: 0,
         sequence: EventSequence::after(call.head.last_event_id),
         last_event_at: clock::now(),
-        current: Some(LiveStream::new(Rc::clone(&entry), chosen.clone(), stream)),
+        current: Some(current),
         standby: None,
         resume_delay: None,
         chosen,
@@ -208,6 +212,7 @@
         }
         if !broken.is_recorded {
             self.failures
+                .borrow_mut()
                 .record(&self.chosen.upstream.id, AttemptOutcome::Broken);
         }
         if self.standby.is_some() {
@@ -218,9 +223,10 @@
 
     /// Resumes a stream that broke, now or later; returns an end if that is not possible.
     fn resume_broken(&mut self) -> Option<RelayEnd> {
-        match plan_retry(&self.entry, &self.call, &self.failures) {
+        let failures = self.failures.borrow().clone();
+        match plan_retry(&self.entry, &self.call, &failures) {
             RetryPlan::Send(chosen) => {
-                self.open_standby(*chosen, None);
+                self.open_standby(*chosen);
                 None
             }
             RetryPlan::Later(reason) => {
@@ -242,11 +248,12 @@
         if self.standby.is_some() {
             return;
         }
-        let plan = if current.is_recorded {
-            plan_retry(&self.entry, &self.call, &self.failures)
+        let failures = if current.is_recorded {
+            self.failures.borrow().clone()
         } else {
-            plan_retry(&self.entry, &self.call, &self.failures.with_silent(id))
+            self.failures.borrow().with_silent(id)
         };
+        let plan = plan_retry(&self.entry, &self.call, &failures);
         let decision = match &plan {
             RetryPlan::Send(_) => "resumed",
             RetryPlan::Later(reason) | RetryPlan::Never(reason) => reason,
@@ -265,14 +272,16 @@
         if let RetryPlan::Send(chosen) = plan {
             if !current.is_recorded {
                 current.is_recorded = true;
-                self.failures.record(id, AttemptOutcome::Silent);
+                self.failures
+                    .borrow_mut()
+                    .record(id, AttemptOutcome::Silent);
             }
-            self.open_standby(*chosen, None);
+            self.open_standby(*chosen);
         }
     }
 
     /// Begins to resume the stream at another upstream.
-    fn open_standby(&mut self, chosen: ChosenUpstream, connection: Option<AttemptConnection>) {
+    fn open_standby(&mut self, chosen: ChosenUpstream) {
         log::info!(
             event = "stream.resuming",
             request_id = self.call.head.request_id.as_str(),
@@ -286,8 +295,7 @@
                 Rc::clone(&self.entry),
                 Rc::clone(&self.call),
                 chosen,
-                connection,
-                self.failures.clone(),
+                Rc::clone(&self.failures),
                 self.sequence,
             )),
         });
@@ -296,11 +304,15 @@
     /// Relays a resumed stream from now on, or keeps the current one if the attempt failed;
     /// returns an end if neither is possible.
     fn end_standby(&mut self, resumed: Resumed) -> Option<RelayEnd> {
-        let standby = self.standby.take()?;
-        let (failure, prepared) = match resumed {
+        self.standby = None;
+        match resumed {
             // A stream that ends at once does not show that the silent one is complete.
             Resumed::Stream(stream) if self.current.is_some() && stream.is_over() => {
-                (AttemptOutcome::Discarded, None)
+                if !stream.is_recorded {
+                    let id = &stream.chosen.upstream.id;
+                    let mut failures = self.failures.borrow_mut();
+                    failures.record(id, AttemptOutcome::Discarded);
+                }
             }
             Resumed::Stream(stream) => {
                 self.chosen = stream.chosen.clone();
@@ -317,20 +329,14 @@
                 self.current = Some(*stream);
                 return None;
             }
-            Resumed::Failed(failure, prepared) => (failure, prepared),
+            Resumed::Failed => {}
             Resumed::Broken { next_has_begun } => {
                 if next_has_begun {
                     self.sequence.record_partial_event();
                 }
-                (AttemptOutcome::Broken, None)
             }
-        };
-        self.failures.record(&standby.upstream, failure);
-        if let Some(prepared) = prepared {
-            let PreparedAttempt { chosen, connection } = *prepared;
-            self.open_standby(chosen, Some(connection));
         }
-        if self.current.is_some() || self.standby.is_some() {
+        if self.current.is_some() {
             return None;
         }
         self.resume_broken()
@@ -341,8 +347,6 @@
         let Some(standby) = self.standby.take() else {
             return;
         };
-        self.failures
-            .record(&standby.upstream, AttemptOutcome::Discarded);
         log::info!(
             event = "stream.continued",
             request_id = self.call.head.request_id.as_str(),
@@ -380,7 +384,7 @@
             outcome,
             Some(&self.chosen),
             status,
-            &self.failures.history,
+            &self.failures.borrow().history,
             times,
         );
     }
--- a/crates/masticdock-node/src/entry/request.rs
+++ b/crates/masticdock-node/src/entry/request.rs
@@ -17,7 +17,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::CallerResponseBody;
-use super::attempt::{AttemptResult, run_attempt};
+use super::attempt::AttemptResult;
+use super::attempt_race::{EndedAttempt, SharedFailures, run_attempts};
 use super::candidates::{ChosenUpstream, NoUpstream, PlacementQuery, choose_upstream};
 use super::connections::InUseGuard;
 use super::crashes::request_features;
@@ -25,7 +26,6 @@
     forward_response, reject, reject_blocked, reject_without_upstream, respond_after_failure,
 };
 use super::relay;
-use super::retry::PreparedAttempt;
 use super::route::{HeadRejection, RoutedRequest, route_request};
 use super::state::Entry;
 use crate::clock;
@@ -214,13 +214,20 @@
     pub(crate) history: AttemptHistory,
     /// Upstreams of the failed attempts.
     pub(crate) upstreams: Vec<UpstreamId>,
+    /// Upstreams that rejected the rest of a stream.
+    pub(crate) rejecting: Vec<UpstreamId>,
 }
 
 impl FailedAttempts {
     /// Records a failed attempt and counts it in the metrics.
     pub(crate) fn record(&mut self, upstream: &UpstreamId, failure: AttemptOutcome) {
         self.history.record(failure);
-        self.upstreams.push(upstream.clone());
+        // An upstream that rejects the rest of a stream may take it a moment later.
+        if self.history.response_started && failure == AttemptOutcome::NotExecuted {
+            self.rejecting.push(upstream.clone());
+        } else {
+            self.upstreams.push(upstream.clone());
+        }
         metrics()
             .attempts
             .with_label_values(&[failure.as_str()])
@@ -246,67 +253,60 @@
     if let Some(feature) = entry.crashes.blocked_feature(&call) {
         return reject_blocked(&call, feature, in_use);
     }
-    let mut failures = FailedAttempts::default();
+    let failures = SharedFailures::default();
     let mut last_error = None;
-    let mut prepared: Option<PreparedAttempt> = None;
     loop {
-        let next = match prepared.take() {
-            Some(PreparedAttempt { chosen, connection }) => Ok((chosen, Some(connection))),
-            None => {
-                choose_for_call(&entry, &call, &failures.upstreams).map(|chosen| (chosen, None))
-            }
-        };
-        let (chosen, connection) = match next {
-            Ok(next) => next,
+        let next = choose_for_call(&entry, &call, &failures.borrow().upstreams);
+        let history = failures.borrow().history;
+        let chosen = match next {
+            Ok(chosen) => chosen,
             Err(no_upstream) => {
-                let history = &failures.history;
                 return reject_without_upstream(
                     &entry,
                     &call,
-                    history,
+                    &history,
                     no_upstream,
                     last_error,
                     in_use,
                 );
             }
         };
-        if failures.history == AttemptHistory::default() {
+        if history == AttemptHistory::default() {
             entry.record_admission(&call.service, false);
         }
-        let (failure, error) =
-            match run_attempt(&entry, &call, &chosen, connection, &failures, None).await {
-                AttemptResult::Buffered(head, body) => {
-                    let history = &failures.history;
-                    return forward_response(
-                        &call,
-                        "answered",
-                        Some(&chosen),
-                        head,
-                        body,
-                        history,
-                        in_use,
-                    );
-                }
-                AttemptResult::Stream(stream) => {
-                    return relay::start(entry, call, chosen, *stream, failures, in_use);
-                }
-                AttemptResult::Abandoned(next) => {
-                    failures.record(&chosen.upstream.id, AttemptOutcome::Silent);
-                    prepared = Some(*next);
-                    continue;
-                }
-                AttemptResult::Failed(failure, error) => (failure, error),
-            };
-        failures.record(&chosen.upstream.id, failure);
+        let EndedAttempt {
+            chosen,
+            result,
+            record,
+        } = run_attempts(&entry, &call, chosen, &failures, None).await;
+        let (failure, error) = match result {
+            AttemptResult::Buffered(head, body) => {
+                record.accept();
+                return forward_response(
+                    &call,
+                    "answered",
+                    Some(&chosen),
+                    head,
+                    body,
+                    &failures.borrow().history,
+                    in_use,
+                );
+            }
+            AttemptResult::Stream(stream) => {
+                let is_recorded = record.accept();
+                return relay::start(entry, call, chosen, *stream, is_recorded, failures, in_use);
+            }
+            AttemptResult::Failed(failure, error) => (failure, error),
+        };
         last_error = error.or(last_error);
-        match decide_next_step(&entry, &call, &failures.history, failure) {
+        let history = failures.borrow().history;
+        match decide_next_step(&entry, &call, &history, failure) {
             NextStep::Retry => {}
             NextStep::End(final_response) => {
-                let history = &failures.history;
                 return respond_after_failure(
                     &entry,
                     &call,
-                    history,
+                    &history,
                     &chosen,
                     final_response,
                     last_error,
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request can be sent to another upstream at the moment.
 
+use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{AttemptHistory, check_retry};
 
 use super::candidates::ChosenUpstream;
@@ -70,11 +71,9 @@
 
 /// Plans another attempt without spending the retry budget.
 fn choose_retry(entry: &Entry, call: &Call, failures: &FailedAttempts) -> RetryPlan {
-    let FailedAttempts {
-        history,
-        upstreams: excluded,
-    } = failures;
+    let history = &failures.history;
     let attempts_max = attempts_max(entry, call);
+    let excluded = &excluded_upstreams(entry, call, failures, attempts_max);
     let checked = check_retry(call.route.kind, attempts_max, history, call.time_left_ms());
     if let Err(denial) = checked {
         return RetryPlan::Never(denial.as_str());
@@ -95,6 +94,27 @@
     RetryPlan::Send(Box::new(chosen))
 }
 
+/// Returns the upstreams that a retry must not be sent to. Once as many were asked as the
+/// route allows, only those remain that rejected the rest of a stream.
+fn excluded_upstreams(
+    entry: &Entry,
+    call: &Call,
+    failures: &FailedAttempts,
+    attempts_max: u32,
+) -> Vec<UpstreamId> {
+    let mut excluded = failures.upstreams.clone();
+    if failures.history.sent < attempts_max {
+        return excluded;
+    }
+    let catalog = entry.catalog.borrow();
+    for upstream in catalog.directory.serving(&call.service) {
+        if !failures.rejecting.contains(&upstream.id) {
+            excluded.push(upstream.id.clone());
+        }
+    }
+    excluded
+}
+
 fn spend_budget(entry: &Entry, call: &Call, history: &AttemptHistory) -> bool {
     // The first send after failed connections is not a retry.
     history.sent == 0
--- a/crates/masticdock-node/src/entry/wait.rs
+++ b/crates/masticdock-node/src/entry/wait.rs
@@ -1,6 +1,6 @@
 //! Waits of an attempt for its upstream.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::time::Duration;
 
 use masticdock_adapter::UpstreamTarget;
@@ -9,8 +9,9 @@
 use masticdock_core::units::MonoMs;
 use tokio::time::{Instant, sleep_until};
 
-use super::request::{Call, FailedAttempts};
-use super::retry::{PreparedAttempt, prepare_retry};
+use super::attempt_race::RaceMember;
+use super::request::Call;
+use super::retry::prepare_retry;
 use super::state::Entry;
 use crate::clock;
 
@@ -40,20 +41,17 @@
 /// Retry of a request whose present attempt is silent.
 #[derive(Debug)]
 pub(super) struct RetryWhileSilent<'a> {
-    /// Failed attempts before the present one.
-    failures: &'a FailedAttempts,
-    /// Attempt that takes the place of the present one.
-    pub(super) prepared: RefCell<Option<Box<PreparedAttempt>>>,
+    /// The present attempt among those of the request.
+    member: &'a RaceMember,
     /// Last logged reason why no retry can be sent.
     logged_reason: Cell<Option<&'static str>>,
 }
 
 impl<'a> RetryWhileSilent<'a> {
-    /// Creates the state for an attempt after `failures`.
-    pub(super) fn new(failures: &'a FailedAttempts) -> Self {
+    /// Creates the state for an attempt.
+    pub(super) fn new(member: &'a RaceMember) -> Self {
         Self {
-            failures,
-            prepared: RefCell::default(),
+            member,
             logged_reason: Cell::default(),
         }
     }
@@ -63,7 +61,7 @@
     /// Records a response in the retry budget if the attempt is a retry of attempts that have
     /// arrived.
     pub(super) fn record_response(&self, entry: &Entry, call: &Call) {
-        let history = &self.retry.failures.history;
+        let history = &self.retry.member.history;
         if history.sent > 0 && !history.may_arrive_late {
             entry.with_retry_budget(&call.service, |budget| {
                 budget.record_response(clock::now());
@@ -94,7 +92,8 @@
 }
 
 /// Awaits a future of an upstream until the deadline. The wait also ends when the
-/// upstream's version expires or, while the upstream is silent, as soon as a retry is prepared.
+/// upstream's version expires. While the upstream is silent, the request is sent to another one
+/// as well if that is possible.
 ///
 /// # Errors
 ///
@@ -132,8 +131,11 @@
             continue;
         }
         limits.record_silence(entry, &target.id);
-        let retry = &limits.retry;
-        let failures = retry.failures.with_silent(&target.id);
+        let member = limits.retry.member;
+        if !member.may_prepare() {
+            continue;
+        }
+        let failures = member.failures_with_own();
         // The response may arrive while the retry connects.
         let prepared = tokio::select! {
             biased;
@@ -143,14 +145,33 @@
         };
         match prepared {
             Ok(prepared) => {
-                *retry.prepared.borrow_mut() = Some(prepared);
-                return Err(waited);
+                record_wait(entry, target, limits);
+                log_added_attempt(call, target, limits, &prepared.chosen.upstream.id);
+                member.hand_over(prepared);
             }
             Err(reason) => log_kept_attempt(call, target, limits, reason),
         }
     }
 }
 
+/// Logs that a request is sent to another upstream while the present one is silent.
+fn log_added_attempt(
+    call: &Call,
+    target: &UpstreamTarget,
+    limits: &WaitLimits<'_>,
+    added: &UpstreamId,
+) {
+    log::warn!(
+        event = "attempt.added",
+        request_id = call.head.request_id.as_str(),
+        upstream = target.id.as_str(),
+        added = added.as_str(),
+        silent_ms = clock::now().since_ms(limits.started_mono),
+        left_ms = call.time_left_ms();
+        "an upstream is silent; the request is sent to another one as well"
+    );
+}
+
 /// Logs why a silent attempt is kept, unless the reason is that of the previous check.
 fn log_kept_attempt(
     call: &Call,
