--- a/crates/masticdock-core/tests/serving_eligibility.rs
+++ b/crates/masticdock-core/tests/serving_eligibility.rs
@@ -23,6 +23,7 @@
 /// Returns an upstream in a zone.
 fn in_zone(name: &str) -> Upstream {
     Upstream {
+        cold_left_ms: None,
         id: "i-1".parse().unwrap(),
         service: "orders".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod agents;
 mod answer;
 mod attempt;
+mod attempt_race;
 mod body;
 mod caller_stream;
 mod candidates;
