Check a configuration before it is sent

Cause: nodes skip or replace what is invalid in a configuration, so that an operator learns of a route that never matches, a key held twice or a limit of 0 from rejected requests.

Change: `masticdockd check-configuration FILE [--in-force FILE]` prints findings and differences. Whether a zone has the allowed regions is not checked: a configuration lists no zones.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod chunk_sources;
 mod configuration;
+mod configuration_check;
 mod configuration_order;
 mod connection_timer;
 mod crashes;
@@ -43,6 +44,10 @@
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
     RouteMatch, Service, Workspace,
 };
+pub use configuration_check::{
+    DeclaredConfiguration, DeclaredLimits, DeclaredRoute, DeclaredWorkspace, Finding, Severity,
+    check_configuration, compare_configurations,
+};
 pub use configuration_order::{
     ConfigurationDecision, ConfigurationId, ConfigurationOrder, ConfigurationOrderSettings,
     ConfigurationSource, ConfigurationStamp,
--- a/crates/masticdock-daemon/src/cli.rs
+++ b/crates/masticdock-daemon/src/cli.rs
@@ -35,6 +35,14 @@
         #[arg(value_enum)]
         role: NodeRole,
     },
+    /// Checks a configuration before it is sent on the users' platform.
+    CheckConfiguration {
+        /// File with the value of the configuration row, in JSON.
+        file: PathBuf,
+        /// File with the configuration in force; prints what differs.
+        #[arg(long, value_name = "FILE")]
+        in_force: Option<PathBuf>,
+    },
     /// Checks a settings file and prints the first error with its line.
     Check {
         /// Settings file in YAML.
@@ -74,6 +82,9 @@
         Command::Entry { settings } => start(&settings, "entry"),
         Command::Agent { settings } => start(&settings, "agent"),
         Command::Check { settings } => check(&settings),
+        Command::CheckConfiguration { file, in_force } => {
+            check_configuration(&file, in_force.as_deref())
+        }
         Command::Node { role } => run_node(role.into()),
     }
 }
@@ -110,6 +121,28 @@
     }
 }
 
+/// Prints findings and differences; fails if a finding is an error.
+fn check_configuration(path: &std::path::Path, in_force: Option<&std::path::Path>) -> ExitCode {
+    let report = match masticdock_node::check_configuration_file(path, in_force) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(EXIT_INVALID_SETTINGS);
+        }
+    };
+    for finding in &report.findings {
+        println!("{finding}");
+    }
+    for difference in &report.differences {
+        println!("change: {difference}");
+    }
+    if report.has_errors() {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    }
+}
+
 fn start(path: &std::path::Path, role: &str) -> ExitCode {
     let settings = match settings::load(path) {
         Ok(settings) => settings,
--- a/crates/masticdock-node/src/lib.rs
+++ b/crates/masticdock-node/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod agent;
 mod clock;
+mod configuration_check;
 mod datagram;
 mod entry;
 mod http_server;
@@ -17,6 +18,7 @@
 
 use std::rc::Rc;
 
+pub use configuration_check::{CheckError, ConfigurationReport, check_configuration_file};
 pub use http_server::{ResponseBody, respond, serve, serve_on};
 use masticdock_adapter::{NodeSettings, read_settings, settings_path};
 pub use tasks::spawn_restarted;
