Let the documentation test read the adapter's events too

Cause: the adapter logs regions.unreadable, which LOGS.md lists, but the test read the events of the node's crate only and called the line stale. Change: both folders are read, so an undocumented event of the adapter fails as well.

--- a/crates/masticdock-node/tests/documentation.rs
+++ b/crates/masticdock-node/tests/documentation.rs
@@ -41,10 +41,9 @@
 #[test]
 fn logs_page_lists_every_event_and_metric() {
     let mut sources = String::new();
-    append_sources(
-        &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
-        &mut sources,
-    );
+    for folder in ["crates/masticdock-node/src", "platform/src"] {
+        append_sources(&repository_root().join(folder), &mut sources);
+    }
     let mut used_names = quoted_after(&sources, "event = \"");
     used_names.insert("log.dropped".to_owned());
     used_names.extend(
