--- a/crates/masticdock-core/src/serving/places.rs
+++ b/crates/masticdock-core/src/serving/places.rs
@@ -34,7 +34,7 @@
         Self {
             queue_max: 1,
             prefill_budget_ms: 240,
-            pause_percent: 60,
+            pause_percent: 80,
         }
     }
 }
