--- a/review/standins-2/caller.rs
+++ b/review/standins-2/caller.rs
@@ -31,55 +31,70 @@
     pub longest_gap: Duration,
 }
 
-/// Sends a request and reads its answer; `None` if the channel ended without a head.
+/// Channel of a caller, which can carry several requests.
+pub struct Channel(BufReader<TcpStream>);
+
+/// Sends a request on a channel of its own and reads its answer; `None` if the channel ended
+/// without a head.
 pub fn call(entry: SocketAddr, request: &CallerRequest<'_>) -> Option<Answer> {
-    let mut stream = TcpStream::connect(entry).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    let CallerRequest {
-        method,
-        path,
-        id,
-        deadline_ms,
-        headers,
-        body,
-    } = request;
-    let length = body.len();
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{headers}Content-Length: {length}\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    stream.write_all(body).ok()?;
-    let mut last_at = Instant::now();
-    let mut longest_gap = Duration::ZERO;
-    let mut reader = BufReader::new(stream);
-    let head = Head::read(&mut reader)?;
-    let mut arrived = |now: Instant| {
-        longest_gap = longest_gap.max(now - last_at);
-        last_at = now;
-    };
-    arrived(Instant::now());
-    let mut body = Vec::new();
-    let mut is_complete = false;
-    if head.header("transfer-encoding").is_some() {
-        while let Ok(Some(chunk)) = read_chunk(&mut reader) {
-            arrived(Instant::now());
-            if chunk.is_empty() {
-                is_complete = true;
-                break;
+    Channel::open(entry)?.call(request)
+}
+
+impl Channel {
+    pub fn open(entry: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(entry).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        Some(Self(BufReader::new(stream)))
+    }
+
+    /// Sends a request and reads its answer; `None` if the channel ended without a head.
+    pub fn call(&mut self, request: &CallerRequest<'_>) -> Option<Answer> {
+        let reader = &mut self.0;
+        let CallerRequest {
+            method,
+            path,
+            id,
+            deadline_ms,
+            headers,
+            body,
+        } = request;
+        let length = body.len();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{headers}Content-Length: {length}\r\n\r\n"
+        );
+        reader.get_mut().write_all(head.as_bytes()).ok()?;
+        reader.get_mut().write_all(body).ok()?;
+        let mut last_at = Instant::now();
+        let mut longest_gap = Duration::ZERO;
+        let head = Head::read(reader)?;
+        let mut arrived = |now: Instant| {
+            longest_gap = longest_gap.max(now - last_at);
+            last_at = now;
+        };
+        arrived(Instant::now());
+        let mut body = Vec::new();
+        let mut is_complete = false;
+        if head.header("transfer-encoding").is_some() {
+            while let Ok(Some(chunk)) = read_chunk(reader) {
+                arrived(Instant::now());
+                if chunk.is_empty() {
+                    is_complete = true;
+                    break;
+                }
+                body.extend(chunk);
             }
-            body.extend(chunk);
+        } else if let Some(length) = head.header("content-length") {
+            body.resize(length.parse().ok()?, 0);
+            is_complete = reader.read_exact(&mut body).is_ok();
+        } else {
+            is_complete = reader.read_to_end(&mut body).is_ok();
         }
-    } else if let Some(length) = head.header("content-length") {
-        body.resize(length.parse().ok()?, 0);
-        is_complete = reader.read_exact(&mut body).is_ok();
-    } else {
-        is_complete = reader.read_to_end(&mut body).is_ok();
+        Some(Answer {
+            status: head.status(),
+            is_sealed: head.header("x-response-seal").is_some(),
+            body,
+            is_complete,
+            longest_gap,
+        })
     }
-    Some(Answer {
-        status: head.status(),
-        is_sealed: head.header("x-response-seal").is_some(),
-        body,
-        is_complete,
-        longest_gap,
-    })
 }
--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -149,9 +149,9 @@
         "part-writes-s":300,"row-bytes":65536,"across":true,"history-s":20}}}}"#,
         PEER_PORT + 15
     );
-    let file = folder.join("entry.json");
+    let file = folder.join(format!("entry-{host}.json"));
     fs::write(&file, settings)?;
-    let log = File::create(folder.join("entry.log"))?;
+    let log = File::create(folder.join(format!("entry-{host}.log")))?;
     let child = Command::new("target/release/masticdockd")
         .args(["node", "entry"])
         .env_clear()
@@ -205,7 +205,7 @@
         let born = unix_ms();
         let mut child = Command::new(env::current_exe()?)
             .args(["upstream", kind, &address.to_string(), id])
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let output = child.stdout.take().ok_or("no output")?;
@@ -239,12 +239,26 @@
         Ok(upstream)
     }
 
+    /// Has the upstream close its port, finish what runs and end.
+    pub fn leave(&mut self) -> std::io::Result<()> {
+        match &mut self.process.0.stdin {
+            Some(input) => input.write_all(b"leave\n"),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the number of requests that the upstream has begun to run.
     pub fn run_count(&self) -> usize {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.len()
     }
 
+    /// Returns whether the upstream has begun to run a request.
+    pub fn has_run(&self, request: &str) -> bool {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.contains_key(request)
+    }
+
     /// Returns whether the upstream told this word of the request, such as `runs`.
     pub fn told(&self, word: &str, request: &str) -> bool {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,8 @@
 mod caller;
 mod case_6;
 mod case_7;
+mod case_8;
+mod case_9;
 mod harness;
 mod http;
 mod store;
@@ -28,6 +30,8 @@
             let result = match *number {
                 "6" => case_6::run(&folder),
                 "7" => case_7::run(&folder),
+                "8" => case_8::run(&folder),
+                "9" => case_9::run(&folder),
                 _ => Err(format!("no case {number}").into()),
             };
             match result {
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -4,6 +4,7 @@
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -12,8 +13,11 @@
 /// Number of parts in which a plain upstream writes a body, and the time between them.
 const PARTS: usize = 8;
 const PART_INTERVAL: Duration = Duration::from_millis(20);
-/// Number of events of a stream, and the time between them.
+/// Number of events of a stream.
 pub const EVENTS: usize = 40;
+/// Number of events of a stream whose path ends with `/short`.
+const SHORT_EVENTS: usize = 2;
+/// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the body with which a plain upstream answers a request: 800 bytes.
@@ -35,6 +39,8 @@
 struct Upstream {
     kind: String,
     id: String,
+    /// Number of requests that run.
+    running: AtomicUsize,
 }
 
 /// Runs an upstream until it is killed: one that answers with bodies, or with streams if `kind`
@@ -47,20 +53,45 @@
             return;
         }
     };
+    if let Err(error) = listener.set_nonblocking(true) {
+        eprintln!("cannot listen on {address}: {error}");
+        return;
+    }
     println!("listening");
     let upstream = Arc::new(Upstream {
         kind: kind.to_owned(),
         id: id.to_owned(),
+        running: AtomicUsize::new(0),
+    });
+    let is_leaving = Arc::new(AtomicBool::new(false));
+    let leaves = Arc::clone(&is_leaving);
+    thread::spawn(move || {
+        let mut line = String::new();
+        if std::io::stdin().read_line(&mut line).is_ok() && line.trim() == "leave" {
+            leaves.store(true, Ordering::SeqCst);
+        }
     });
-    for stream in listener.incoming().flatten() {
+    while !is_leaving.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(Duration::from_millis(1));
+            continue;
+        };
         let upstream = Arc::clone(&upstream);
         // A caller that leaves ends its connection with an error.
         thread::spawn(move || upstream.serve(stream));
     }
+    // Takes no more connections, finishes what runs, and ends.
+    drop(listener);
+    println!("port closed");
+    while upstream.running.load(Ordering::SeqCst) > 0 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    println!("process ends");
 }
 
 impl Upstream {
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = Head::read(&mut reader) {
@@ -77,17 +108,30 @@
                 continue;
             }
             println!("runs {request}");
-            if self.kind == "stream" {
-                let after = head.header("last-event-id").and_then(|id| id.parse().ok());
-                write_events(&mut stream, &request, after.unwrap_or(0))?;
-            } else {
-                write_body(&mut stream, &request)?;
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let written = self.answer(&head, &request, &mut stream);
+            let closed = written.and_then(|()| stream.shutdown(Shutdown::Both));
+            if closed.is_ok() {
+                println!("ended {request}");
             }
-            println!("ended {request}");
-            return stream.shutdown(Shutdown::Both);
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            return closed;
         }
         Ok(())
     }
+
+    fn answer(&self, head: &Head, request: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+        if self.kind != "stream" {
+            return write_body(stream, request);
+        }
+        let after = head.header("last-event-id").and_then(|id| id.parse().ok());
+        let events = if head.path().ends_with("/short") {
+            SHORT_EVENTS
+        } else {
+            EVENTS
+        };
+        write_events(stream, request, after.unwrap_or(0), events)
+    }
 }
 
 fn write_head(stream: &mut TcpStream, request: &str, content_type: &str) -> std::io::Result<()> {
@@ -109,9 +153,14 @@
     Ok(())
 }
 
-fn write_events(stream: &mut TcpStream, request: &str, after: usize) -> std::io::Result<()> {
+fn write_events(
+    stream: &mut TcpStream,
+    request: &str,
+    after: usize,
+    events: usize,
+) -> std::io::Result<()> {
     write_head(stream, request, "text/event-stream")?;
-    for number in after + 1..=EVENTS {
+    for number in after + 1..=events {
         thread::sleep(EVENT_INTERVAL);
         stream.write_all(event(request, number).as_bytes())?;
     }
