--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -184,6 +184,14 @@
     Some(Head::read(&mut BufReader::new(stream))?.status())
 }
 
+/// What an upstream told of a request.
+struct Run {
+    /// When the upstream told that it runs the request.
+    began_at: Instant,
+    /// The latest word, such as `runs` or `ended`.
+    told: String,
+}
+
 /// An upstream in a process of its own, and the requests that it told to have run.
 pub struct UpstreamProcess {
     pub id: String,
@@ -191,7 +199,7 @@
     /// Unix time of its start, in milliseconds.
     pub born: u64,
     pub process: Process,
-    runs: Arc<Mutex<HashMap<String, String>>>,
+    runs: Arc<Mutex<HashMap<String, Run>>>,
 }
 
 impl UpstreamProcess {
@@ -209,8 +217,10 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let output = child.stdout.take().ok_or("no output")?;
-        let runs: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+        let runs: Arc<Mutex<HashMap<String, Run>>> = Arc::default();
         let (record, own_runs, own_id) = (record.clone(), Arc::clone(&runs), id.to_owned());
+        // Many short answers would fill the record.
+        let is_quiet = kind == "framed";
         let (started, has_started) = std::sync::mpsc::channel();
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -219,10 +229,16 @@
                     let _ = started.send(());
                     continue;
                 }
-                record.note(&format!("upstream {own_id}: {line}"));
+                if !is_quiet {
+                    record.note(&format!("upstream {own_id}: {line}"));
+                }
                 if let Some((word, request)) = line.split_once(' ') {
                     let mut runs = own_runs.lock().unwrap_or_else(PoisonError::into_inner);
-                    runs.insert(request.to_owned(), word.to_owned());
+                    let run = runs.entry(request.to_owned()).or_insert_with(|| Run {
+                        began_at: Instant::now(),
+                        told: String::new(),
+                    });
+                    run.told = word.to_owned();
                 }
             }
         });
@@ -253,6 +269,17 @@
         runs.len()
     }
 
+    /// Returns the requests that the upstream began to run later than `at`, in order.
+    pub fn runs_since(&self, at: Instant) -> Vec<(String, Instant)> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let late = runs.iter().filter(|(_, run)| run.began_at > at);
+        let mut late: Vec<(String, Instant)> = late
+            .map(|(request, run)| (request.clone(), run.began_at))
+            .collect();
+        late.sort_by_key(|(_, began_at)| *began_at);
+        late
+    }
+
     /// Returns whether the upstream has begun to run a request.
     pub fn has_run(&self, request: &str) -> bool {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
@@ -262,7 +289,7 @@
     /// Returns whether the upstream told this word of the request, such as `runs`.
     pub fn told(&self, word: &str, request: &str) -> bool {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.get(request).is_some_and(|told| told == word)
+        runs.get(request).is_some_and(|run| run.told == word)
     }
 }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,12 +4,14 @@
 //! `standins upstream KIND ADDRESS ID` is an upstream that a case starts and kills.
 
 mod caller;
+mod case_10;
 mod case_6;
 mod case_7;
 mod case_8;
 mod case_9;
 mod harness;
 mod http;
+mod proxy;
 mod store;
 mod upstream;
 
@@ -32,6 +34,7 @@
                 "7" => case_7::run(&folder),
                 "8" => case_8::run(&folder),
                 "9" => case_9::run(&folder),
+                "10" => case_10::run(&folder),
                 _ => Err(format!("no case {number}").into()),
             };
             match result {
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -1,5 +1,5 @@
-//! Stand-in for an upstream, in a process of its own so that it can be killed. Its answers have
-//! neither a length nor chunks and end with their channel.
+//! Stand-in for an upstream, in a process of its own so that it can be killed. Unless
+//! its kind is `framed`, its answers have neither a length nor chunks and end with their channel.
 
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -13,6 +13,8 @@
 /// Number of parts in which a plain upstream writes a body, and the time between them.
 const PARTS: usize = 8;
 const PART_INTERVAL: Duration = Duration::from_millis(20);
+/// Time that an upstream of the kind `framed` works on a request.
+const FRAMED_WORK: Duration = Duration::from_millis(60);
 /// Number of events of a stream.
 pub const EVENTS: usize = 40;
 /// Number of events of a stream whose path ends with `/short`.
@@ -43,8 +45,8 @@
     running: AtomicUsize,
 }
 
-/// Runs an upstream until it is killed: one that answers with bodies, or with streams if `kind`
-/// is `stream`.
+/// Runs an upstream until it is killed: one that answers with bodies, with streams if `kind` is
+/// `stream`, or with bodies that have a length if it is `framed`.
 pub fn run(kind: &str, address: &str, id: &str) {
     let listener = match TcpListener::bind(address) {
         Ok(listener) => listener,
@@ -121,6 +123,14 @@
     }
 
     fn answer(&self, head: &Head, request: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+        if self.kind == "framed" {
+            thread::sleep(FRAMED_WORK);
+            let body = String::from_utf8_lossy(&plain_body(request)).into_owned();
+            let headers = format!(
+                "X-Request-Id: {request}\r\nX-Response-Seal: seal.{request}\r\nConnection: close\r\n"
+            );
+            return stream.write_all(&json_response(200, &headers, &body));
+        }
         if self.kind != "stream" {
             return write_body(stream, request);
         }
