--- a/review/standins-2/case_10.rs
+++ b/review/standins-2/case_10.rs
@@ -31,7 +31,7 @@
 
 /// Shortest length of a cut, and the range over which lengths are spread.
 const CUT_MIN: Duration = Duration::from_millis(3_600);
-const CUT_RANGE_MS: u64 = 1_000;
+const CUT_RANGE_MS: u64 = 600;
 /// Time before the end of a cut at which the row of the leaving replica is removed.
 const REMOVED_BEFORE: Duration = Duration::from_millis(1_000);
 /// Time after the end of a cut at which that replica exits: 4.15 s after its row was removed.
@@ -77,7 +77,7 @@
         let (is_over, numbers) = (Arc::clone(&is_over), Arc::clone(&numbers));
         let (entry, record) = (network.address(ENTRY_HOST, CALLERS_PORT), record.clone());
         callers.push(thread::spawn(move || {
-            let mut failed = 0;
+            let mut failed: u32 = 0;
             while !is_over.load(Ordering::SeqCst) {
                 let id = format!("{:016x}", numbers.fetch_add(1, Ordering::SeqCst));
                 let answer = call(
@@ -92,10 +92,8 @@
                     },
                 );
                 let status = answer.map_or(0, |answer| answer.status);
-                if status != 200 {
-                    failed += 1;
-                    record.note(&format!("caller: {id} got {status}"));
-                }
+                failed += u32::from(status != 200);
+                record.note(&format!("caller sent {id}, got {status}"));
                 thread::sleep(CALLER_PAUSE);
             }
             failed
@@ -108,8 +106,7 @@
             path.cut();
             record.note("the entry is cut from the store");
         }
-        // The lengths of the cuts are spread evenly over a second, the rhythm of the polls of
-        // an entry that has lost the store.
+        // Spread over a part of the second in which an entry polls that has lost the store.
         let spread_ms = CUT_RANGE_MS * u64::from(round * 5 % ROUNDS) / u64::from(ROUNDS);
         let heal_at = started_at + CUT_MIN + Duration::from_millis(spread_ms);
         sleep_until(heal_at - REMOVED_BEFORE);
--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -219,8 +219,7 @@
         let output = child.stdout.take().ok_or("no output")?;
         let runs: Arc<Mutex<HashMap<String, Run>>> = Arc::default();
         let (record, own_runs, own_id) = (record.clone(), Arc::clone(&runs), id.to_owned());
-        // Many short answers would fill the record.
-        let is_quiet = kind == "framed";
+        let is_brief = kind == "framed";
         let (started, has_started) = std::sync::mpsc::channel();
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -229,7 +228,8 @@
                     let _ = started.send(());
                     continue;
                 }
-                if !is_quiet {
+                // The ends of many short answers would only fill the record.
+                if !is_brief || !line.starts_with("ended ") {
                     record.note(&format!("upstream {own_id}: {line}"));
                 }
                 if let Some((word, request)) = line.split_once(' ') {
