Put the readable entries of a configuration into force without the others

What callers saw: one value that cannot be read, such as a workspace's name that is no text or a route's timeout that is no number, kept the whole configuration out of force. Dropped keys and moved routes acted on for good, and an entry that started then answered 503 to everything.

Cause: the row was decoded as a unit, and a row that fails to decode leaves the previous configuration in force.

Change: routes, services, workspaces and limits are decoded one by one. Requests whose route or key is there but cannot be read are rejected unrun (503, `route_unreadable` or `workspace_unreadable`), never answered 401 or 404; a route loses the services that cannot be read. A log event for each entry, a gauge of such entries and a counter of unreadable rows show it.

Why it works: only what depends on an unreadable value is without effect, so nothing else can hold an old configuration in force; a row without a version or with another form than JSON still can, since it cannot be ordered.

--- a/crates/masticdock-core/src/ids/mod.rs
+++ b/crates/masticdock-core/src/ids/mod.rs
@@ -6,8 +6,8 @@
 
 pub use digest::{Digest, DigestHasher};
 pub use name::{
-    AdapterId, ChangeId, EntryId, ModelId, NAME_LEN_MAX, OperatorId, RegionId, RequestKey,
-    RolloutId, ServiceId, UpstreamId, VersionId, VmId, WorkspaceId, ZoneId,
+    AdapterId, ChangeId, EntryId, External, ExternalName, ModelId, NAME_LEN_MAX, OperatorId,
+    RegionId, RequestKey, RolloutId, ServiceId, UpstreamId, VersionId, VmId, WorkspaceId, ZoneId,
 };
 pub use number::{BootEpoch, Fence, Incarnation, Revision, StoreEra, VersionNumber};
 
--- a/crates/masticdock-core/src/ids/name.rs
+++ b/crates/masticdock-core/src/ids/name.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::ParseIdError;
 
@@ -12,9 +12,7 @@
 pub const NAME_LEN_MAX: usize = 128;
 
 fn validate(what: &'static str, text: &str) -> Result<CompactString, ParseIdError> {
-    if text.is_empty() {
-        return Err(ParseIdError::new(what, text, "it is empty", "give a name"));
-    }
+    let name = validate_external(what, text)?;
     if text.len() > NAME_LEN_MAX {
         return Err(ParseIdError::new(
             what,
@@ -32,6 +30,39 @@
             "replace the character, for example by `-`",
         ));
     }
+    Ok(name)
+}
+
+/// Name that another system may have chosen, by its own rules.
+///
+/// The rules of [`FromStr`] are those for the names of our own resources, which occur in
+/// selectors and commands. A name that another system chose is taken as it is.
+pub trait ExternalName: Sized {
+    /// Creates a name from any text that is not empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is empty.
+    fn from_external(text: &str) -> Result<Self, ParseIdError>;
+}
+
+/// Name that is decoded by the rules of [`ExternalName`].
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(transparent)]
+pub struct External<T>(pub T);
+
+impl<'de, T: ExternalName> Deserialize<'de> for External<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = CompactString::deserialize(deserializer)?;
+        let name = T::from_external(&text).map_err(serde::de::Error::custom)?;
+        Ok(Self(name))
+    }
+}
+
+fn validate_external(what: &'static str, text: &str) -> Result<CompactString, ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::new(what, text, "it is empty", "give a name"));
+    }
     Ok(CompactString::new(text))
 }
 
@@ -64,6 +95,12 @@
             }
         }
 
+        impl ExternalName for $name {
+            fn from_external(text: &str) -> Result<Self, ParseIdError> {
+                validate_external($what, text).map(Self)
+            }
+        }
+
         impl TryFrom<CompactString> for $name {
             type Error = ParseIdError;
 
--- a/crates/masticdock-core/src/serving/configuration.rs
+++ b/crates/masticdock-core/src/serving/configuration.rs
@@ -1,6 +1,6 @@
 //! Configuration declared by operators, in the form used to route requests.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -59,7 +59,7 @@
     pub prefix: CompactString,
     /// Whether requests may run more than once.
     pub kind: RequestKind,
-    /// Services behind the route; never empty.
+    /// Services behind the route; empty if its requests cannot be served.
     pub backends: Vec<Backend>,
     /// Time within which the final response is due, in milliseconds.
     pub timeout_ms: u64,
@@ -223,6 +223,15 @@
     pub allowed_regions: AllowedRegions,
 }
 
+/// What of a configuration cannot be read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnreadableEntries {
+    /// Number of routes, services, workspaces and limits that cannot be read.
+    pub count: usize,
+    /// API keys of workspaces that cannot be read.
+    pub keys: HashSet<CompactString>,
+}
+
 /// One version of the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
@@ -242,6 +251,8 @@
     prioritized: BTreeSet<ServiceId>,
     /// Limits for the requests of callers.
     pub limits: RequestLimits,
+    /// Entries that cannot be read; the others are in force without them.
+    pub unreadable: UnreadableEntries,
 }
 
 /// Result of matching a request against the configuration.
@@ -258,6 +269,10 @@
     NoRoute,
     /// The API key is missing or unknown.
     UnknownKey,
+    /// The configuration allows the request, but the entry of its route cannot be read.
+    UnreadableRoute,
+    /// The configuration has the API key, but the entry of its workspace cannot be read.
+    UnreadableWorkspace,
 }
 
 impl Configuration {
@@ -291,6 +306,7 @@
             workspaces: keys.unwrap_or_default().into_iter().collect(),
             pause_objectives_ms,
             limits,
+            unreadable: UnreadableEntries::default(),
         }
     }
 
@@ -314,19 +330,28 @@
         else {
             return RouteMatch::NoRoute;
         };
+        if route.backends.is_empty() {
+            return RouteMatch::UnreadableRoute;
+        }
         if !self.keys_required || route.anonymous {
             return RouteMatch::Route {
                 route,
                 workspace: None,
             };
         }
-        match key.and_then(|key| self.workspaces.get(key)) {
-            Some(workspace) => RouteMatch::Route {
+        let Some(key) = key else {
+            return RouteMatch::UnknownKey;
+        };
+        if let Some(workspace) = self.workspaces.get(key) {
+            return RouteMatch::Route {
                 route,
                 workspace: Some(workspace),
-            },
-            None => RouteMatch::UnknownKey,
+            };
+        }
+        if self.unreadable.keys.contains(key) {
+            return RouteMatch::UnreadableWorkspace;
         }
+        RouteMatch::UnknownKey
     }
 
     /// Returns true when every route to an engine serves streams that can be resumed
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -52,7 +52,7 @@
 };
 pub use configuration::{
     Backend, Configuration, EngineProfile, ModelTarget, Origin, RequestKind, RequestLimits, Route,
-    RouteMatch, Service, Workspace,
+    RouteMatch, Service, UnreadableEntries, Workspace,
 };
 pub use configuration_check::{
     DeclaredConfiguration, DeclaredLimits, DeclaredRoute, DeclaredWorkspace, Finding, Severity,
--- a/crates/masticdock-core/tests/serving_configuration.rs
+++ b/crates/masticdock-core/tests/serving_configuration.rs
@@ -48,6 +48,8 @@
         }
         RouteMatch::NoRoute => "no route".to_owned(),
         RouteMatch::UnknownKey => "unknown key".to_owned(),
+        RouteMatch::UnreadableRoute => "unreadable route".to_owned(),
+        RouteMatch::UnreadableWorkspace => "unreadable workspace".to_owned(),
     }
 }
 
--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -16,9 +16,10 @@
 /// milliseconds; a crashed process is back after a few seconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: (u64, u64) = (900, 1_900);
 
-/// Range of the `Retry-After` delay while operators exclude all upstreams of a service, by
-/// regions or by an evacuation, in milliseconds; only they can end this.
-const EXCLUDED_RETRY_AFTER_MS: (u64, u64) = (2_000, 5_000);
+/// Range of the `Retry-After` delay of requests that cannot be served until operators change
+/// something, in milliseconds: they exclude all upstreams of a service by regions or by an
+/// evacuation, or an entry of the configuration cannot be read.
+pub(super) const EXCLUDED_RETRY_AFTER_MS: (u64, u64) = (2_000, 5_000);
 
 /// `Retry-After` delay of requests that crash engines, in milliseconds; they are not sent
 /// in the foreseeable future.
--- a/crates/masticdock-node/src/entry/route.rs
+++ b/crates/masticdock-node/src/entry/route.rs
@@ -9,6 +9,7 @@
 use masticdock_adapter::CallerHead;
 use masticdock_core::serving::{Configuration, Route, RouteMatch, Workspace};
 
+use super::outcome::EXCLUDED_RETRY_AFTER_MS;
 use super::state::Entry;
 use crate::clock;
 
@@ -34,6 +35,17 @@
 }
 
 impl HeadRejection {
+    /// Returns the rejection of a request that the configuration allows, but does not tell how
+    /// to serve.
+    fn unreadable(reason: &'static str) -> Self {
+        let (min_ms, max_ms) = EXCLUDED_RETRY_AFTER_MS;
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after_ms: Some(rand::random_range(min_ms..=max_ms)),
+        }
+    }
+
     /// Returns the rejection of an entry that takes no requests.
     pub(super) const fn not_ready() -> Self {
         Self {
@@ -48,8 +60,8 @@
 ///
 /// # Errors
 ///
-/// Returns a rejection if the entry takes no requests, no route matches or the API key is
-/// unknown.
+/// Returns a rejection if the entry takes no requests, no route matches, the API key is
+/// unknown, or the configuration does not tell how to serve the request.
 pub(super) fn route_request(
     entry: &Entry,
     parts: &Parts,
@@ -75,6 +87,10 @@
         RouteMatch::UnknownKey => {
             return Err(reject(StatusCode::UNAUTHORIZED, "unknown_key"));
         }
+        RouteMatch::UnreadableRoute => return Err(HeadRejection::unreadable("route_unreadable")),
+        RouteMatch::UnreadableWorkspace => {
+            return Err(HeadRejection::unreadable("workspace_unreadable"));
+        }
     };
     Ok(RoutedRequest {
         configuration,
--- a/crates/masticdock-node/src/metrics/mod.rs
+++ b/crates/masticdock-node/src/metrics/mod.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use prometheus::{
     Counter, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Registry, TextEncoder, core::Collector,
 };
 
 use crate::http_server::{respond, serve};
@@ -36,6 +36,10 @@
     pub(crate) request_seconds: HistogramVec,
     /// Time in which the process did not run, in seconds.
     pub(crate) paused_seconds: Counter,
+    /// Number of entries of the configuration in force that cannot be read.
+    pub(crate) unreadable_entries: IntGauge,
+    /// Number of times that a row that cannot be read arrived, by table.
+    pub(crate) unreadable_rows: IntCounterVec,
     /// Evacuated zones: 1 while evacuated, 0 afterwards.
     pub(crate) evacuated_zones: IntGaugeVec,
     /// Number of upstreams that count as cold.
@@ -64,7 +68,6 @@
 
 impl Metrics {
     fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
         let requests = IntCounterVec::new(
             Opts::new(
                 "masticdock_requests_total",
@@ -107,6 +110,17 @@
             "masticdock_paused_seconds_total",
             "Time in which the process did not run.",
         )?;
+        let unreadable_entries = IntGauge::new(
+            "masticdock_configuration_unreadable_entries",
+            "Entries of the configuration in force that cannot be read.",
+        )?;
+        let unreadable_rows = IntCounterVec::new(
+            Opts::new(
+                "masticdock_unreadable_rows_total",
+                "Rows that cannot be read, by table; the row before stays in effect for operators' rows.",
+            ),
+            &["table"],
+        )?;
         let cold_upstreams = IntGauge::new(
             "masticdock_cold_upstreams",
             "Upstreams that count as cold and get few requests.",
@@ -133,21 +147,8 @@
             ),
             &["reason"],
         )?;
-        registry.register(Box::new(requests.clone()))?;
-        registry.register(Box::new(connections_closed.clone()))?;
-        registry.register(Box::new(admissions.clone()))?;
-        registry.register(Box::new(attempts.clone()))?;
-        registry.register(Box::new(crashes.clone()))?;
-        registry.register(Box::new(blocked_features.clone()))?;
-        registry.register(Box::new(first_event_seconds.clone()))?;
-        registry.register(Box::new(request_seconds.clone()))?;
-        registry.register(Box::new(paused_seconds.clone()))?;
-        registry.register(Box::new(cold_upstreams.clone()))?;
-        registry.register(Box::new(cold_start_skips.clone()))?;
-        registry.register(Box::new(panics.clone()))?;
-        registry.register(Box::new(evacuated_zones.clone()))?;
-        Ok(Self {
-            registry,
+        let metrics = Self {
+            registry: Registry::new(),
             requests,
             admissions,
             attempts,
@@ -156,12 +157,40 @@
             first_event_seconds,
             request_seconds,
             paused_seconds,
+            unreadable_entries,
+            unreadable_rows,
             evacuated_zones,
             cold_upstreams,
             cold_start_skips,
             connections_closed,
             panics,
-        })
+        };
+        metrics.register_all()?;
+        Ok(metrics)
+    }
+
+    fn register_all(&self) -> prometheus::Result<()> {
+        let collectors: [Box<dyn Collector>; 15] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.connections_closed.clone()),
+            Box::new(self.admissions.clone()),
+            Box::new(self.attempts.clone()),
+            Box::new(self.crashes.clone()),
+            Box::new(self.blocked_features.clone()),
+            Box::new(self.first_event_seconds.clone()),
+            Box::new(self.request_seconds.clone()),
+            Box::new(self.paused_seconds.clone()),
+            Box::new(self.cold_upstreams.clone()),
+            Box::new(self.cold_start_skips.clone()),
+            Box::new(self.panics.clone()),
+            Box::new(self.unreadable_entries.clone()),
+            Box::new(self.unreadable_rows.clone()),
+            Box::new(self.evacuated_zones.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector)?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use masticdock_adapter::{
-    DeclaredVersion, NodeBounds, OperatorRow, Row, decode_operator_row, decode_upstream_row,
+    DeclaredVersion, NodeBounds, OperatorRow, Row, Table, decode_operator_row, decode_upstream_row,
 };
 use masticdock_core::ids::{ModelId, UpstreamId};
 use masticdock_core::serving::{
@@ -17,6 +17,7 @@
 use super::TableEvent;
 use super::evacuations::EvacuationRow;
 use crate::clock;
+use crate::metrics::metrics;
 
 /// Time after the recovery of the store in which missing rows may reappear, in
 /// milliseconds; the platform specifies it.
@@ -153,12 +154,15 @@
                     applied.evacuations.push((zone, evacuated));
                 }
                 Ok(OperatorRow::Other) => {}
-                Err(error) => log::warn!(
-                    event = "row.unreadable",
-                    key = row.key.as_str(),
-                    error:% = error;
-                    "invalid row in the operators' table; the previous one stays in effect"
-                ),
+                Err(error) => {
+                    count_unreadable(Table::Operators);
+                    log::warn!(
+                        event = "row.unreadable",
+                        key = row.key.as_str(),
+                        error:% = error;
+                        "invalid row in the operators' table; the previous one stays in effect"
+                    );
+                }
             }
         }
         applied
@@ -269,13 +273,17 @@
 
     fn adopt_configuration(&mut self, configuration: Configuration, written_in: Option<StoreEra>) {
         let current = self.configuration_version();
+        let unreadable = configuration.unreadable.count;
         log::info!(
             event = "configuration.adopted",
             version = configuration.version,
             previous = current,
-            routes = configuration.route_count();
+            routes = configuration.route_count(),
+            unreadable = unreadable;
             "configuration applied"
         );
+        let entries = &metrics().unreadable_entries;
+        entries.set(i64::try_from(unreadable).unwrap_or(i64::MAX));
         self.configuration = Some(Rc::new(configuration));
         self.configuration_written_in = written_in;
     }
@@ -350,6 +358,7 @@
     match decode_upstream_row(row) {
         Ok(upstream) => upstream,
         Err(error) => {
+            count_unreadable(Table::Upstreams);
             log::warn!(
                 event = "row.unreadable",
                 key = row.key.as_str(),
@@ -361,6 +370,11 @@
     }
 }
 
+fn count_unreadable(table: Table) {
+    let rows = &metrics().unreadable_rows;
+    rows.with_label_values(&[table.as_str()]).inc();
+}
+
 fn log_changes(changes: &[DirectoryChange]) {
     for change in changes {
         match change {
