Take names that the platform and its operators choose as they are

The same rules stood between callers, upstreams, agents and settings.

Change: ids::ExternalName takes any text that is not empty. Our own resources keep their rules.

Why it works: the name in X-Tenant is the configuration's text, byte for byte, and nothing refuses it before.

--- a/crates/masticdock-core/src/ids/mod.rs
+++ b/crates/masticdock-core/src/ids/mod.rs
@@ -8,6 +8,7 @@
 pub use name::{
     AdapterId, ChangeId, EntryId, External, ExternalName, ModelId, NAME_LEN_MAX, OperatorId,
     RegionId, RequestKey, RolloutId, ServiceId, UpstreamId, VersionId, VmId, WorkspaceId, ZoneId,
+    is_header_value,
 };
 pub use number::{BootEpoch, Fence, Incarnation, Revision, StoreEra, VersionNumber};
 
--- a/crates/masticdock-core/src/ids/name.rs
+++ b/crates/masticdock-core/src/ids/name.rs
@@ -33,6 +33,14 @@
     Ok(name)
 }
 
+/// Returns whether the value of an HTTP header can carry a name unchanged: it holds no control
+/// characters, and receivers remove spaces around it.
+#[must_use]
+pub fn is_header_value(name: &str) -> bool {
+    let is_control = |byte: u8| (byte < b' ' && byte != b'\t') || byte == 0x7f;
+    name.trim_matches([' ', '\t']) == name && !name.bytes().any(is_control)
+}
+
 /// Name that another system may have chosen, by its own rules.
 ///
 /// The rules of [`FromStr`] are those for the names of our own resources, which occur in
--- a/crates/masticdock-core/src/serving/configuration_check.rs
+++ b/crates/masticdock-core/src/serving/configuration_check.rs
@@ -5,6 +5,8 @@
 
 use compact_str::{CompactString, ToCompactString};
 
+use crate::ids::is_header_value;
+
 /// Route as it is declared.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DeclaredRoute {
@@ -217,6 +219,12 @@
 fn check_workspaces(configuration: &DeclaredConfiguration, findings: &mut Findings) {
     let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
     for workspace in configuration.workspaces.iter().flatten() {
+        if workspace.name.is_empty() || !is_header_value(&workspace.name) {
+            findings.error(format!(
+                "requests cannot carry the name {:?} of a workspace, so none of it is served; tip: leave out control characters and spaces at its ends",
+                workspace.name
+            ));
+        }
         if workspace.keys.is_empty() {
             findings.warning(format!(
                 "workspace `{}` has no API key, so no request belongs to it; tip: add a key",
--- a/crates/masticdock-core/tests/serving_configuration_check.rs
+++ b/crates/masticdock-core/tests/serving_configuration_check.rs
@@ -55,6 +55,21 @@
     assert!(compare_configurations(&valid(), &next).is_empty());
 }
 
+/// Guards against a workspace whose requests are all rejected for its name, and against a free
+/// name that is taken for a fault.
+#[test]
+fn names_that_requests_cannot_carry_are_found() {
+    for name in ["", " padded", "two\nlines"] {
+        let found = finding(|configuration| {
+            configuration.workspaces.as_mut().unwrap()[0].name = name.into();
+        });
+        assert!(found.starts_with("error: requests cannot carry"), "{found}");
+    }
+    let mut free = valid();
+    free.workspaces.as_mut().unwrap()[0].name = "Alpenruh Hotels & Söhne".into();
+    assert_eq!(check_configuration(&free), []);
+}
+
 /// Guards against routes that no request reaches, or whose requests always fail.
 #[test]
 fn routes_that_cannot_serve_are_found() {
--- a/crates/masticdock-node/src/agent/peer_server.rs
+++ b/crates/masticdock-node/src/agent/peer_server.rs
@@ -9,8 +9,8 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use masticdock_adapter::Manifest;
-use masticdock_core::ids::{ModelId, RegionId};
+use masticdock_adapter::{Manifest, decode_path_segment, encode_path_segment};
+use masticdock_core::ids::{ExternalName, ModelId, RegionId};
 use masticdock_core::serving::VersionNumber;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -66,17 +66,20 @@
         let wait = if self.wait { "wait" } else { "now" };
         format!(
             "/pieces/{}/{}/{}/{}/{wait}",
-            self.model, self.version, self.chunk_index, self.region
+            encode_path_segment(self.model.as_str()),
+            self.version,
+            self.chunk_index,
+            encode_path_segment(self.region.as_str())
         )
     }
 
     fn parse(path: &str) -> Option<Self> {
         let mut parts = path.strip_prefix("/pieces/")?.split('/');
         Some(Self {
-            model: parts.next()?.parse().ok()?,
+            model: decode_name(parts.next()?)?,
             version: parts.next()?.parse().ok()?,
             chunk_index: parts.next()?.parse().ok()?,
-            region: parts.next()?.parse().ok()?,
+            region: decode_name(parts.next()?)?,
             wait: parts.next() == Some("wait"),
         })
     }
@@ -162,12 +165,18 @@
 
 /// Returns the URL path of the manifest of a version.
 pub(crate) fn manifest_path(model: &ModelId, version: VersionNumber) -> String {
+    let model = encode_path_segment(model.as_str());
     format!("/manifests/{model}/{version}")
 }
 
 fn parse_manifest_path(path: &str) -> Option<(ModelId, VersionNumber)> {
     let (model, version) = path.strip_prefix("/manifests/")?.split_once('/')?;
-    Some((model.parse().ok()?, version.parse().ok()?))
+    Some((decode_name(model)?, version.parse().ok()?))
+}
+
+/// Decodes a name from a segment of a URL path.
+fn decode_name<T: ExternalName>(segment: &str) -> Option<T> {
+    T::from_external(&decode_path_segment(segment)?).ok()
 }
 
 /// Returns a manifest from memory, or waits for it to arrive. Fails with 503 if it may
--- a/crates/masticdock-node/src/datagram/hello.rs
+++ b/crates/masticdock-node/src/datagram/hello.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use masticdock_adapter::DeclaredVersion;
-use masticdock_core::ids::{ServiceId, ZoneId};
+use masticdock_core::ids::{ExternalName, ModelId, ServiceId, ZoneId};
 use masticdock_core::serving::{
     Configuration, ConfigurationStamp, ModelTarget, Origin, StoreEra, VersionNumber,
 };
@@ -99,7 +99,7 @@
         let mut reader = Reader(bytes.strip_prefix(&HELLO_MAGIC)?);
         let flags = reader.take::<1>()?[0];
         let poll_age_ms = u32::from_le_bytes(reader.take()?);
-        let zone = reader.text()?.parse().ok()?;
+        let zone = ZoneId::from_external(reader.text()?).ok()?;
         let target = if flags & TARGET_FLAG == 0 {
             None
         } else {
@@ -109,7 +109,7 @@
         while !reader.0.is_empty() {
             let version = VersionNumber(reader.u64()?);
             let age_ms = reader.u64()?;
-            let model = reader.text()?.parse().ok()?;
+            let model = ModelId::from_external(reader.text()?).ok()?;
             versions.push((DeclaredVersion { model, version }, age_ms));
         }
         Some(Self {
@@ -151,7 +151,7 @@
     } else {
         None
     };
-    let model = reader.text()?.parse().ok()?;
+    let model = ModelId::from_external(reader.text()?).ok()?;
     let slots = u32::from_le_bytes(reader.take()?);
     let layers = u32::from_le_bytes(reader.take()?);
     let chunk_count = usize::try_from(reader.u64()?).ok()?;
@@ -161,7 +161,7 @@
     let address: SocketAddr = reader.text()?.parse().ok()?;
     let zone = match reader.text()? {
         "" => None,
-        zone => Some(zone.parse().ok()?),
+        zone => Some(ZoneId::from_external(zone).ok()?),
     };
     Some(ConfiguredTarget {
         configuration: ConfigurationStamp { number, written_in },
--- a/crates/masticdock-node/src/json_log/mod.rs
+++ b/crates/masticdock-node/src/json_log/mod.rs
@@ -72,9 +72,9 @@
         };
         if dropped > 0 {
             let line = format!(
-                "{{\"unix_ms\":{},\"node\":\"{}\",\"level\":\"warn\",\"event\":\"log.dropped\",\"lines\":{dropped}}}\n",
+                "{{\"unix_ms\":{},\"node\":{},\"level\":\"warn\",\"event\":\"log.dropped\",\"lines\":{dropped}}}\n",
                 clock::unix_ms(),
-                self.node
+                serde_json::Value::from(self.node.as_str())
             );
             bytes.extend_from_slice(line.as_bytes());
         }
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -6,7 +6,7 @@
 use masticdock_adapter::{
     DeclaredVersion, NodeBounds, OperatorRow, Row, Table, decode_operator_row, decode_upstream_row,
 };
-use masticdock_core::ids::{ModelId, UpstreamId};
+use masticdock_core::ids::{ExternalName, ModelId, UpstreamId};
 use masticdock_core::serving::{
     Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
     ConfigurationOrderSettings, ConfigurationSource, ConfigurationStamp, Directory,
@@ -340,7 +340,7 @@
         if let Some(upstream) = decode_row(row) {
             return self.directory.put(upstream);
         }
-        let id: UpstreamId = row.key.parse().ok()?;
+        let id = UpstreamId::from_external(&row.key).ok()?;
         self.directory.remove(&id, now)
     }
 
--- a/crates/masticdock-node/src/upstream_list/mod.rs
+++ b/crates/masticdock-node/src/upstream_list/mod.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use masticdock_adapter::{CallError, HttpClient};
-use masticdock_core::ids::{ModelId, ServiceId, UpstreamId, ZoneId};
+use masticdock_adapter::{CallError, HttpClient, decode_path_segment, encode_path_segment};
+use masticdock_core::ids::{External, ExternalName, ModelId, ServiceId, UpstreamId, ZoneId};
 use masticdock_core::serving::{Directory, LayerSpan, ModelState, Upstream, VersionNumber};
 use serde::{Deserialize, Serialize};
 
@@ -18,9 +18,9 @@
 /// An upstream in the list; leaving upstreams are left out.
 #[derive(Debug, Serialize, Deserialize)]
 struct ListedUpstream {
-    id: UpstreamId,
+    id: External<UpstreamId>,
     address: SocketAddr,
-    zone: ZoneId,
+    zone: External<ZoneId>,
     slots: u32,
     started_at_ms: Option<u64>,
     models: Vec<ListedModel>,
@@ -28,14 +28,15 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct ListedModel {
-    model: ModelId,
+    model: External<ModelId>,
     /// First layer, exclusive end and version of each span.
     layers: Vec<(u32, u32, u64)>,
 }
 
 /// Returns the service whose list a request asks for.
 pub(crate) fn parse_path(path: &str) -> Option<ServiceId> {
-    path.strip_prefix(PATH_PREFIX)?.parse().ok()
+    let name = decode_path_segment(path.strip_prefix(PATH_PREFIX)?)?;
+    ServiceId::from_external(&name).ok()
 }
 
 /// Encodes the upstreams of a service.
@@ -50,9 +51,9 @@
     let listed: Vec<ListedUpstream> = directory
         .serving(service)
         .map(|upstream| ListedUpstream {
-            id: upstream.id.clone(),
+            id: External(upstream.id.clone()),
             address: upstream.address,
-            zone: upstream.zone.clone(),
+            zone: External(upstream.zone.clone()),
             slots: upstream.slots,
             started_at_ms: upstream.started_at_ms,
             models: upstream.models.iter().map(list_model).collect(),
@@ -64,7 +65,7 @@
 fn list_model(model: &ModelState) -> ListedModel {
     let spans = model.layers.iter();
     ListedModel {
-        model: model.model.clone(),
+        model: External(model.model.clone()),
         layers: spans
             .map(|span| (span.from, span.until, span.version.0))
             .collect(),
@@ -79,7 +80,7 @@
         for model in upstream.models {
             let spans = model.layers.into_iter();
             models.push(ModelState {
-                model: model.model,
+                model: model.model.0,
                 layers: spans
                     .map(|(from, until, version)| LayerSpan {
                         from,
@@ -90,10 +91,10 @@
             });
         }
         upstreams.push(Upstream {
-            id: upstream.id,
+            id: upstream.id.0,
             service: service.clone(),
             address: upstream.address,
-            zone: upstream.zone,
+            zone: upstream.zone.0,
             slots: upstream.slots,
             leaving: false,
             models,
@@ -114,7 +115,7 @@
     entry: SocketAddr,
     service: &ServiceId,
 ) -> Result<Vec<Upstream>, CallError> {
-    let path = format!("{PATH_PREFIX}{service}");
+    let path = format!("{PATH_PREFIX}{}", encode_path_segment(service.as_str()));
     let reply = HttpClient::new(entry).get(&path, READ_TIMEOUT).await?;
     if reply.status != StatusCode::OK {
         return Err(CallError::Unexpected(reply.status.to_string()));
