End the grace period of lapsed rows in time after a cut from the store

What callers saw: an entry that had been cut from the store went on sending to an upstream whose row was removed meanwhile, over 4 s after the removal and 3 s after the cut.

Cause: a row that is missing after failed calls is held for 2 s, since an outage of the store lets rows of sound upstreams lapse. A request that waited for a connection was not checked against the directory.

Change: the grace period also ends stable-ms less 0.25 s after the beginning of the last failed call, since which the path may have been back. The directory leaves upstreams out by the time itself, when one is chosen and again before a request is sent. Calls that time out follow each other at once, so that the bound leaves at least 2 s to the rows that a real outage let lapse.

Why it works: the end of the hold no longer depends on when the return is noticed; the last call that failed was sent before the cut ended, so the hold ends before the entry counts as in touch.

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -4,6 +4,11 @@
 //! upstream writes it again soon after the store recovers. Such an upstream stays
 //! usable for a grace period, in which connection results decide whether it is used.
 //!
+//! Failure: the store was never away, only the path of this process to it, and the row of an
+//! upstream that leaves was removed meanwhile. A process cannot tell this from an outage, so
+//! the grace period ends in any case before the time from which it has to leave such an
+//! upstream out, counted from the earliest moment at which the path may have been back.
+//!
 //! A store that comes back from a copy lists upstreams again that left since. A process
 //! that announced its shutdown stays unusable for good, one whose row was only removed
 //! until it writes again.
@@ -126,6 +131,10 @@
     const fn has_announced_leaving(&self) -> bool {
         self.upstream.leaving && self.withheld_until.is_none()
     }
+
+    fn is_usable(&self, now: MonoMs) -> bool {
+        !self.upstream.leaving && self.expires_at.is_none_or(|expires_at| now < expires_at)
+    }
 }
 
 /// A process that left.
@@ -154,32 +163,57 @@
 /// is old.
 const DEPARTURES_KEPT_MS: u64 = 600_000;
 
+/// Time that a request takes from the check of its upstream to its arrival, in milliseconds.
+const ARRIVAL_MS: u64 = 250;
+
+/// Settings of a [`Directory`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DirectorySettings {
+    /// Time after the return of the store in which upstreams restore expired rows, in
+    /// milliseconds.
+    pub grace_period_ms: u64,
+    /// Time after the return of the path to the store from which upstreams without a row must
+    /// receive no requests, in milliseconds.
+    pub removal_deadline_ms: u64,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        Self {
+            grace_period_ms: 2_000,
+            removal_deadline_ms: 3_000,
+        }
+    }
+}
+
 /// All known upstreams.
 #[derive(Debug, Clone)]
 pub struct Directory {
+    settings: DirectorySettings,
     records: BTreeMap<UpstreamId, Record>,
     departures: BTreeMap<UpstreamId, Departure>,
-    /// Time after the store recovers in which upstreams restore expired rows, in
-    /// milliseconds.
-    grace_period_ms: u64,
-    store_recovered_at: Option<MonoMs>,
+    /// End of the grace period after the latest return of the store.
+    grace_ends_at: Option<MonoMs>,
 }
 
 impl Directory {
     /// Creates an empty directory.
     #[must_use]
-    pub const fn new(grace_period_ms: u64) -> Self {
+    pub const fn new(settings: DirectorySettings) -> Self {
         Self {
+            settings,
             records: BTreeMap::new(),
             departures: BTreeMap::new(),
-            grace_period_ms,
-            store_recovered_at: None,
+            grace_ends_at: None,
         }
     }
 
-    /// Records that the store is reachable again after an outage.
-    pub const fn store_recovered(&mut self, now: MonoMs) {
-        self.store_recovered_at = Some(now);
+    /// Records that the store is reachable again. It may have been so since `reachable_since`,
+    /// the beginning of the last call that failed.
+    pub fn store_recovered(&mut self, reachable_since: MonoMs, now: MonoMs) {
+        let usable_ms = (self.settings.removal_deadline_ms).saturating_sub(ARRIVAL_MS);
+        let grace_ends_at = now.plus_ms(self.settings.grace_period_ms);
+        self.grace_ends_at = Some(grace_ends_at.min(reachable_since.plus_ms(usable_ms)));
     }
 
     /// Inserts or updates the row that an upstream wrote.
@@ -258,10 +292,7 @@
     /// Applies the removal of a row, or its replacement by one without a usable upstream.
     pub fn remove(&mut self, id: &UpstreamId, now: MonoMs) -> Option<DirectoryChange> {
         let record = self.records.get_mut(id)?;
-        let grace_ends_at = self
-            .store_recovered_at
-            .map(|recovered_at| recovered_at.plus_ms(self.grace_period_ms));
-        if let Some(grace_ends_at) = grace_ends_at
+        if let Some(grace_ends_at) = self.grace_ends_at
             && now < grace_ends_at
             && !record.upstream.leaving
         {
@@ -296,7 +327,7 @@
     /// copy. Upstreams that joined since the copy was taken have the grace period to write
     /// their rows again.
     pub fn replace_restored(&mut self, rows: Vec<Upstream>, now: MonoMs) -> Vec<DirectoryChange> {
-        self.store_recovered(now);
+        self.grace_ends_at = Some(now.plus_ms(self.settings.grace_period_ms));
         self.replace_from(rows, RowSource::Copy, now)
     }
 
@@ -350,10 +381,21 @@
         self.records.get(id).map(|record| &record.upstream)
     }
 
-    /// Iterates over the upstreams of a service that are not leaving.
-    pub fn serving<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Upstream> {
-        self.iter()
-            .filter(move |upstream| upstream.service == *service && !upstream.leaving)
+    /// Iterates over the upstreams of a service that may receive requests.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now: MonoMs,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        (self.records.values())
+            .filter(move |record| record.upstream.service == *service && record.is_usable(now))
+            .map(|record| &record.upstream)
+    }
+
+    /// Returns whether the upstream with this id may receive requests.
+    #[must_use]
+    pub fn is_serving(&self, id: &UpstreamId, now: MonoMs) -> bool {
+        (self.records.get(id)).is_some_and(|record| record.is_usable(now))
     }
 
     /// Iterates over all known upstreams, including leaving ones.
--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -69,7 +69,9 @@
     RequestFeature, RequestFeatures, Suspect, UpstreamProcess, WHOLE_REQUEST_DEPTH,
 };
 pub use deadline_estimate::DeadlineEstimate;
-pub use directory::{Directory, DirectoryChange, LayerSpan, ModelState, Upstream};
+pub use directory::{
+    Directory, DirectoryChange, DirectorySettings, LayerSpan, ModelState, Upstream,
+};
 pub use eligibility::{AllowedRegions, Eligibility, EvacuatedZones, EvacuationChange, Ineligible};
 pub use load::{AgentReport, UpstreamLoad};
 pub use loaded_weights::{LoadId, LoadState, LoadedWeights, LoadedWeightsSettings, StageRead};
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -2,7 +2,7 @@
 
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    Directory, DirectoryChange, LayerSpan, ModelState, Upstream, VersionNumber,
+    Directory, DirectoryChange, DirectorySettings, LayerSpan, ModelState, Upstream, VersionNumber,
 };
 use masticdock_core::units::MonoMs;
 
@@ -26,10 +26,17 @@
     id.parse().unwrap()
 }
 
+/// Returns the ids of the upstreams that may receive requests.
+fn serving(directory: &Directory, now: MonoMs) -> Vec<String> {
+    let service = "llm".parse().unwrap();
+    let upstreams = directory.serving(&service, now);
+    upstreams.map(|upstream| upstream.id.to_string()).collect()
+}
+
 /// Guards against requests to an upstream that announced its shutdown.
 #[test]
 fn an_upstream_joins_leaves_and_is_removed() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     let row = upstream("u-1", false, 1);
     assert_eq!(
         directory.put(row.clone()),
@@ -41,7 +48,12 @@
         Some(DirectoryChange::Leaving(id("u-1")))
     );
     assert!(directory.get(&id("u-1")).unwrap().leaving);
-    assert_eq!(directory.serving(&"llm".parse().unwrap()).count(), 0);
+    assert_eq!(
+        directory
+            .serving(&"llm".parse().unwrap(), MonoMs(0))
+            .count(),
+        0
+    );
     assert_eq!(
         directory.remove(&id("u-1"), MonoMs(10)),
         Some(DirectoryChange::Gone(id("u-1")))
@@ -52,7 +64,7 @@
 /// Guards against keeping the load and version of a previous process with the same id.
 #[test]
 fn a_restart_under_the_same_id_counts_as_joining() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     directory.put(upstream("u-1", false, 1));
     let restarted = upstream("u-1", false, 2);
     assert_eq!(
@@ -64,10 +76,10 @@
 /// Guards against dropping all upstreams when their rows expired in a store outage.
 #[test]
 fn rows_missing_after_a_store_outage_keep_their_upstreams_for_a_grace_period() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     directory.put(upstream("u-1", false, 1));
     directory.put(upstream("u-2", false, 1));
-    directory.store_recovered(MonoMs(10_000));
+    directory.store_recovered(MonoMs(9_900), MonoMs(10_000));
     let until = MonoMs(10_000 + GRACE_PERIOD_MS);
     assert_eq!(
         directory.replace(Vec::new(), MonoMs(10_050)),
@@ -84,14 +96,44 @@
     assert_eq!(directory.iter().count(), 1);
 }
 
+/// Guards against requests to an upstream that left while only this process could not reach
+/// the store: at the latest 3 s after the end of the cut, it must get none.
+#[test]
+fn the_grace_period_ends_in_time_if_only_the_path_to_the_store_was_cut() {
+    // A call that is lost just before the end of the cut fails 0.7 s later.
+    for recovered_at in [10_000, 10_700, 11_100] {
+        let mut directory = Directory::new(DirectorySettings::default());
+        directory.put(upstream("u-1", false, 1));
+        directory.store_recovered(MonoMs(10_000), MonoMs(recovered_at));
+        directory.remove(&id("u-1"), MonoMs(recovered_at));
+        assert_eq!(serving(&directory, MonoMs(11_900)), ["u-1"]);
+        // Without a call of `expire`.
+        assert_eq!(serving(&directory, MonoMs(12_750)), [""; 0]);
+        assert!(!directory.is_serving(&id("u-1"), MonoMs(12_750)));
+    }
+}
+
+/// Guards against a grace period that an outage cannot explain: the store may have been back
+/// for long, as after a pause of this process.
+#[test]
+fn a_row_removed_long_after_a_lost_call_has_no_grace_period() {
+    let mut directory = Directory::new(DirectorySettings::default());
+    directory.put(upstream("u-1", false, 1));
+    directory.store_recovered(MonoMs(5_000), MonoMs(10_000));
+    assert_eq!(
+        directory.remove(&id("u-1"), MonoMs(10_000)),
+        Some(DirectoryChange::Gone(id("u-1")))
+    );
+}
+
 /// Guards against a grace period for upstreams that announced their shutdown, or for
 /// rows that are removed without a recent store outage.
 #[test]
 fn leaving_upstreams_and_removals_without_an_outage_have_no_grace_period() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     directory.put(upstream("u-1", true, 1));
     directory.put(upstream("u-2", false, 1));
-    directory.store_recovered(MonoMs(10_000));
+    directory.store_recovered(MonoMs(9_900), MonoMs(10_000));
     assert_eq!(
         directory.remove(&id("u-1"), MonoMs(10_050)),
         Some(DirectoryChange::Gone(id("u-1")))
@@ -132,11 +174,7 @@
 /// Guards against requests to upstreams that left and that a copy of the store lists again.
 #[test]
 fn upstreams_that_left_stay_unusable_when_the_store_comes_back_from_a_copy() {
-    let serving = |directory: &Directory| {
-        let service = "llm".parse().unwrap();
-        let ids = directory.serving(&service).map(|row| row.id.to_string());
-        ids.collect::<Vec<_>>()
-    };
+    let serving = |directory: &Directory| serving(directory, MonoMs(0));
     let without_start = |mut row: Upstream| {
         row.started_at_ms = None;
         row
@@ -145,7 +183,7 @@
         .map(|id| upstream(id, false, 1))
         .to_vec();
     copy.push(without_start(upstream("no-start", false, 1)));
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     directory.replace(copy.clone(), MonoMs(0));
     for id in ["leaving", "left"] {
         directory.put(upstream(id, true, 1));
@@ -178,7 +216,7 @@
 /// Guards against rejections for an upstream that joined after the copy was taken.
 #[test]
 fn upstreams_missing_in_a_copy_have_a_grace_period_although_no_call_failed() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     directory.put(upstream("u-1", false, 1));
     let until = MonoMs(10_000 + GRACE_PERIOD_MS);
     assert_eq!(
@@ -191,7 +229,7 @@
 /// hears of no writes.
 #[test]
 fn an_upstream_whose_row_outlasts_the_return_is_usable_at_the_next_read() {
-    let mut directory = Directory::new(GRACE_PERIOD_MS);
+    let mut directory = Directory::new(DirectorySettings::default());
     let copy = vec![upstream("u-1", false, 1)];
     directory.replace(copy.clone(), MonoMs(0));
     directory.replace(Vec::new(), MonoMs(5_000));
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -431,7 +431,7 @@
         let Some(service) = &self.settings.service else {
             return peers;
         };
-        for upstream in catalog.directory.serving(service) {
+        for upstream in catalog.directory.serving(service, clock::now()) {
             if upstream.address == self.upstream {
                 continue;
             }
--- a/crates/masticdock-node/src/agent/switch_loop.rs
+++ b/crates/masticdock-node/src/agent/switch_loop.rs
@@ -194,7 +194,7 @@
     };
     let upstreams: Vec<UpstreamId> = catalog
         .directory
-        .serving(service)
+        .serving(service, clock::now())
         .map(|upstream| upstream.id.clone())
         .collect();
     drop(catalog);
--- a/crates/masticdock-node/src/entry/candidates.rs
+++ b/crates/masticdock-node/src/entry/candidates.rs
@@ -108,7 +108,7 @@
     let closed = entry.closed.borrow();
     let eligibility = eligibility(entry, &catalog, &closed, query.allowed_regions);
     let mut ineligible = None;
-    for upstream in catalog.directory.serving(query.service) {
+    for upstream in catalog.directory.serving(query.service, now) {
         if query.excluded.contains(&upstream.id) {
             continue;
         }
@@ -299,7 +299,7 @@
     /// Computes the order once for all candidates of a request.
     fn new(catalog: &Catalog, service: &ServiceId, timeline: &VersionTimeline) -> Self {
         let newest = timeline.newest();
-        let upstreams: Vec<&Upstream> = catalog.directory.serving(service).collect();
+        let upstreams: Vec<&Upstream> = catalog.directory.serving(service, clock::now()).collect();
         let sorted = SwitchPlan::switch_order(&upstreams, newest);
         let ids = sorted.into_iter().map(|upstream| upstream.id.clone());
         Self {
--- a/crates/masticdock-node/src/entry/eligibility.rs
+++ b/crates/masticdock-node/src/entry/eligibility.rs
@@ -54,15 +54,19 @@
     let allowed = allowed_regions(entry, call);
     let (catalog, closed) = (entry.catalog.borrow(), entry.closed.borrow());
     let eligibility = eligibility(entry, &catalog, &closed, &allowed);
-    let Err(reason) = eligibility.check(upstream, clock::now()) else {
-        return true;
+    let now = clock::now();
+    let reason = match eligibility.check(upstream, now) {
+        Err(reason) => reason.as_str(),
+        // It may have left while the connection was opened.
+        Ok(()) if !catalog.directory.is_serving(&upstream.id, now) => "upstream_gone",
+        Ok(()) => return true,
     };
     log::info!(
         event = "attempt.ineligible",
         request_id = call.head.request_id.as_str(),
         upstream = upstream.id.as_str(),
         zone = upstream.zone.as_str(),
-        reason = reason.as_str();
+        reason = reason;
         "an upstream must no longer get a request; it is not sent"
     );
     false
@@ -75,7 +79,7 @@
     let (catalog, closed) = (entry.catalog.borrow(), entry.closed.borrow());
     let eligibility = eligibility(entry, &catalog, &closed, &allowed);
     let now = clock::now();
-    let mut serving = catalog.directory.serving(&call.service);
+    let mut serving = catalog.directory.serving(&call.service, now);
     serving.any(|upstream| {
         let checked = eligibility.check(upstream, now);
         !excluded.contains(&upstream.id) && matches!(checked, Ok(()) | Err(Ineligible::Paused(_)))
--- a/crates/masticdock-node/src/entry/retry.rs
+++ b/crates/masticdock-node/src/entry/retry.rs
@@ -109,7 +109,7 @@
         return excluded;
     }
     let catalog = entry.catalog.borrow();
-    for upstream in catalog.directory.serving(&call.service) {
+    for upstream in catalog.directory.serving(&call.service, clock::now()) {
         if !failures.rejecting.contains(&upstream.id) {
             excluded.push(upstream.id.clone());
         }
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -10,7 +10,7 @@
 use masticdock_core::serving::{
     Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
     ConfigurationOrderSettings, ConfigurationSource, ConfigurationStamp, Directory,
-    DirectoryChange, EvacuatedZones, StoreEra, Upstream, VersionTimeline,
+    DirectoryChange, DirectorySettings, EvacuatedZones, StoreEra, Upstream, VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -19,9 +19,6 @@
 use crate::clock;
 use crate::metrics::metrics;
 
-/// Time after the recovery of the store in which missing rows may reappear, in
-/// milliseconds; the platform specifies it.
-const LAPSED_ROW_GRACE_MS: u64 = 2_000;
 /// Age assumed for versions in the first snapshot, and the greatest age assumed for one
 /// declared during a pause of this process, in milliseconds. A process that starts or runs
 /// again has to meet the deadline of a version only after some seconds, so that a higher
@@ -74,7 +71,10 @@
         };
         Self {
             configuration: None,
-            directory: Directory::new(LAPSED_ROW_GRACE_MS),
+            directory: Directory::new(DirectorySettings {
+                removal_deadline_ms: bounds.stable_ms,
+                ..DirectorySettings::default()
+            }),
             upstreams_loaded: false,
             evacuated: EvacuatedZones::default(),
             operators_polled_at: None,
@@ -100,7 +100,7 @@
     pub(crate) fn apply_operator_event(&mut self, event: TableEvent) -> bool {
         self.operators_polled_at = Some(clock::now());
         match event {
-            TableEvent::Recovered | TableEvent::Unchanged => false,
+            TableEvent::Recovered { .. } | TableEvent::Unchanged => false,
             TableEvent::Snapshot(snapshot) => {
                 let is_first = !self.operators_loaded;
                 self.operators_loaded = true;
@@ -294,8 +294,8 @@
         self.upstreams_polled_at = Some(now);
         let changes = match event {
             TableEvent::Unchanged => return Vec::new(),
-            TableEvent::Recovered => {
-                self.directory.store_recovered(now);
+            TableEvent::Recovered { reachable_since } => {
+                self.directory.store_recovered(reachable_since, now);
                 Vec::new()
             }
             TableEvent::Snapshot(snapshot) => {
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -75,7 +75,10 @@
     Unchanged,
     /// The store answers again after failures. Delivered before the snapshot or the
     /// changes of the call that succeeded.
-    Recovered,
+    Recovered {
+        /// Beginning of the last call that failed. The store may have been reachable since.
+        reachable_since: MonoMs,
+    },
 }
 
 /// Long-polls a table of the store and delivers its changes.
@@ -117,6 +120,7 @@
         let mut position = None;
         let mut failures = 0_u32;
         let mut attempt_ended_at = clock::now();
+        let mut reachable_since = attempt_ended_at;
         let mut observation = TableObservation::new(attempt_ended_at);
         loop {
             // After a failure, polls without waiting, so that the recovery of the store
@@ -129,6 +133,7 @@
             if let Some(pause) = pauses::after(attempt_ended_at) {
                 observation.record_pause(&pause);
             }
+            let attempt_began_at = clock::now();
             let result = self.poll(&store, position, wait, &mut observation).await;
             attempt_ended_at = clock::now();
             let event = match result {
@@ -138,7 +143,11 @@
                 }
                 Err(error) => {
                     observation.record_failure(is_waking());
-                    self.back_off(&mut failures, &error).await;
+                    reachable_since = attempt_began_at;
+                    self.log_failure(failures, &error);
+                    let took = attempt_ended_at.since(attempt_began_at);
+                    sleep(backoff(failures).saturating_sub(took)).await;
+                    failures += 1;
                     continue;
                 }
             };
@@ -151,7 +160,7 @@
                     "the store answers again"
                 );
                 failures = 0;
-                apply(TableEvent::Recovered);
+                apply(TableEvent::Recovered { reachable_since });
             }
             let Some((event, body_duration)) = event else {
                 continue;
@@ -240,19 +249,25 @@
         }
     }
 
-    async fn back_off(&self, failures: &mut u32, error: &StoreError) {
-        if *failures == 0 {
-            log::warn!(
-                event = "dependency.lost",
-                dependency = "store",
-                table = self.table.as_str(),
-                error:% = error;
-                "the store does not answer; the last known rows stay in effect"
-            );
+    fn log_failure(&self, failures: u32, error: &StoreError) {
+        if failures > 0 {
+            return;
         }
-        let backoff_ms = (BACKOFF_MIN_MS << (*failures).min(3)).min(BACKOFF_MAX_MS);
-        *failures += 1;
-        let jitter_ms = rand::rng().random_range(0..=backoff_ms / 2);
-        sleep(Duration::from_millis(backoff_ms / 2 + jitter_ms)).await;
+        log::warn!(
+            event = "dependency.lost",
+            dependency = "store",
+            table = self.table.as_str(),
+            error:% = error;
+            "the store does not answer; the last known rows stay in effect"
+        );
     }
 }
+
+/// Returns the time between the beginnings of two calls after `failures` failed ones. A call
+/// that took longer is followed at once by the next one, so that the return of the store shows
+/// within one timeout.
+fn backoff(failures: u32) -> Duration {
+    let backoff_ms = (BACKOFF_MIN_MS << failures.min(3)).min(BACKOFF_MAX_MS);
+    let jitter_ms = rand::rng().random_range(0..=backoff_ms / 2);
+    Duration::from_millis(backoff_ms / 2 + jitter_ms)
+}
--- a/crates/masticdock-node/src/upstream_list/mod.rs
+++ b/crates/masticdock-node/src/upstream_list/mod.rs
@@ -10,6 +10,8 @@
 use masticdock_core::serving::{Directory, LayerSpan, ModelState, Upstream, VersionNumber};
 use serde::{Deserialize, Serialize};
 
+use crate::clock;
+
 /// Path of the list, followed by the name of a service.
 const PATH_PREFIX: &str = "/upstreams/";
 /// Timeout for the list from an entry of the region.
@@ -49,7 +51,7 @@
     service: &ServiceId,
 ) -> Result<Vec<u8>, serde_json::Error> {
     let listed: Vec<ListedUpstream> = directory
-        .serving(service)
+        .serving(service, clock::now())
         .map(|upstream| ListedUpstream {
             id: External(upstream.id.clone()),
             address: upstream.address,
