Pass no response on whose status ends no request

Cause: the HTTP library reads statuses from 100 to 999 without an error and ends the exchange with 101; nothing looked at the status before a response was passed on.

Change: a response with a status outside 200 to 599 counts as broken, on both paths: it is retried where the request may run again, else the caller gets 502 without the upstream's headers, and nothing it says of the upstream is believed. The event between the own path's agent and entry is malformed with such a status.

Why it works: the check stands before anything of the response is used, for first attempts, retries and resumed streams alike.

--- a/crates/masticdock-daemon/src/agent/proxy/body.rs
+++ b/crates/masticdock-daemon/src/agent/proxy/body.rs
@@ -24,11 +24,19 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+fn invalid_response(detail: &str) -> CallOutcome {
+    CallOutcome::Failed(Problem::unknown(
+        ProblemKind::UpstreamError,
+        format_compact!("the upstream's answer {detail}"),
+    ))
+}
+
 /// Reads a response with its whole body.
 ///
 /// # Errors
 ///
-/// Returns the outcome of the call when the body ends early, is too large or is no text.
+/// Returns the outcome of the call when the status is none of a final response, or the body
+/// ends early, is too large or is no text.
 pub(super) fn read_response(response: Response) -> Result<PlainResponse, CallOutcome> {
     let (status, headers, body) = response.split();
     let header_text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
@@ -42,23 +50,21 @@
     if content_length.is_some_and(|length| length != bytes.len()) {
         return Err(CallOutcome::Broken("the answer ended early".to_owned()));
     }
-    let invalid_response = |detail: &str| {
-        CallOutcome::Failed(Problem::unknown(
-            ProblemKind::UpstreamError,
-            format_compact!("the upstream's answer {detail}"),
-        ))
-    };
     if bytes.len() as u64 > RESPONSE_BYTES_MAX {
         return Err(invalid_response("is over 16 MiB"));
     }
     let Ok(text) = String::from_utf8(bytes) else {
         return Err(invalid_response("is not UTF-8 text"));
     };
-    Ok(PlainResponse {
+    let response = PlainResponse {
         status: status.as_u16(),
         content_type: header_text("content-type")
             .unwrap_or("application/json")
             .to_owned(),
         body: text,
-    })
+    };
+    if !response.is_final() {
+        return Err(invalid_response(&format!("has status {}", response.status)));
+    }
+    Ok(response)
 }
--- a/crates/masticdock-daemon/src/request_http/event_stream.rs
+++ b/crates/masticdock-daemon/src/request_http/event_stream.rs
@@ -34,6 +34,14 @@
     pub(crate) body: String,
 }
 
+impl PlainResponse {
+    /// Returns whether the status is one of a final response: HTTP defines 200 to 599, and
+    /// informational responses end no request.
+    pub(crate) const fn is_final(&self) -> bool {
+        matches!(self.status, 200..=599)
+    }
+}
+
 /// One event of an event stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum StreamEvent {
@@ -79,9 +87,16 @@
         "" => serde_json::from_str(data)
             .map(StreamEvent::Token)
             .map_err(malformed),
-        "answer" => serde_json::from_str(data)
-            .map(StreamEvent::Response)
-            .map_err(malformed),
+        "answer" => {
+            let response: PlainResponse = serde_json::from_str(data).map_err(malformed)?;
+            if !response.is_final() {
+                return Err(malformed(format_args!(
+                    "response with status {}",
+                    response.status
+                )));
+            }
+            Ok(StreamEvent::Response(response))
+        }
         "error" => serde_json::from_str(data)
             .map(|problem| StreamEvent::Problem(Box::new(problem)))
             .map_err(malformed),
--- a/crates/masticdock-daemon/src/tests/request_path/entry.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/entry.rs
@@ -12,7 +12,9 @@
 use super::fakes::{FakeEngine, FakeService, TableMode, loopback};
 use crate::control::ControlMsg;
 use crate::drain::leave_when_idle;
-use crate::request_http::{HandlerLimits, Listener, header_name, respond};
+use crate::request_http::{
+    AGENT_EVENT_BYTES_MAX, EventReader, HandlerLimits, Listener, header_name, respond,
+};
 
 /// Guards against `not_run` for a request that ran: the first attempt has an unknown outcome, and
 /// the rejection of a later attempt must not replace it.
@@ -36,6 +38,37 @@
     assert_eq!(failing_service.runs(), 1);
 }
 
+/// Guards against a status that ends no request and that a caller takes for an answer.
+#[test]
+fn a_response_of_a_service_without_a_final_status_is_an_error() {
+    let cluster = TestCluster::new();
+    let plain = FakeService::spawn();
+    let _agent = cluster.plain_agent("vm-1", &plain);
+    let entry = cluster.entry("entry-1");
+    for (status, key) in [(101, "k1"), (600, "k2"), (999, "k3")] {
+        plain.status.store(status, Ordering::SeqCst);
+        let response = post_order(&entry, key);
+        assert_eq!(response.problem(), ("upstream-error", RunState::Unknown));
+    }
+}
+
+/// Guards against the same in what an agent in trouble tells of a service's response.
+#[test]
+fn an_answer_event_without_a_final_status_is_malformed() {
+    for (status, is_valid) in [
+        (0, false),
+        (101, false),
+        (200, true),
+        (599, true),
+        (600, false),
+    ] {
+        let answer = json!({ "status": status, "content_type": "a/b", "body": "{}" });
+        let event = format!("event: answer\ndata: {answer}\n\n");
+        let read = EventReader::new(event.as_bytes(), AGENT_EVENT_BYTES_MAX).next_event();
+        assert_eq!(read.is_ok(), is_valid, "{status}: {read:?}");
+    }
+}
+
 /// Guards against an unknown outcome for a request that was sent to no upstream.
 #[test]
 fn a_request_without_an_upstream_is_reported_as_not_run() {
--- a/crates/masticdock-daemon/src/tests/request_path/fakes.rs
+++ b/crates/masticdock-daemon/src/tests/request_path/fakes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -218,6 +218,8 @@
 pub(super) struct FakeService {
     pub(super) addr: SocketAddr,
     pub(super) runs: AtomicU64,
+    /// Status of the responses.
+    pub(super) status: AtomicU16,
     /// Locked by a test to delay responses and keep requests in flight.
     pub(super) response_lock: Mutex<()>,
     /// Closes the connection after the run instead of sending the response.
@@ -240,11 +242,13 @@
                     return;
                 }
                 let body = json!({ "run": run }).to_string().into_bytes();
-                respond(request, 200, "application/json", &[], body);
+                let status = plain.status.load(Ordering::SeqCst);
+                respond(request, status, "application/json", &[], body);
             });
             Self {
                 addr,
                 runs: AtomicU64::new(0),
+                status: AtomicU16::new(200),
                 response_lock: Mutex::new(()),
                 drop_response: AtomicBool::new(false),
             }
--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -176,6 +176,10 @@
         Err(waited) => return silent_attempt(call, target, waited),
     };
     let (parts, body) = response.into_parts();
+    if !is_final(parts.status) {
+        let reason = format!("status {} ends no request", parts.status.as_str());
+        return broken_attempt(call, target, &reason);
+    }
     let head = parse_upstream_head(parts.status, &parts.headers);
     let identity = ResponseIdentity {
         sent_id: &call.head.request_id,
@@ -264,6 +268,12 @@
     AttemptResult::Buffered(forwarded, body)
 }
 
+/// Returns whether a response with this status ends a request. A switch of protocols does not,
+/// since no caller's request for one is passed on, and HTTP defines no statuses above 599.
+fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 async fn read_first_events(
     entry: &Entry,
     call: &Call,
