Move the checks of upstreams' response heads into a module

Change: check_head, record_head and forwarded_head stand in response_head.rs; behaviour stays as it is.

--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, Version};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use masticdock_adapter::{
-    BodyEnd, BodyKind, Connection, UpstreamHead, UpstreamTarget, is_hop_by_hop,
-    is_internal_response_header, parse_upstream_head, rewrite_headers_for_upstream,
+    BodyEnd, BodyKind, Connection, UpstreamTarget, parse_upstream_head,
+    rewrite_headers_for_upstream,
 };
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    AttemptOutcome, EventSequence, EventSplitter, ResponseIdentity, StreamEvent, Upstream,
+    AttemptOutcome, EventSequence, EventSplitter, StreamEvent, Upstream,
 };
 use masticdock_core::units::MonoMs;
 use tokio::time::Instant;
@@ -29,6 +29,7 @@
 use super::pool::{AttemptConnection, acquire_connection};
 use super::rate_limits;
 use super::request::Call;
+use super::response_head::{check_head, forwarded_head, record_head};
 use super::state::Entry;
 use super::wait::{RetryWhileSilent, WaitLimits, await_upstream, record_wait};
 use crate::clock;
@@ -176,20 +177,9 @@
         Err(waited) => return silent_attempt(call, target, waited),
     };
     let (parts, body) = response.into_parts();
-    if !is_final(parts.status) {
-        let reason = format!("status {} ends no request", parts.status.as_str());
-        return broken_attempt(call, target, &reason);
-    }
     let head = parse_upstream_head(parts.status, &parts.headers);
-    let identity = ResponseIdentity {
-        sent_id: &call.head.request_id,
-        named_id: head.request_id.as_deref(),
-        reused_connection: is_reused,
-        not_executed: head.not_executed,
-    };
-    if !identity.is_certain() {
-        let reason = "the response may belong to another request";
-        return broken_attempt(call, target, reason);
+    if let Err(reason) = check_head(call, parts.status, &head, is_reused) {
+        return broken_attempt(call, target, &reason);
     }
     limits.record_response(entry, call);
     record_head(entry, target, &head);
@@ -268,12 +258,6 @@
     AttemptResult::Buffered(forwarded, body)
 }
 
-/// Returns whether a response with this status ends a request. A switch of protocols does not,
-/// since no caller's request for one is passed on, and HTTP defines no statuses above 599.
-fn is_final(status: StatusCode) -> bool {
-    (200..=599).contains(&status.as_u16())
-}
-
 async fn read_first_events(
     entry: &Entry,
     call: &Call,
@@ -329,51 +313,6 @@
     AttemptResult::Stream(Box::new(stream))
 }
 
-fn record_head(entry: &Entry, target: &UpstreamTarget, head: &UpstreamHead) {
-    let now = clock::now();
-    record_slowness(entry, target, head, now);
-    entry.with_load(&target.id, |load| {
-        load.record_activity(now);
-        if let Some((running, waiting)) = head.load {
-            load.record_answer_load(running, waiting, now);
-        }
-    });
-}
-
-/// Records the slowness that an answer tells; an invalid figure is logged and ignored.
-fn record_slowness(entry: &Entry, target: &UpstreamTarget, head: &UpstreamHead, now: MonoMs) {
-    let Some(slowness) = head.slowness else {
-        return;
-    };
-    let is_logged = entry.with_load(&target.id, |load| match slowness {
-        Ok(slowness) => {
-            load.told_slowness.record_answer(slowness, now);
-            false
-        }
-        Err(_) => load.told_slowness.record_invalid(now),
-    });
-    if let (true, Err(error)) = (is_logged, slowness) {
-        log::warn!(
-            event = "slowness.invalid",
-            upstream = target.id.as_str(),
-            error:% = error;
-            "ignored the slowness that an upstream tells; check the upstream's load figures"
-        );
-    }
-}
-
-/// Returns the response head without hop-by-hop and internal headers.
-fn forwarded_head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
-    let mut head = Response::new(());
-    *head.status_mut() = status;
-    for (name, value) in headers {
-        if !is_hop_by_hop(name) && !is_internal_response_header(name) {
-            head.headers_mut().append(name, value.clone());
-        }
-    }
-    head
-}
-
 /// Ends an attempt before it is sent, since the upstream's version expires too soon.
 fn late_attempt(call: &Call, upstream: &UpstreamId) -> AttemptResult {
     log::info!(
