Review case 11: a truncated answer without length passes as complete

Tried: three servers of orders as processes answer without length or chunks; one is killed in the middle of its answers.

--- /dev/null
+++ b/review/standins-3/main.rs
@@ -0,0 +1,31 @@
+//! Cases of the review that are run as scripts: `standins CASE FOLDER`.
+
+mod cut_answer;
+mod kit;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let result = match arguments.as_slice() {
+        ["cut-answer", folder] => cut_answer::run(Path::new(folder)),
+        ["cut-answer-server", address] => cut_answer::serve_orders(address),
+        _ => Err("usage: standins CASE FOLDER".into()),
+    };
+    match result {
+        Ok(Verdict::Held) => ExitCode::SUCCESS,
+        Ok(Verdict::Broken) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
