Review case 12: a refusal of a server that ran the order is passed on

Tried: one of three servers of orders books a part of its orders and answers 503 without saying that it did not run them. How: review/12/run.sh against the entry of the deploy file.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 
 mod cut_answer;
 mod kit;
+mod own_refusal;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
     let result = match arguments.as_slice() {
         ["cut-answer", folder] => cut_answer::run(Path::new(folder)),
         ["cut-answer-server", address] => cut_answer::serve_orders(address),
+        ["own-refusal", folder] => own_refusal::run(Path::new(folder)),
         _ => Err("usage: standins CASE FOLDER".into()),
     };
     match result {
