Review case 14: an entry goes back to a lost configuration that is written again

Tried: two configurations, an entry that joins after them, a store that comes back from a copy older than both, and an operator that writes them again 2 s apart.

--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -207,10 +207,21 @@
 
 type Rows = BTreeMap<(String, String), (u64, Option<String>)>;
 
+/// Rows of the store and the counter of their versions.
+#[derive(Clone, Default)]
+pub struct Contents(u64, Rows);
+
+#[derive(Default)]
+struct StoreState {
+    contents: Contents,
+    era: u64,
+    is_away: bool,
+}
+
 /// The platform's store: tables `op` and `servers`, reads and feeds.
 #[derive(Clone)]
 pub struct Store {
-    state: Arc<(Mutex<(u64, Rows)>, Condvar)>,
+    state: Arc<(Mutex<StoreState>, Condvar)>,
     pub address: SocketAddr,
 }
 
@@ -232,20 +243,33 @@
         self.write(table, key, Some(base64(value.as_bytes())));
     }
 
-    pub fn delete(&self, table: &str, key: &str) {
-        self.write(table, key, None);
-    }
-
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut state = self.state.0.lock().unwrap();
-        state.0 += 1;
-        let version = state.0;
-        state
-            .1
-            .insert((table.to_owned(), key.to_owned()), (version, value));
+        let Contents(version, rows) = &mut state.contents;
+        *version += 1;
+        rows.insert((table.to_owned(), key.to_owned()), (*version, value));
+        self.state.1.notify_all();
+    }
+
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> Contents {
+        self.state.0.lock().unwrap().contents.clone()
+    }
+
+    /// Closes each channel on which a call arrives or waits, until the store comes back.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
         self.state.1.notify_all();
     }
 
+    /// Comes back from a copy, in the next era.
+    pub fn come_back(&self, copy: Contents) {
+        let mut state = self.state.0.lock().unwrap();
+        state.contents = copy;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
         let query: BTreeMap<&str, &str> = request
             .path()
@@ -266,8 +290,18 @@
         let until = Instant::now() + Duration::from_millis(number("wait-ms"));
         let mut state = self.state.0.lock().unwrap();
         loop {
-            let mut rows: Vec<_> = state
-                .1
+            if state.is_away {
+                return false;
+            }
+            let era = state.era;
+            let Contents(newest, rows) = &state.contents;
+            if after > *newest {
+                let gone =
+                    format!("HTTP/1.1 410 Gone\r\nStore-Era: {era}\r\nContent-Length: 0\r\n\r\n");
+                return stream.write_all(gone.as_bytes()).is_ok();
+            }
+            let newest = *newest;
+            let mut rows: Vec<_> = rows
                 .iter()
                 .filter(|((of, _), (version, value))| {
                     of == table && *version > after && (is_feed || value.is_some())
@@ -288,12 +322,12 @@
             let body = format!(
                 r#"{{"rows":[{}],"has-more":false,"row-version":{},"now-ms":{}}}"#,
                 rows.join(","),
-                state.0,
+                newest,
                 unix_ms()
             );
             drop(state);
             let head = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nStore-Era: {era}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             return stream.write_all((head + &body).as_bytes()).is_ok();
@@ -314,6 +348,16 @@
     )
 }
 
+/// Returns a configuration with one route to `service`, and `idle_routes` that nobody calls.
+pub fn moved_configuration(version: u64, service: &str, idle_routes: u32) -> String {
+    let idle: String = (0..idle_routes)
+        .map(|number| format!(r#",{{"name":"r-idle-{number}","host":"{HOST}","prefix":"/idle-{number}/","kind":"idempotent","timeout-ms":3000,"goal-ms":300,"priority":2,"service":"orders","attempts":2,"anonymous":false}}"#))
+        .collect();
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r-orders","host":"{HOST}","prefix":"/orders/","kind":"idempotent","timeout-ms":3000,"goal-ms":300,"priority":2,"service":"{service}","attempts":2,"anonymous":false}}{idle}],"services":[{{"name":"orders","health-path":"/health","max-conns":96,"protocol":"h1","tls":false}},{{"name":"orders-b","health-path":"/health","max-conns":96,"protocol":"h1","tls":false}}],"limits":{{"header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"bozi300","api-keys":["{KEY}"],"priority":1}}]}}"#
+    )
+}
+
 /// Returns a configuration with one route to the service `orders`.
 pub fn orders_configuration(version: u64, kind: &str, attempts: u32) -> String {
     format!(
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 mod cut_answer;
 mod kit;
 mod own_refusal;
+mod restored_step;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
     let result = match arguments.as_slice() {
         ["cut-answer", folder] => cut_answer::run(Path::new(folder)),
         ["cut-answer-server", address] => cut_answer::serve_orders(address),
+        ["restored-step", folder] => restored_step::run(Path::new(folder)),
         ["own-refusal", folder] => own_refusal::run(Path::new(folder)),
         _ => Err("usage: standins CASE FOLDER".into()),
     };
