Withhold rejections that upstreams give to requests that they ran

What callers saw: an upstream booked an order and answered 503 without stating that it had not run it.

Cause: an attempt without that statement counts as run, but its response was forwarded whatever its status means to the caller. Evidence: the entry's log of such an order has outcome=error_passed_on, status=503 and the upstream that booked it, after one run; a rejection of the entry itself would be logged as not_run or request.rejected, and a response to another request would leave no run under this id.

Change: forward_response, through which every complete response of an upstream passes, replaces a status that promises "not run" by 502, or 504 after the deadline, where a request may run once. An answer without the upstream's seal keeps both REFUSED and MIXED, and 502 and 504 promise nothing. Responses that state that the request was not run are rejections as before, and requests that may run again get the status with its seal.

--- a/crates/masticdock-node/src/entry/outcome.rs
+++ b/crates/masticdock-node/src/entry/outcome.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use masticdock_adapter::promises_not_run;
 use masticdock_core::serving::{AttemptHistory, FinalResponse, RequestFeature};
 
 use super::answer::{CallerResponseBody, buffered, empty};
@@ -167,17 +168,24 @@
             )
         }
         _ => {
-            let status = if call.time_left_ms() == 0 {
-                StatusCode::GATEWAY_TIMEOUT
-            } else {
-                StatusCode::BAD_GATEWAY
-            };
+            let status = unknown_outcome_status(call);
             respond_with_error(call, "failed", chosen, status, None, history, in_use)
         }
     }
 }
 
-/// Forwards a complete response of an upstream.
+/// Returns the status of a failed request that may have run.
+fn unknown_outcome_status(call: &Call) -> StatusCode {
+    if call.time_left_ms() == 0 {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    }
+}
+
+/// Forwards a complete response of an upstream. If its status would tell the caller that a
+/// request that may run once did not run, which the upstream has not stated, the caller gets an
+/// error that leaves the outcome open.
 pub(crate) fn forward_response(
     call: &Call,
     outcome: &'static str,
@@ -187,6 +195,17 @@
     history: &AttemptHistory,
     in_use: InUseGuard,
 ) -> Response<CallerResponseBody> {
+    if promises_not_run(head.status()) && !call.route.kind.is_safe_to_retry() {
+        log::warn!(
+            event = "response.withheld",
+            request_id = call.head.request_id.as_str(),
+            upstream = chosen.map_or("", |chosen| chosen.upstream.id.as_str()),
+            status = head.status().as_u16();
+            "an upstream rejected a request without stating that it was not run"
+        );
+        let (outcome, status) = ("rejection_withheld", unknown_outcome_status(call));
+        return respond_with_error(call, outcome, chosen, status, None, history, in_use);
+    }
     record_end(
         call,
         outcome,
