Derive the assumed age of versions from the deployment's limits

Cause: a version that an entry reads first counted as 5 s old, "the youngest age that is safe". That holds where the limit less stable-ms is 5 s; with 10 s and 4 s it has to be 6 s. Evidence: the entry reads the version 51 ms after its start, logs age_ms=5002 where the version is 6.7 s old, and sends requests to the old one after it is no longer excused, until 1 s before the end by its own count. Late reading or requests on their way are excluded by the log.

The same constant was the greatest age after a pause; there, older versions now end by the age of the pause, at the earliest stable-ms after its end, however late the polls succeed. Agents, which only plan their switch by the age, keep 5 s as a constant of their own.

--- a/crates/masticdock-core/src/serving/mod.rs
+++ b/crates/masticdock-core/src/serving/mod.rs
@@ -76,7 +76,7 @@
 pub use load::{AgentReport, UpstreamLoad};
 pub use loaded_weights::{LoadId, LoadState, LoadedWeights, LoadedWeightsSettings, StageRead};
 pub use memory::{BufferAccount, BufferAccountSettings, BufferId, MemoryShares};
-pub use observation::{PollReply, TableObservation};
+pub use observation::{ChangeAge, PollReply, TableObservation};
 pub use pauses::{Pause, PauseDetector, PauseSettings};
 pub use placement::{Candidate, Placement, PlacementRules, RequestSize, place};
 pub use places::{EngineRoom, PlaceRotation, PlaceRules};
@@ -90,4 +90,6 @@
 pub use store_reads::{StoreReadSchedule, StoreReadSettings};
 pub use stream_progress::{StreamProgress, StreamProgressSettings};
 pub use switch_plan::{SwitchPlan, SwitchTiming};
-pub use versions::{BeginMargins, BeginWindow, PathDelays, VersionNumber, VersionTimeline};
+pub use versions::{
+    BeginMargins, BeginWindow, PathDelays, VersionLimits, VersionNumber, VersionTimeline,
+};
--- a/crates/masticdock-core/src/serving/observation.rs
+++ b/crates/masticdock-core/src/serving/observation.rs
@@ -22,6 +22,28 @@
     pub pause: Option<Pause>,
 }
 
+/// How old the changes in a reply can be.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ChangeAge {
+    /// Greatest age when they were read, in milliseconds.
+    pub max_ms: u64,
+    /// Time from which the process ran, if it did not while a change may have been made: its
+    /// start or the end of a pause.
+    pub running_since: Option<MonoMs>,
+}
+
+impl ChangeAge {
+    /// Returns the age of what a process reads first, which may have been there for any time.
+    /// The process can have read it since `running_since`.
+    #[must_use]
+    pub const fn unknown(running_since: MonoMs) -> Self {
+        Self {
+            max_ms: u64::MAX,
+            running_since: Some(running_since),
+        }
+    }
+}
+
 /// Time up to which a process knows all changes of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TableObservation {
@@ -38,6 +60,12 @@
         }
     }
 
+    /// Returns the time after which changes may have been missed, unless the store was away.
+    #[must_use]
+    pub const fn known_until(&self) -> Option<MonoMs> {
+        self.known_until
+    }
+
     /// Returns the greatest age that changes in a reply can have when it was read.
     #[must_use]
     pub fn change_age(&self, reply: &PollReply) -> Duration {
--- a/crates/masticdock-core/src/serving/pauses.rs
+++ b/crates/masticdock-core/src/serving/pauses.rs
@@ -90,6 +90,16 @@
         all
     }
 
+    /// Returns the longest pause that ended after `since`, including one that no tick has
+    /// followed yet.
+    #[must_use]
+    pub fn longest_after(&self, since: MonoMs, now: MonoMs) -> Option<Pause> {
+        let pauses = self.recent.iter().copied().chain(self.ending_pause(now));
+        pauses
+            .filter(|pause| pause.ended_at > since)
+            .max_by_key(Pause::duration_ms)
+    }
+
     fn ending_pause(&self, now: MonoMs) -> Option<Pause> {
         let is_pause = now.since_ms(self.ticked_at) >= self.settings.pause_min_ms;
         is_pause.then_some(Pause {
--- a/crates/masticdock-core/src/serving/versions.rs
+++ b/crates/masticdock-core/src/serving/versions.rs
@@ -3,6 +3,34 @@
 pub use crate::ids::VersionNumber;
 use crate::units::MonoMs;
 
+use super::observation::ChangeAge;
+
+/// Limits of a deployment on the time until a declared version is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionLimits {
+    /// Time after which a declared version has to be in force, in milliseconds.
+    pub in_force_ms: u64,
+    /// Time for which a process that starts, or runs again after a pause, is excused, in
+    /// milliseconds.
+    pub excused_ms: u64,
+}
+
+impl VersionLimits {
+    /// Returns the time from which a version counts as declared that was read at `read_at`. It
+    /// is the earliest possible one, but no earlier than needed: older versions may be used
+    /// while the process is excused.
+    #[must_use]
+    pub fn declared_at(&self, read_at: MonoMs, age: ChangeAge) -> MonoMs {
+        let earliest = MonoMs(read_at.0.saturating_sub(age.max_ms));
+        let Some(running_since) = age.running_since else {
+            return earliest;
+        };
+        let excused_until = running_since.plus_ms(self.excused_ms);
+        let needed = MonoMs(excused_until.0.saturating_sub(self.in_force_ms));
+        earliest.max(needed).min(read_at)
+    }
+}
+
 /// Delays of requests on their way to an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PathDelays {
--- a/crates/masticdock-core/tests/serving_pauses.rs
+++ b/crates/masticdock-core/tests/serving_pauses.rs
@@ -44,3 +44,21 @@
         .unwrap();
     assert_eq!(later.began_at, MonoMs(12_500));
 }
+
+/// Guards against a short stall on waking that is taken for the end of the pause before it.
+#[test]
+fn the_longest_pause_is_told_from_the_stalls_around_it() {
+    let mut detector = PauseDetector::new(PauseSettings::default(), MonoMs(1_000));
+    for now_ms in [1_450, 9_000, 9_250, 9_700] {
+        detector.tick(MonoMs(now_ms));
+    }
+    let long = Pause {
+        began_at: MonoMs(1_450),
+        ended_at: MonoMs(9_000),
+    };
+    let now = MonoMs(9_800);
+    assert_eq!(detector.longest_after(MonoMs(1_100), now), Some(long));
+    let stall = detector.longest_after(MonoMs(9_000), now).unwrap();
+    assert_eq!(stall.ended_at, MonoMs(9_700));
+    assert_eq!(detector.longest_after(MonoMs(9_700), now), None);
+}
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -2,7 +2,8 @@
 
 use masticdock_core::ids::UpstreamId;
 use masticdock_core::serving::{
-    BeginMargins, PathDelays, SwitchPlan, Upstream, VersionNumber, VersionTimeline,
+    BeginMargins, ChangeAge, PathDelays, SwitchPlan, Upstream, VersionLimits, VersionNumber,
+    VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -58,6 +59,82 @@
     assert_eq!(timeline.begin_until(VersionNumber(1)), Some(MonoMs(13_000)));
 }
 
+/// Limits of deployments, and one that excuses a process for longer than a version may take.
+const LIMITS: [VersionLimits; 5] = [
+    limits(8_000, 3_000),
+    limits(10_000, 4_000),
+    limits(9_700, 4_000),
+    limits(8_000, 5_000),
+    limits(4_000, 5_000),
+];
+
+const fn limits(in_force_ms: u64, excused_ms: u64) -> VersionLimits {
+    VersionLimits {
+        in_force_ms,
+        excused_ms,
+    }
+}
+
+/// Returns when version 1 ends at a process that reads the declaration of version 2.
+fn end_of_older(limits: VersionLimits, read_at: MonoMs, age: ChangeAge) -> MonoMs {
+    let mut timeline = VersionTimeline::new(limits.in_force_ms);
+    timeline.declare(VersionNumber(2), limits.declared_at(read_at, age));
+    timeline.begin_until(VersionNumber(1)).unwrap()
+}
+
+/// Guards against requests that begin on an old version at a process that started after a
+/// newer one was declared, and took it for younger than it may be.
+#[test]
+fn a_started_process_ends_an_old_version_once_it_is_no_longer_excused() {
+    let started_at = MonoMs(60_000);
+    for limits in LIMITS {
+        for read_after_ms in [0, 50, 1_000, 20_000] {
+            let read_at = started_at.plus_ms(read_after_ms);
+            let end = end_of_older(limits, read_at, ChangeAge::unknown(started_at));
+            // The declaration cannot be in the future, whatever excuses the process.
+            let latest = read_at.plus_ms(limits.in_force_ms);
+            assert_eq!(end, started_at.plus_ms(limits.excused_ms).min(latest));
+        }
+    }
+}
+
+/// Guards against the same after a pause, also if it takes polls that fail until the
+/// declaration is read; and against an old version that ends early although the greatest age
+/// is known.
+#[test]
+fn a_resumed_process_ends_an_old_version_in_time_however_late_it_reads() {
+    let resumed_at = MonoMs(80_000);
+    for limits in LIMITS {
+        for pause_ms in [500, 2_500, 6_600, 30_000] {
+            for read_after_ms in [0, 300, 1_200] {
+                let read_at = resumed_at.plus_ms(read_after_ms);
+                let age = ChangeAge {
+                    max_ms: pause_ms + read_after_ms,
+                    running_since: Some(resumed_at),
+                };
+                let end = end_of_older(limits, read_at, age);
+                let due_at = MonoMs(resumed_at.0 - pause_ms + limits.in_force_ms);
+                let excused_until = resumed_at.plus_ms(limits.excused_ms);
+                let latest = read_at.plus_ms(limits.in_force_ms);
+                assert_eq!(end, due_at.max(excused_until).min(latest));
+            }
+        }
+    }
+}
+
+/// Guards against a limit that is stretched for a process that ran all the while.
+#[test]
+fn a_process_that_ran_is_not_excused() {
+    for limits in LIMITS {
+        let age = ChangeAge {
+            max_ms: 7_000,
+            running_since: None,
+        };
+        let end = end_of_older(limits, MonoMs(80_000), age);
+        assert_eq!(end, MonoMs(73_000 + limits.in_force_ms));
+    }
+}
+
 /// Returns the last time, counted back from the expiry of version 1, at which a request may
 /// be sent to an upstream with these delays, in milliseconds.
 fn last_send_before_ms(longest_wait_ms: u64, link_delay_ms: u64) -> u64 {
--- a/crates/masticdock-node/src/agent/state.rs
+++ b/crates/masticdock-node/src/agent/state.rs
@@ -9,9 +9,9 @@
 use masticdock_adapter::{EngineClient, EngineReport, Manifest, NodeSettings, StoreClient, Table};
 use masticdock_core::ids::{RegionId, UpstreamId};
 use masticdock_core::serving::{
-    AgentReport, ChunkPeer, ChunkSourceSelector, CrashRecords, CrashRecordsSettings, EngineCrashes,
-    EngineCrashesSettings, LoadId, LoadState, LoadedWeights, ModelTarget, PrefillBacklog,
-    StoreReadSchedule, StoreReadSettings, VersionNumber, VersionTimeline,
+    AgentReport, ChangeAge, ChunkPeer, ChunkSourceSelector, CrashRecords, CrashRecordsSettings,
+    EngineCrashes, EngineCrashesSettings, LoadId, LoadState, LoadedWeights, ModelTarget,
+    PrefillBacklog, StoreReadSchedule, StoreReadSettings, VersionNumber, VersionTimeline,
 };
 use masticdock_core::transfer::{ChunkSet, LinkPacer, ReadWindow, cross_region_rate};
 use masticdock_core::units::{BytesPerSecond, MonoMs};
@@ -211,7 +211,7 @@
             Ok(snapshot) => {
                 let event = TableEvent::Snapshot(TableSnapshot {
                     rows: snapshot.rows,
-                    age_ms: 0,
+                    age: ChangeAge::default(),
                     era: snapshot.position.era,
                     is_followed: false,
                 });
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use masticdock_adapter::Table;
+use masticdock_core::serving::ChangeAge;
 use tokio::time::sleep;
 
 use super::state::Agent;
@@ -19,6 +20,10 @@
 /// Maximum time between checks of the schedule, which hellos postpone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Age assumed for versions that an agent reads first, in milliseconds: its engine is to switch
+/// soon, but not at the same moment as those of other agents that start.
+const FIRST_READ_AGE_MS: u64 = 5_000;
+
 /// Reads the table whenever the schedule says so; never returns.
 pub(crate) async fn run(agent: Rc<Agent>) {
     loop {
@@ -62,10 +67,15 @@
             return;
         }
     };
+    // An agent only plans its switch by the age; entries keep the limits.
+    let is_first = agent.catalog.borrow().operators_polled_at.is_none();
+    let age = ChangeAge {
+        max_ms: if is_first { FIRST_READ_AGE_MS } else { 0 },
+        running_since: None,
+    };
     let event = TableEvent::Snapshot(TableSnapshot {
         rows: snapshot.rows,
-        // An agent only plans its switch by the age; entries keep the limits.
-        age_ms: 0,
+        age,
         era: snapshot.position.era,
         is_followed: false,
     });
--- a/crates/masticdock-node/src/clock/mod.rs
+++ b/crates/masticdock-node/src/clock/mod.rs
@@ -21,9 +21,14 @@
     MonoMs(elapsed_ms.saturating_add(EPOCH_OFFSET_MS))
 }
 
+/// Returns the time at which the process started.
+pub(crate) const fn started_at() -> MonoMs {
+    MonoMs(EPOCH_OFFSET_MS)
+}
+
 /// Returns the time since the process started, in milliseconds.
 pub(crate) fn uptime_ms() -> u64 {
-    now().since_ms(MonoMs(EPOCH_OFFSET_MS))
+    now().since_ms(started_at())
 }
 
 fn since_boot() -> Duration {
--- a/crates/masticdock-node/src/pauses/mod.rs
+++ b/crates/masticdock-node/src/pauses/mod.rs
@@ -42,3 +42,8 @@
 pub(crate) fn after(since: MonoMs) -> Option<Pause> {
     DETECTOR.with_borrow(|detector| detector.pause_after(since, clock::now()))
 }
+
+/// Returns the longest pause of the process that ended after `since`.
+pub(crate) fn longest_after(since: MonoMs) -> Option<Pause> {
+    DETECTOR.with_borrow(|detector| detector.longest_after(since, clock::now()))
+}
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -8,9 +8,10 @@
 };
 use masticdock_core::ids::{ExternalName, ModelId, UpstreamId};
 use masticdock_core::serving::{
-    Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
+    ChangeAge, Configuration, ConfigurationDecision, ConfigurationId, ConfigurationOrder,
     ConfigurationOrderSettings, ConfigurationSource, ConfigurationStamp, Directory,
-    DirectoryChange, DirectorySettings, EvacuatedZones, StoreEra, Upstream, VersionTimeline,
+    DirectoryChange, DirectorySettings, EvacuatedZones, StoreEra, Upstream, VersionLimits,
+    VersionTimeline,
 };
 use masticdock_core::units::MonoMs;
 
@@ -19,12 +20,6 @@
 use crate::clock;
 use crate::metrics::metrics;
 
-/// Age assumed for versions in the first snapshot, and the greatest age assumed for one
-/// declared during a pause of this process, in milliseconds. A process that starts or runs
-/// again has to meet the deadline of a version only after some seconds, so that a higher
-/// age is not needed.
-const UNKNOWN_VERSION_AGE_MS: u64 = 5_000;
-
 /// Configuration, declared versions and upstreams, as the tables last had them.
 #[derive(Debug)]
 pub(crate) struct Catalog {
@@ -41,7 +36,6 @@
     /// Time of the last successful poll of the table of upstreams.
     pub(crate) upstreams_polled_at: Option<MonoMs>,
     versions: BTreeMap<ModelId, VersionTimeline>,
-    operators_loaded: bool,
     /// Era of the store in which the table of upstreams was read last.
     upstreams_era: Option<StoreEra>,
     /// Era of the store in which the operators' table was read last.
@@ -51,7 +45,7 @@
     configuration_written_in: Option<StoreEra>,
     /// Configuration that replaces the current one unless another one is written.
     held_configuration: Option<Configuration>,
-    version_deadline_ms: u64,
+    version_limits: VersionLimits,
 }
 
 /// What rows of the operators' table tell beside the configuration.
@@ -80,13 +74,15 @@
             operators_polled_at: None,
             upstreams_polled_at: None,
             versions: BTreeMap::new(),
-            operators_loaded: false,
             upstreams_era: None,
             operators_era: None,
             configuration_order: ConfigurationOrder::new(order),
             configuration_written_in: None,
             held_configuration: None,
-            version_deadline_ms: bounds.version_deadline_ms,
+            version_limits: VersionLimits {
+                in_force_ms: bounds.version_deadline_ms,
+                excused_ms: bounds.stable_ms,
+            },
         }
     }
 
@@ -102,43 +98,35 @@
         match event {
             TableEvent::Recovered { .. } | TableEvent::Unchanged => false,
             TableEvent::Snapshot(snapshot) => {
-                let is_first = !self.operators_loaded;
-                self.operators_loaded = true;
                 let is_restored =
                     self.operators_era.is_some() && snapshot.era != self.operators_era;
                 if is_restored {
                     self.configuration_order.store_restored(clock::now());
                 }
                 self.operators_era = snapshot.era;
-                let age_ms = if is_first {
-                    UNKNOWN_VERSION_AGE_MS
-                } else {
-                    snapshot.age_ms
-                };
                 let source = ConfigurationSource::Snapshot;
-                let applied = self.apply_operator_rows(&snapshot.rows, source, age_ms);
+                let applied = self.apply_operator_rows(&snapshot.rows, source, snapshot.age);
                 if snapshot.is_followed {
                     self.replace_evacuations(applied.evacuations, is_restored);
                 }
                 applied.has_new_version
             }
-            TableEvent::Changes(rows, age_ms) => {
-                let applied = self.apply_operator_rows(&rows, ConfigurationSource::Change, age_ms);
+            TableEvent::Changes(rows, age) => {
+                let applied = self.apply_operator_rows(&rows, ConfigurationSource::Change, age);
                 self.apply_evacuations(applied.evacuations);
                 applied.has_new_version
             }
         }
     }
 
-    /// Applies rows whose changes are at most `age_ms` old, and returns those on zones.
+    /// Applies rows whose changes have the given age, and returns those on zones.
     fn apply_operator_rows(
         &mut self,
         rows: &[Row],
         source: ConfigurationSource,
-        age_ms: u64,
+        age: ChangeAge,
     ) -> AppliedRows {
-        let now = clock::now();
-        let declared_at = MonoMs(now.0.saturating_sub(age_ms.min(UNKNOWN_VERSION_AGE_MS)));
+        let declared_at = self.version_limits.declared_at(clock::now(), age);
         let mut applied = AppliedRows::default();
         for row in rows {
             match decode_operator_row(row) {
@@ -180,7 +168,7 @@
         let timeline = self
             .versions
             .entry(declared.model.clone())
-            .or_insert_with(|| VersionTimeline::new(self.version_deadline_ms));
+            .or_insert_with(|| VersionTimeline::new(self.version_limits.in_force_ms));
         if !timeline.declare(declared.version, learnt_at) {
             return false;
         }
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -8,7 +8,7 @@
 
 use masticdock_adapter::{Feed, NodeBounds, Row, StoreClient, StoreError, Table};
 use masticdock_core::serving::{
-    PollLimits, PollReply, StoreEra, StorePosition, TableObservation, poll_pause,
+    ChangeAge, PollLimits, PollReply, StoreEra, StorePosition, TableObservation, poll_pause,
 };
 use masticdock_core::units::MonoMs;
 use rand::Rng;
@@ -55,8 +55,8 @@
 #[derive(Debug)]
 pub(crate) struct TableSnapshot {
     pub(crate) rows: Vec<Row>,
-    /// Greatest age that changes since the previous event can have, in milliseconds.
-    pub(crate) age_ms: u64,
+    /// How old changes since the previous event can be.
+    pub(crate) age: ChangeAge,
     /// Era of the store in which the table was read.
     pub(crate) era: Option<StoreEra>,
     /// True if its later changes follow; a single read does not tell when an evacuation ends.
@@ -68,9 +68,8 @@
 pub(crate) enum TableEvent {
     /// All rows of the table.
     Snapshot(TableSnapshot),
-    /// Rows that changed since the previous event, and the greatest age that the changes
-    /// can have, in milliseconds.
-    Changes(Vec<Row>, u64),
+    /// Rows that changed since the previous event, and how old the changes can be.
+    Changes(Vec<Row>, ChangeAge),
     /// A poll ended without changes, so the rows are still those of the table.
     Unchanged,
     /// The store answers again after failures. Delivered before the snapshot or the
@@ -120,7 +119,8 @@
         let mut position = None;
         let mut failures = 0_u32;
         let mut attempt_ended_at = clock::now();
-        let mut reachable_since = attempt_ended_at;
+        let mut reachable_since = clock::started_at();
+        let mut has_read = false;
         let mut observation = TableObservation::new(attempt_ended_at);
         loop {
             // After a failure, polls without waiting, so that the recovery of the store
@@ -134,7 +134,10 @@
                 observation.record_pause(&pause);
             }
             let attempt_began_at = clock::now();
-            let result = self.poll(&store, position, wait, &mut observation).await;
+            let unread_since = (!has_read).then_some(reachable_since);
+            let result = self
+                .poll(&store, position, wait, &mut observation, unread_since)
+                .await;
             attempt_ended_at = clock::now();
             let event = match result {
                 Ok((event, new_position)) => {
@@ -165,6 +168,7 @@
             let Some((event, body_duration)) = event else {
                 continue;
             };
+            has_read = true;
             let is_unchanged = matches!(event, TableEvent::Unchanged);
             let pause = apply(event);
             if !is_unchanged {
@@ -173,30 +177,37 @@
         }
     }
 
+    /// Polls the table once; `unread_since` is the time since which its first read may have
+    /// been possible, until there was one.
     async fn poll(
         &self,
         store: &StoreClient,
         position: Option<StorePosition>,
         wait: Duration,
         observation: &mut TableObservation,
+        unread_since: Option<MonoMs>,
     ) -> Result<(Option<(TableEvent, Duration)>, Option<StorePosition>), StoreError> {
         let sent_at = clock::now();
-        // Returns the greatest age of the changes in the reply, in milliseconds.
         let mut observe = |body_duration: Duration| {
             let reply = PollReply {
                 sent_at,
                 read_at: MonoMs(clock::now().0.saturating_sub(duration_ms(body_duration))),
                 pause: pauses::after(sent_at),
             };
-            let age = observation.change_age(&reply) + body_duration;
+            let known_until = observation.known_until();
+            let pause = known_until.and_then(pauses::longest_after);
+            let age = ChangeAge {
+                max_ms: duration_ms(observation.change_age(&reply) + body_duration),
+                running_since: pause.map(|pause| pause.ended_at),
+            };
             observation.record_reply(&reply);
-            duration_ms(age)
+            unread_since.map_or(age, ChangeAge::unknown)
         };
         let Some(position) = position else {
             let snapshot = store.read(self.table).await?;
             let event = TableEvent::Snapshot(TableSnapshot {
                 rows: snapshot.rows,
-                age_ms: observe(snapshot.body_duration),
+                age: observe(snapshot.body_duration),
                 era: snapshot.position.era,
                 is_followed: true,
             });
@@ -214,14 +225,14 @@
                 position,
                 body_duration,
             } => {
-                let age_ms = observe(body_duration);
+                let age = observe(body_duration);
                 if rows.is_empty() {
                     return Ok((
                         Some((TableEvent::Unchanged, Duration::ZERO)),
                         Some(position),
                     ));
                 }
-                let event = TableEvent::Changes(rows, age_ms);
+                let event = TableEvent::Changes(rows, age);
                 Ok((Some((event, body_duration)), Some(position)))
             }
             Feed::HistoryLost => {
