Hold lost configurations longer at entries that joined after them

Cause: a lower number with unknown content is held for 1 s and then taken for one that operators gave out again. An entry that joined in the lost seconds knows none of the lost configurations but the last, so any pause of over 1 s between two of them brings an older one into force. Evidence: the entry logs configuration.held for 6 with current=7 and adopts it 1.01 s later, 1 s before 7 is written again; an entry that had 6 in force ignores it.

Change: a number that is lower than any that was in force here is held for 30 s. Lost configurations lie only seconds apart, and each write begins the hold anew. Numbers above are held as before.

--- a/crates/masticdock-core/src/serving/configuration_order.rs
+++ b/crates/masticdock-core/src/serving/configuration_order.rs
@@ -83,6 +83,10 @@
     pub rewrite_ms: u64,
     /// Shortest time between a write of a lower number and its adoption, in milliseconds.
     pub hold_ms: u64,
+    /// The same for a number that is lower than any that this process had in force, in
+    /// milliseconds. It joined after such configurations were lost, so it cannot tell whether
+    /// one of them is written again; operators pause for less than that between two of them.
+    pub unseen_hold_ms: u64,
 }
 
 impl Default for ConfigurationOrderSettings {
@@ -90,6 +94,7 @@
         Self {
             rewrite_ms: 2_000,
             hold_ms: 1_000,
+            unseen_hold_ms: 30_000,
         }
     }
 }
@@ -102,6 +107,8 @@
 pub struct ConfigurationOrder {
     settings: ConfigurationOrderSettings,
     current: Option<ConfigurationId>,
+    /// Lowest number that was in force.
+    lowest: u64,
     /// Configurations that were in force before, the newest last.
     replaced: VecDeque<ConfigurationId>,
     /// When the store came back from a copy, until it holds the current configuration
@@ -117,6 +124,7 @@
         Self {
             settings,
             current: None,
+            lowest: u64::MAX,
             replaced: VecDeque::new(),
             restored_at: None,
             held: None,
@@ -164,9 +172,14 @@
         if source == ConfigurationSource::Snapshot || self.replaced.contains(&offered) {
             return ConfigurationDecision::Ignore;
         }
+        let hold_ms = if offered.number < self.lowest {
+            self.settings.unseen_hold_ms
+        } else {
+            self.settings.hold_ms
+        };
         let until = restored_at
             .plus_ms(self.settings.rewrite_ms)
-            .max(now.plus_ms(self.settings.hold_ms));
+            .max(now.plus_ms(hold_ms));
         self.held = Some((offered, until));
         ConfigurationDecision::Hold(until)
     }
@@ -181,6 +194,7 @@
     }
 
     fn adopt(&mut self, adopted: ConfigurationId) {
+        self.lowest = self.lowest.min(adopted.number);
         if self.replaced.len() == REPLACED_MAX {
             self.replaced.pop_front();
         }
--- a/crates/masticdock-core/tests/serving_configuration_order.rs
+++ b/crates/masticdock-core/tests/serving_configuration_order.rs
@@ -61,6 +61,45 @@
     assert_eq!(order.offer(id(8, 1), Change, MonoMs(30_000)), Adopt);
 }
 
+/// Returns the order of a process that joined when 7 was in force, after which the store came
+/// back at 10 s from a copy with 5.
+fn joined_order() -> ConfigurationOrder {
+    let mut order = ConfigurationOrder::new(ConfigurationOrderSettings::default());
+    assert_eq!(order.offer(id(7, 7), Snapshot, MonoMs(0)), Adopt);
+    order.store_restored(MonoMs(10_000));
+    assert_eq!(order.offer(id(5, 5), Snapshot, MonoMs(10_000)), Ignore);
+    order
+}
+
+/// Guards against a lost configuration in force at a process that has not seen it, because
+/// operators pause before they write the next one again.
+#[test]
+fn a_process_that_joined_after_lost_configurations_waits_for_the_newest_one() {
+    let mut order = joined_order();
+    for (number, at) in [(5, 13_000), (6, 25_000)] {
+        let now = MonoMs(at);
+        let held = order.offer(id(number, 1), Change, now);
+        assert_eq!(held, Hold(now.plus_ms(30_000)));
+        assert!(!order.adopt_held(now.plus_ms(29_999)));
+    }
+    assert_eq!(order.offer(id(7, 7), Change, MonoMs(54_000)), Ignore);
+    assert!(!order.adopt_held(MonoMs(600_000)));
+}
+
+/// Guards against a change that never comes into force at such a process because operators went
+/// on from the copy; from then on it knows their numbers.
+#[test]
+fn numbers_given_out_again_come_into_force_at_a_process_that_joined_later() {
+    let mut order = joined_order();
+    let until = MonoMs(42_000);
+    assert_eq!(order.offer(id(6, 1), Change, MonoMs(12_000)), Hold(until));
+    assert!(order.adopt_held(until));
+    assert_eq!(order.offer(id(7, 1), Change, MonoMs(43_000)), Adopt);
+    order.store_restored(MonoMs(50_000));
+    let until = MonoMs(54_000);
+    assert_eq!(order.offer(id(6, 2), Change, MonoMs(53_000)), Hold(until));
+}
+
 /// Guards against a change that is dropped because the table is read again while it is held.
 #[test]
 fn a_held_configuration_stays_held_when_the_table_is_read_again() {
