Hold lost configurations longer at entries that were away over them

Such an entry reads only the last configuration, so the others are unknown to it, and it took a lost one that was written again for a number given out again.

Change: a reply to a poll tells whether it follows more than 1 s without one. Numbers below a configuration that was read after such a gap may have been missed, and are held for 30 s like those before the start.

--- a/crates/masticdock-core/src/serving/configuration_order.rs
+++ b/crates/masticdock-core/src/serving/configuration_order.rs
@@ -83,9 +83,9 @@
     pub rewrite_ms: u64,
     /// Shortest time between a write of a lower number and its adoption, in milliseconds.
     pub hold_ms: u64,
-    /// The same for a number that is lower than any that this process had in force, in
-    /// milliseconds. It joined after such configurations were lost, so it cannot tell whether
-    /// one of them is written again; operators pause for less than that between two of them.
+    /// The same for a number of which this process may have missed a configuration, in
+    /// milliseconds. It cannot tell whether a lost one is written again; operators pause for
+    /// less than that between two of them.
     pub unseen_hold_ms: u64,
 }
 
@@ -107,8 +107,10 @@
 pub struct ConfigurationOrder {
     settings: ConfigurationOrderSettings,
     current: Option<ConfigurationId>,
-    /// Lowest number that was in force.
-    lowest: u64,
+    /// Lowest number from which on this process knows all configurations that were in force.
+    known_from: u64,
+    /// True if configurations before the next one that is offered may have been missed.
+    follows_gap: bool,
     /// Configurations that were in force before, the newest last.
     replaced: VecDeque<ConfigurationId>,
     /// When the store came back from a copy, until it holds the current configuration
@@ -124,7 +126,8 @@
         Self {
             settings,
             current: None,
-            lowest: u64::MAX,
+            known_from: u64::MAX,
+            follows_gap: false,
             replaced: VecDeque::new(),
             restored_at: None,
             held: None,
@@ -137,6 +140,11 @@
         self.held = None;
     }
 
+    /// Records that configurations before the next one that is offered may have been missed.
+    pub const fn record_gap(&mut self) {
+        self.follows_gap = true;
+    }
+
     /// Decides on the configuration that the store holds now.
     pub fn offer(
         &mut self,
@@ -144,6 +152,7 @@
         source: ConfigurationSource,
         now: MonoMs,
     ) -> ConfigurationDecision {
+        let follows_gap = std::mem::take(&mut self.follows_gap);
         if let Some((held, until)) = self.held
             && held == offered
         {
@@ -151,11 +160,11 @@
         }
         self.held = None;
         let Some(current) = self.current else {
-            self.adopt(offered);
+            self.adopt(offered, follows_gap);
             return ConfigurationDecision::Adopt;
         };
         if offered.number > current.number {
-            self.adopt(offered);
+            self.adopt(offered, follows_gap);
             return ConfigurationDecision::Adopt;
         }
         let Some(restored_at) = self.restored_at else {
@@ -166,13 +175,13 @@
             return ConfigurationDecision::Ignore;
         }
         if offered.number == current.number {
-            self.adopt(offered);
+            self.adopt(offered, follows_gap);
             return ConfigurationDecision::Adopt;
         }
         if source == ConfigurationSource::Snapshot || self.replaced.contains(&offered) {
             return ConfigurationDecision::Ignore;
         }
-        let hold_ms = if offered.number < self.lowest {
+        let hold_ms = if offered.number < self.known_from {
             self.settings.unseen_hold_ms
         } else {
             self.settings.hold_ms
@@ -189,12 +198,16 @@
         let Some((held, _)) = self.held.filter(|(_, until)| now >= *until) else {
             return false;
         };
-        self.adopt(held);
+        self.adopt(held, false);
         true
     }
 
-    fn adopt(&mut self, adopted: ConfigurationId) {
-        self.lowest = self.lowest.min(adopted.number);
+    fn adopt(&mut self, adopted: ConfigurationId, follows_gap: bool) {
+        self.known_from = if follows_gap {
+            adopted.number
+        } else {
+            self.known_from.min(adopted.number)
+        };
         if self.replaced.len() == REPLACED_MAX {
             self.replaced.pop_front();
         }
--- a/crates/masticdock-core/src/serving/observation.rs
+++ b/crates/masticdock-core/src/serving/observation.rs
@@ -11,6 +11,10 @@
 use super::pauses::Pause;
 use super::poll_pace::{IMMEDIATE_REPLY, change_age};
 
+/// Time without a poll from which it counts as a gap, in which operators can write several
+/// configurations.
+const POLL_GAP_MIN: Duration = Duration::from_secs(1);
+
 /// Reply to a poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PollReply {
@@ -30,6 +34,8 @@
     /// Time from which the process ran, if it did not while a change may have been made: its
     /// start or the end of a pause.
     pub running_since: Option<MonoMs>,
+    /// True if earlier changes of the same rows may have been missed.
+    pub follows_gap: bool,
 }
 
 impl ChangeAge {
@@ -40,6 +46,7 @@
         Self {
             max_ms: u64::MAX,
             running_since: Some(running_since),
+            follows_gap: true,
         }
     }
 }
@@ -66,6 +73,14 @@
         self.known_until
     }
 
+    /// Returns whether rows may have changed more than once, over more than the usual pause
+    /// between polls, before a poll that is sent now. It returns only their last change.
+    #[must_use]
+    pub fn has_gap(&self, sent_at: MonoMs) -> bool {
+        self.known_until
+            .is_none_or(|known_until| sent_at.since(known_until) > POLL_GAP_MIN)
+    }
+
     /// Returns the greatest age that changes in a reply can have when it was read.
     #[must_use]
     pub fn change_age(&self, reply: &PollReply) -> Duration {
--- a/crates/masticdock-core/tests/serving_configuration_order.rs
+++ b/crates/masticdock-core/tests/serving_configuration_order.rs
@@ -86,6 +86,28 @@
     assert!(!order.adopt_held(MonoMs(600_000)));
 }
 
+/// Guards against the same at a process that did not poll while lost configurations were
+/// written, and knows that only of those.
+#[test]
+fn configurations_missed_in_a_gap_are_held_like_those_before_the_start() {
+    let mut order = ConfigurationOrder::new(ConfigurationOrderSettings::default());
+    assert_eq!(order.offer(id(3, 3), Snapshot, MonoMs(0)), Adopt);
+    order.record_gap();
+    assert_eq!(order.offer(id(3, 3), Snapshot, MonoMs(1_000)), Ignore);
+    assert_eq!(order.offer(id(5, 5), Change, MonoMs(2_000)), Adopt);
+    order.record_gap();
+    assert_eq!(order.offer(id(7, 7), Change, MonoMs(8_000)), Adopt);
+    assert_eq!(order.offer(id(9, 9), Change, MonoMs(9_000)), Adopt);
+    order.store_restored(MonoMs(10_000));
+    assert_eq!(order.offer(id(5, 5), Snapshot, MonoMs(10_000)), Ignore);
+    let unseen = Hold(MonoMs(43_000));
+    assert_eq!(order.offer(id(6, 6), Change, MonoMs(13_000)), unseen);
+    assert_eq!(order.offer(id(7, 7), Change, MonoMs(15_000)), Ignore);
+    let between = Hold(MonoMs(18_000));
+    assert_eq!(order.offer(id(8, 8), Change, MonoMs(17_000)), between);
+    assert_eq!(order.offer(id(9, 9), Change, MonoMs(17_500)), Ignore);
+}
+
 /// Guards against a change that never comes into force at such a process because operators went
 /// on from the copy; from then on it knows their numbers.
 #[test]
--- a/crates/masticdock-core/tests/serving_observation.rs
+++ b/crates/masticdock-core/tests/serving_observation.rs
@@ -62,3 +62,22 @@
     let returned = reply(20_000, 20_010, None);
     assert!(observation.change_age(&returned) <= Duration::from_millis(300));
 }
+
+/// Guards against a change that hides earlier ones of the same row, which are taken for known.
+#[test]
+fn a_time_without_polls_is_a_gap() {
+    let mut observation = TableObservation::new(MonoMs(1_000));
+    observation.record_reply(&reply(1_010, 1_020, None));
+    // The usual pauses between polls.
+    assert!(!observation.has_gap(MonoMs(1_120)) && !observation.has_gap(MonoMs(1_620)));
+    // A poll that was open for long had no change to return.
+    observation.record_reply(&reply(1_120, 4_000, None));
+    assert!(!observation.has_gap(MonoMs(4_100)));
+    assert!(observation.has_gap(MonoMs(6_000)));
+    // The reply may be as old as the beginning of the pause.
+    observation.record_reply(&reply(6_000, 9_000, Some((6_500, 9_000))));
+    assert!(observation.has_gap(MonoMs(9_010)));
+    observation.record_reply(&reply(9_010, 9_020, None));
+    observation.record_failure(false);
+    assert!(observation.has_gap(MonoMs(9_800)));
+}
--- a/crates/masticdock-core/tests/serving_versions.rs
+++ b/crates/masticdock-core/tests/serving_versions.rs
@@ -111,6 +111,7 @@
                 let age = ChangeAge {
                     max_ms: pause_ms + read_after_ms,
                     running_since: Some(resumed_at),
+                    ..ChangeAge::default()
                 };
                 let end = end_of_older(limits, read_at, age);
                 let due_at = MonoMs(resumed_at.0 - pause_ms + limits.in_force_ms);
@@ -128,7 +129,7 @@
     for limits in LIMITS {
         let age = ChangeAge {
             max_ms: 7_000,
-            running_since: None,
+            ..ChangeAge::default()
         };
         let end = end_of_older(limits, MonoMs(80_000), age);
         assert_eq!(end, MonoMs(73_000 + limits.in_force_ms));
--- a/crates/masticdock-node/src/agent/store_reads.rs
+++ b/crates/masticdock-node/src/agent/store_reads.rs
@@ -71,7 +71,7 @@
     let is_first = agent.catalog.borrow().operators_polled_at.is_none();
     let age = ChangeAge {
         max_ms: if is_first { FIRST_READ_AGE_MS } else { 0 },
-        running_since: None,
+        ..ChangeAge::default()
     };
     let event = TableEvent::Snapshot(TableSnapshot {
         rows: snapshot.rows,
--- a/crates/masticdock-node/src/tables/catalog.rs
+++ b/crates/masticdock-node/src/tables/catalog.rs
@@ -133,6 +133,9 @@
                 Ok(OperatorRow::Configuration(configuration)) => {
                     let content = row.value.as_deref().unwrap_or_default();
                     let offered = ConfigurationId::new(configuration.version, content);
+                    if age.follows_gap {
+                        self.configuration_order.record_gap();
+                    }
                     self.apply_configuration(*configuration, offered, source);
                 }
                 Ok(OperatorRow::Version(declared)) => {
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -199,6 +199,7 @@
             let age = ChangeAge {
                 max_ms: duration_ms(observation.change_age(&reply) + body_duration),
                 running_since: pause.map(|pause| pause.ended_at),
+                follows_gap: observation.has_gap(sent_at),
             };
             observation.record_reply(&reply);
             unread_since.map_or(age, ChangeAge::unknown)
