Confirm ends of responses by the process that gave them

Cause: of such responses only the end of the connection marks the end, and the kernel ends the connections of a killed process in the same way. Bodies were not checked at all. Streams were checked by a new connection to the address, which proves nothing once another process listens there; an entry that reads the end late finds just that.

Change: one rule for both (response_end.rs). Such a response is whole if the process of its upstream is known to outlive it: by a connection that has been idle since before the end, or by a new one, unless the entry stood still since it sent the request and has just begun to run again. A later process at the address under another id counts like one under the same id. What is not confirmed is resumed or asked for again where that is allowed, else cut or answered 502.

Price: such a body is passed on 20 ms later.

--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use masticdock_adapter::{
     BodyEnd, BodyKind, Connection, UpstreamTarget, parse_upstream_head,
     rewrite_headers_for_upstream,
@@ -29,6 +29,7 @@
 use super::pool::{AttemptConnection, acquire_connection};
 use super::rate_limits;
 use super::request::Call;
+use super::response_end::outlives_response;
 use super::response_head::{check_head, forwarded_head, record_head};
 use super::state::Entry;
 use super::wait::{RetryWhileSilent, WaitLimits, await_upstream, record_wait};
@@ -227,33 +228,30 @@
         };
         return read_first_events(entry, call, upstream, target, limits, stream).await;
     }
+    // A body that the protocol rules out ends with its head.
+    let ends_with_connection = head.body_end == BodyEnd::WithConnection && !body.is_end_stream();
     let collected = collect_body(entry, body);
     let body = match await_upstream(entry, call, target, limits, collected).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => return broken_attempt(call, target, &reason),
         Err(waited) => return silent_attempt(call, target, waited),
     };
+    let ended_at = clock::now();
+    if ends_with_connection && !outlives_response(entry, upstream, limits.started_mono).await {
+        return broken_attempt(call, target, "the upstream ended with its response");
+    }
     entry
         .pools
         .put_back(&target.id, connection, head.idle_timeout_ms);
     entry.with_load(&target.id, |load| {
-        let now = clock::now();
-        load.record_activity(now);
-        load.record_service_time(now.since_ms(limits.started_mono), now);
+        load.record_activity(ended_at);
+        load.record_service_time(ended_at.since_ms(limits.started_mono), ended_at);
     });
     if parts.status.is_server_error() {
         return AttemptResult::Failed(AttemptOutcome::ServerError, Some((forwarded, body)));
     }
-    match head.body_end {
-        BodyEnd::Marked if parts.status.is_success() => {
-            crashes::record_success(entry, call, limits.started_mono);
-        }
-        // Plain services often end a response like this; checking each one would cost them a
-        // connection.
-        BodyEnd::WithConnection if call.runs_on_engine() => {
-            crashes::report_suspects(entry, call, upstream);
-        }
-        BodyEnd::Marked | BodyEnd::WithConnection => {}
+    if head.body_end == BodyEnd::Marked && parts.status.is_success() {
+        crashes::record_success(entry, call, limits.started_mono);
     }
     AttemptResult::Buffered(forwarded, body)
 }
--- a/crates/masticdock-node/src/entry/crashes.rs
+++ b/crates/masticdock-node/src/entry/crashes.rs
@@ -26,9 +26,11 @@
 
 /// Pauses before each attempt to connect to an upstream whose connection broke. Its port may
 /// close shortly after its connections.
-const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(150)];
+pub(super) const PROBE_PAUSES: [Duration; 2] =
+    [Duration::from_millis(20), Duration::from_millis(150)];
 /// Maximum time of such an attempt.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Crashes that the entry knows of.
 #[derive(Debug, Default)]
 pub(crate) struct SharedCrashes {
@@ -134,7 +136,7 @@
 
 /// Returns whether an upstream refuses connections. An unreachable one does not answer, and
 /// one that lost a response or reset a connection accepts others.
-pub(super) async fn is_gone(entry: &Entry, upstream: &Upstream) -> bool {
+async fn is_gone(entry: &Entry, upstream: &Upstream) -> bool {
     for pause in PROBE_PAUSES {
         sleep(pause).await;
         match entry.pools.open(upstream.address, PROBE_TIMEOUT).await {
--- a/crates/masticdock-node/src/entry/live_stream.rs
+++ b/crates/masticdock-node/src/entry/live_stream.rs
@@ -15,8 +15,9 @@
 use super::attempt::{AttemptResult, OpenStream};
 use super::attempt_race::{EndedAttempt, SharedFailures, run_attempts};
 use super::candidates::ChosenUpstream;
-use super::crashes::{is_gone, record_success, report_suspects};
+use super::crashes::{record_success, report_suspects};
 use super::request::Call;
+use super::response_end::{is_replaced, outlives_response};
 use super::state::Entry;
 use crate::clock;
 
@@ -103,7 +104,7 @@
                     let Some(silent_ms) = self.progress.check(clock::now()) else {
                         continue;
                     };
-                    if self.is_process_gone() {
+                    if is_replaced(&self.entry, &self.chosen.upstream) {
                         return StreamStep::Broken("the upstream was restarted".to_owned());
                     }
                     return StreamStep::Silent(silent_ms);
@@ -139,9 +140,9 @@
         if self.stream.body_end == BodyEnd::Marked || self.is_end_confirmed {
             return false;
         }
-        let is_gone = is_gone(&self.entry, &self.chosen.upstream).await || self.is_process_gone();
-        self.is_end_confirmed = !is_gone;
-        is_gone
+        let (upstream, sent_at) = (&self.chosen.upstream, self.stream.sent_at);
+        self.is_end_confirmed = outlives_response(&self.entry, upstream, sent_at).await;
+        !self.is_end_confirmed
     }
 
     /// Returns whether a part of an event has arrived after the events read so far.
@@ -206,17 +207,6 @@
             report_suspects(&self.entry, call, &self.chosen.upstream);
         }
     }
-
-    /// Returns whether the upstream's row or its agent names a later process.
-    fn is_process_gone(&self) -> bool {
-        let upstream = &self.chosen.upstream;
-        let catalog = self.entry.catalog.borrow();
-        let listed = catalog.directory.get(&upstream.id);
-        let reports = self.entry.reports.borrow();
-        let reported = reports.get(&upstream.id);
-        upstream.is_replaced_by(listed.and_then(|listed| listed.started_at_ms))
-            || upstream.is_replaced_by(reported.and_then(|(report, _)| report.started_at_ms))
-    }
 }
 
 /// Resumes a stream after the last event of `sequence`; returns once the next one follows, or
--- a/crates/masticdock-node/src/entry/mod.rs
+++ b/crates/masticdock-node/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod reports;
 mod request;
 mod request_body;
+mod response_end;
 mod response_head;
 mod retry;
 mod route;
--- a/crates/masticdock-node/src/entry/pool.rs
+++ b/crates/masticdock-node/src/entry/pool.rs
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    idle_since: MonoMs,
     expires_at: MonoMs,
 }
 
@@ -99,6 +100,13 @@
         Some(pool.remove(index).connection)
     }
 
+    /// Returns whether a connection to the upstream has been idle since `since` and is open.
+    pub(crate) fn has_idle_since(&self, id: &UpstreamId, since: MonoMs) -> bool {
+        let pools = self.idle.borrow();
+        let mut pool = pools.get(id).into_iter().flatten();
+        pool.any(|idle| idle.idle_since <= since && !idle.connection.is_closed())
+    }
+
     /// Opens a new connection, which is not pooled yet.
     pub(crate) async fn open(
         &self,
@@ -130,6 +138,7 @@
             .or_default()
             .push(IdleConnection {
                 connection,
+                idle_since: now,
                 expires_at: now.plus_ms(reuse_ms),
             });
     }
