Complete a stream whose resumption has no further event

What callers saw: whole streams of a leaving upstream were cut.

Cause: a refused connection leaves open whether the stream was whole, so it is resumed elsewhere. The upstream there has no further event, and since its answer ends with its connection as well, it was taken for a failure; then all attempts were used.

--- a/crates/masticdock-node/src/entry/attempt.rs
+++ b/crates/masticdock-node/src/entry/attempt.rs
@@ -271,13 +271,10 @@
             Ok(None) if stream.splitter.has_partial_event() => {
                 return broken_attempt(call, target, "the stream ended within its first event");
             }
-            // A stream that is resumed after its last event has no further one, but a crash
-            // looks the same where a body ends with the connection.
-            Ok(None)
-                if target.last_event_id.is_none() || stream.body_end == BodyEnd::WithConnection =>
-            {
+            Ok(None) if target.last_event_id.is_none() => {
                 return broken_attempt(call, target, "the stream ended without an event");
             }
+            // A stream that is resumed after its last event has no further one.
             Ok(None) => {
                 stream.ended = true;
                 break;
