Take an address for a replaced process only within its service

Cause: has_later_process compared addresses alone, so a row of another service at the address, which shows nothing about the upstream, counted as its successor. Change: the address counts for rows of the same service; the id counts as before.

--- a/crates/masticdock-core/src/serving/directory.rs
+++ b/crates/masticdock-core/src/serving/directory.rs
@@ -381,14 +381,15 @@
         self.records.get(id).map(|record| &record.upstream)
     }
 
-    /// Returns whether a process that started later is listed under the id or at the address
-    /// of an upstream, which shows that the upstream is gone.
+    /// Returns whether a process that started later is listed under the id of an upstream, or
+    /// at its address for the same service, which shows that the upstream is gone.
     #[must_use]
     pub fn has_later_process(&self, upstream: &Upstream) -> bool {
-        let mut listed = self.iter();
-        listed.any(|other| {
-            let in_its_place = other.id == upstream.id || other.address == upstream.address;
-            in_its_place && upstream.is_replaced_by(other.started_at_ms)
+        self.iter().any(|other| {
+            let has_its_place =
+                other.address == upstream.address && other.service == upstream.service;
+            (other.id == upstream.id || has_its_place)
+                && upstream.is_replaced_by(other.started_at_ms)
         })
     }
 
--- a/crates/masticdock-core/tests/serving_directory.rs
+++ b/crates/masticdock-core/tests/serving_directory.rs
@@ -239,3 +239,35 @@
     directory.replace(copy, MonoMs(20_000));
     assert!(!directory.get(&id("u-1")).unwrap().leaving);
 }
+
+/// Guards against a crashed upstream that is taken for alive because its successor has another
+/// id, and against one that counts as gone because of other rows.
+#[test]
+fn a_later_process_in_the_place_of_an_upstream_shows_that_it_is_gone() {
+    let own = upstream("u-1", false, 100);
+    let has_later = |others: &[Upstream]| {
+        let mut directory = Directory::new(DirectorySettings::default());
+        for other in others {
+            directory.put(other.clone());
+        }
+        directory.has_later_process(&own)
+    };
+    assert!(has_later(&[upstream("u-1", false, 200)]));
+    assert!(has_later(&[own.clone(), upstream("u-2", false, 200)]));
+    let elsewhere = Upstream {
+        address: "10.0.0.2:80".parse().unwrap(),
+        ..upstream("u-2", false, 200)
+    };
+    let of_another_service = Upstream {
+        service: "orders".parse().unwrap(),
+        ..upstream("u-2", false, 200)
+    };
+    let unknown_start = Upstream {
+        started_at_ms: None,
+        ..upstream("u-2", false, 200)
+    };
+    let earlier = upstream("u-2", false, 50);
+    for other in [elsewhere, of_another_service, unknown_start, earlier] {
+        assert!(!has_later(&[own.clone(), other]));
+    }
+}
