--- a/crates/masticdock-node/src/entry/response_end.rs
+++ b/crates/masticdock-node/src/entry/response_end.rs
@@ -27,6 +27,7 @@
     let recent = MonoMs(ended_at.0.saturating_sub(CATCH_UP_MS));
     let pause = pauses::longest_after(sent_at.max(recent))
         .filter(|pause| pause.duration_ms() >= RESTART_MIN_MS);
+    // The response may have ended at any time of the pause.
     let ended_after = pause.map_or(ended_at, |pause| pause.began_at);
     for wait in PROBE_PAUSES {
         // The connections of a process do not close at exactly the same time.
--- a/crates/masticdock-node/src/tables/mod.rs
+++ b/crates/masticdock-node/src/tables/mod.rs
@@ -177,8 +177,8 @@
         }
     }
 
-    /// Polls the table once; `unread_since` is the time since which its first read may have
-    /// been possible, until there was one.
+    /// Polls the table once. `unread_since` is the time since which the table can have been
+    /// read, if this poll is the first to do so.
     async fn poll(
         &self,
         store: &StoreClient,
